--- /dev/null
+++ b/src/rackvalve/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API: HTTP and JSON over the steward."""
--- /dev/null
+++ b/src/rackvalve/admin/app.py
@@ -0,0 +1,149 @@
+"""The WSGI application of the administration API."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import re
+from typing import Any
+
+from rackvalve.admin import backend
+from rackvalve.admin import problems
+from rackvalve import codec
+from rackvalve.configuration import document
+from rackvalve import errors
+from rackvalve.steward import commands
+
+BODY_LIMIT = 1024 * 1024
+_REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._:-]{1,128})")
+_REVISION = re.compile(r'"?([0-9]{1,18})"?')
+
+_PROBLEMS: dict[str, tuple[int, str]] = {
+    "conflict": (409, "Another change came first"),
+    "rejected": (422, "The command is not possible"),
+    "failed": (503, "The platform did not take it; nothing changed"),
+    "unknown": (504, "The platform's answer was lost; it may be in force"),
+}
+
+Result = object
+
+
+class App:
+    """Answers operators.
+
+    :param source: Reaches the steward and the entries.
+    """
+
+    def __init__(self, source: backend.Backend) -> None:
+        self._source = source
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer one request; see PEP 3333."""
+        result = self._answer(environ)
+        status = 200
+        content_type = "application/json"
+        if isinstance(result, problems.Problem):
+            status = result.status
+            content_type = problems.CONTENT_TYPE
+        body = codec.encode(result)
+        headers = [
+            ("Content-Type", content_type),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(problems.STATUSES[status], headers)
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> Result:
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        match = _REQUEST_PATH.fullmatch(path)
+        if match is not None and method == "GET":
+            return self._source.explain(match[1])
+        handlers: dict[tuple[str, str], Callable[[Any], Result]] = {
+            ("GET", "/v1/status"): self._get_status,
+            ("GET", "/v1/configuration"): self._get_configuration,
+            ("PUT", "/v1/configuration"): self._put_configuration,
+            ("POST", "/v1/commands"): self._post_command,
+        }
+        handler = handlers.get((method, path))
+        if handler is not None:
+            return handler(environ)
+        if any(path == known for _, known in handlers):
+            return problems.Problem(
+                type="method",
+                title="Method not allowed",
+                status=405,
+                detail=f"{method} {path}",
+            )
+        return problems.make_missing(path)
+
+    def _get_status(self, environ: dict[str, Any]) -> Result:
+        return self._source.execute(commands.ShowStatus())
+
+    def _get_configuration(self, environ: dict[str, Any]) -> Result:
+        status = self._source.execute(commands.ShowStatus())
+        if not isinstance(status, commands.Status):
+            return status
+        return commands.ReplaceConfiguration(
+            configuration=status.configuration,
+            expected=status.configuration_revision,
+        )
+
+    def _put_configuration(self, environ: dict[str, Any]) -> Result:
+        match = _REVISION.fullmatch(environ.get("HTTP_IF_MATCH", ""))
+        if match is None:
+            return problems.make_malformed(
+                "If-Match: give the revision that the change is based on"
+            )
+        body = _read_body(environ)
+        if isinstance(body, problems.Problem):
+            return body
+        try:
+            configuration = document.decode(body)
+        except errors.DocumentInvalidError as error:
+            return problems.make_malformed(error.reason)
+        command = commands.ReplaceConfiguration(
+            configuration=configuration, expected=int(match[1])
+        )
+        return self._conclude(self._source.execute(command))
+
+    def _post_command(self, environ: dict[str, Any]) -> Result:
+        body = _read_body(environ)
+        if isinstance(body, problems.Problem):
+            return body
+        try:
+            command = commands.decode(body)
+        except errors.DocumentInvalidError as error:
+            return problems.make_malformed(error.reason)
+        return self._conclude(self._source.execute(command))
+
+    def _conclude(self, result: Result) -> Result:
+        if not isinstance(result, commands.Answer):
+            return result
+        if result.outcome == "accepted":
+            return result
+        status, title = _PROBLEMS[result.outcome]
+        return problems.Problem(
+            type=result.outcome,
+            title=title,
+            status=status,
+            detail=result.detail,
+            revision=result.revision,
+        )
+
+
+def _read_body(environ: dict[str, Any]) -> bytes | problems.Problem:
+    try:
+        body: bytes = environ["wsgi.input"].read(BODY_LIMIT + 1)
+    except (OSError, ValueError):
+        return problems.make_malformed("body: ended before its length")
+    if len(body) > BODY_LIMIT:
+        return problems.Problem(
+            type="too-large",
+            title="Body too large",
+            status=413,
+            detail=f"body: larger than {BODY_LIMIT} bytes",
+        )
+    return body
--- /dev/null
+++ b/src/rackvalve/admin/backend.py
@@ -0,0 +1,104 @@
+"""Reaches the steward of this VM and the entries of its hall."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import grpc
+import msgspec
+
+from rackvalve.admin import problems
+from rackvalve import codec
+from rackvalve import errors
+from rackvalve.rpc import channels
+from rackvalve.rpc import rackvalve_pb2
+from rackvalve.rpc import rackvalve_pb2_grpc
+from rackvalve.steward import commands
+
+COMMAND_TIMEOUT_S = 10.0
+EXPLAIN_TIMEOUT_S = 1.0
+
+_STATUS_DECODER = msgspec.json.Decoder(commands.Status)
+_ANSWER_DECODER = msgspec.json.Decoder(commands.Answer)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Explained:
+    """What an entry knows of a request.
+
+    :param entry: The entry's VM.
+    :param trace: The course of the request, as JSON.
+    :param missing: Entries that did not answer.
+    """
+
+    entry: str
+    trace: msgspec.Raw
+    missing: list[str]
+
+
+class Backend:
+    """Calls other processes for the administration API.
+
+    :param steward: Address of the steward, ``IP:PORT``.
+    """
+
+    def __init__(self, steward: str) -> None:
+        self._steward = rackvalve_pb2_grpc.StewardStub(
+            channels.make_channel(steward)
+        )
+        self._entries: dict[str, rackvalve_pb2_grpc.EntryStub] = {}
+
+    def execute(
+        self, command: commands.Command
+    ) -> commands.Answer | commands.Status | problems.Problem:
+        """Have the steward execute a command.
+
+        :param command: The command.
+        """
+        request = rackvalve_pb2.Command(payload=commands.encode(command))
+        try:
+            reply = self._steward.Execute(request, timeout=COMMAND_TIMEOUT_S)
+        except grpc.RpcError as error:
+            return problems.make_unreachable(f"steward: {error.code().name}")
+        try:
+            if isinstance(command, commands.ShowStatus):
+                return codec.decode(_STATUS_DECODER, reply.payload)
+            return codec.decode(_ANSWER_DECODER, reply.payload)
+        except errors.DocumentInvalidError as error:
+            return problems.make_unreachable(f"steward: {error.reason}")
+
+    def explain(self, request_id: str) -> Explained | problems.Problem:
+        """Ask the entries of the hall for the course of a request.
+
+        :param request_id: Identifier of the request.
+        """
+        status = self.execute(commands.ShowStatus())
+        if not isinstance(status, commands.Status):
+            return problems.make_unreachable("steward: no status")
+        request = rackvalve_pb2.ExplainRequest(request_id=request_id)
+        missing = []
+        for vm, address in status.hall.division.addresses.items():
+            try:
+                found = self._get_entry(address).Explain(
+                    request, timeout=EXPLAIN_TIMEOUT_S
+                )
+            except grpc.RpcError:
+                missing.append(vm)
+                continue
+            if found.found:
+                return Explained(
+                    entry=vm,
+                    trace=msgspec.Raw(found.payload),
+                    missing=missing,
+                )
+        detail = f"request {request_id!r} is not known in this hall"
+        if missing:
+            detail += "; no answer from " + ", ".join(missing)
+        return problems.make_missing(detail)
+
+    def _get_entry(self, address: str) -> rackvalve_pb2_grpc.EntryStub:
+        stub = self._entries.get(address)
+        if stub is None:
+            stub = rackvalve_pb2_grpc.EntryStub(channels.make_channel(address))
+            self._entries[address] = stub
+        return stub
--- /dev/null
+++ b/src/rackvalve/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/rackvalve/cli/client.py
@@ -0,0 +1,76 @@
+"""Calls the administration API for the command line."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import geventhttpclient
+from geventhttpclient import response as http_response
+import msgspec
+
+TIMEOUT_S = 15.0
+STATUS_OK = 200
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Reply:
+    """The API's answer.
+
+    :param status: HTTP status code; 0 if there was no answer.
+    :param value: The decoded JSON.
+    """
+
+    status: int
+    value: Any
+
+    @property
+    def good(self) -> bool:
+        """Whether the call did what it should."""
+        return self.status == STATUS_OK
+
+
+class Client:
+    """Calls one administration service.
+
+    :param address: Its address, ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            raise ValueError(f"{address!r} is not IP:PORT")
+        self._client = geventhttpclient.HTTPClient(
+            host,
+            int(port),
+            connection_timeout=TIMEOUT_S,
+            network_timeout=TIMEOUT_S,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Call the API.
+
+        :param method: HTTP method.
+        :param path: Path.
+        :param body: JSON.
+        :param headers: Further headers.
+        """
+        try:
+            response = self._client.request(
+                method, path, body=body, headers=headers
+            )
+            text = bytes(response.read())
+            value = msgspec.json.decode(text)
+        except (
+            OSError,
+            http_response.HTTPParseError,
+            msgspec.DecodeError,
+        ) as error:
+            return Reply(status=0, value={"detail": repr(error)})
+        return Reply(status=response.status_code, value=value)
--- /dev/null
+++ b/src/rackvalve/cli/output.py
@@ -0,0 +1,82 @@
+"""Prints answers as JSON or as tables."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cleo.io import io
+from cleo.ui import table
+import msgspec
+
+
+def print_json(out: io.IO, value: Any) -> None:
+    """Print a value as indented JSON.
+
+    :param out: Where to print.
+    :param value: The value.
+    """
+    text = msgspec.json.format(msgspec.json.encode(value), indent=2)
+    out.write_line(text.decode())
+
+
+def print_table(out: io.IO, headers: list[str], rows: list[list[str]]) -> None:
+    """Print rows as a table.
+
+    :param out: Where to print.
+    :param headers: Names of the columns.
+    :param rows: One list of texts a row.
+    """
+    drawn = table.Table(out)
+    drawn.set_headers(headers)
+    drawn.set_rows([list[Any](row) for row in rows])
+    drawn.render()
+
+
+def list_targets(status: dict[str, Any]) -> list[list[str]]:
+    """Return a row for each target of a status.
+
+    :param status: The API's status.
+    """
+    return [
+        [
+            vm,
+            target["pool"],
+            target["state"],
+            target["rack"],
+            str(target["slots"]),
+        ]
+        for vm, target in sorted(status["hall"]["targets"].items())
+    ]
+
+
+def explain_trace(explained: dict[str, Any]) -> list[str]:
+    """Return sentences that say why a request went where it did.
+
+    :param explained: The API's answer about a request.
+    """
+    trace = explained["trace"]
+    lines = [
+        f"request {trace['request_id']} of workspace {trace['workspace']} "
+        f"for pool {trace['pool']} ({trace['job_class']}) came to "
+        f"{explained['entry']} and is {trace['state']}",
+    ]
+    if trace["expected_wait"]:
+        lines.append(
+            f"it waited for a slot; expected {trace['expected_wait']:.3f} s, "
+            f"waited {trace['waited']:.3f} s"
+        )
+    for attempt in trace["attempts"]:
+        lines.append(_explain_attempt(attempt))
+    if trace["reason"]:
+        lines.append(f"reason: {trace['reason']}: {trace['detail']}")
+    return lines
+
+
+def _explain_attempt(attempt: dict[str, Any]) -> str:
+    text = (
+        f"ran on {attempt['vm']}, of {attempt['open_targets']} targets with "
+        f"a free slot; {attempt['load']:.0%} of its slots were in use"
+    )
+    if attempt["other"]:
+        text += f", no more than of {attempt['other']}, drawn beside it"
+    return text
--- /dev/null
+++ b/src/rackvalve/cli/program.py
@@ -0,0 +1,269 @@
+"""Composition root of ``rackvalve``, the operators' command line."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+from typing import Any
+
+from cleo import application
+from cleo.commands import command
+from cleo import helpers
+from cleo.io.inputs import argv_input
+import msgspec
+
+from rackvalve.cli import client as clients
+from rackvalve.cli import output
+from rackvalve.settings import explanation
+from rackvalve.settings import reader
+from rackvalve import version
+
+PROGRAM = "rackvalve"
+ADMIN_VARIABLE = "RACKVALVE_ADMIN"
+ADMIN_DEFAULT = "127.0.0.1:8090"
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REJECTED = 3
+EXIT_CONFLICT = 4
+EXIT_UNKNOWN = 5
+
+_EXITS = {
+    200: EXIT_OK,
+    400: EXIT_USAGE,
+    404: EXIT_REJECTED,
+    409: EXIT_CONFLICT,
+    422: EXIT_REJECTED,
+    504: EXIT_UNKNOWN,
+}
+
+
+class SettingsCheck(command.Command):
+    """Checks settings files without starting anything."""
+
+    name = "settings check"
+    description = "Checks settings files and names every fault."
+    arguments = [helpers.argument("files", "Settings files.", multiple=True)]
+
+    def handle(self) -> int:
+        """Check all files."""
+        found = 0
+        for path in self.argument("files"):
+            _, faults = reader.check_file(path)
+            for fault in faults:
+                self.line_error(str(fault).replace("<", "\\<"))
+            if not faults:
+                self.line(f"{path}: no fault")
+            found += len(faults)
+        return EXIT_USAGE if found else EXIT_OK
+
+
+class SettingsExplain(command.Command):
+    """Explains every setting."""
+
+    name = "settings explain"
+    description = "Prints every setting: type, unit, default, meaning."
+
+    def handle(self) -> int:
+        """Print all."""
+        self.line(explanation.explain_all())
+        return EXIT_OK
+
+
+class _AdminCommand(command.Command):
+    """A command that calls the administration API."""
+
+    options = [
+        helpers.option(
+            "admin", None, f"Address, IP:PORT; else ${ADMIN_VARIABLE}.",
+            flag=False,
+        ),
+        helpers.option(
+            "output", None, "table or json.", flag=False, default="table"
+        ),
+    ]  # fmt: skip
+
+    def call(  # type: ignore[override]
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> clients.Reply:
+        """Call the API at the address that was given."""
+        address = self.option("admin") or os.environ.get(
+            ADMIN_VARIABLE, ADMIN_DEFAULT
+        )
+        return clients.Client(address).call(method, path, body, headers)
+
+    def send_command(self, kind: str, body: dict[str, Any]) -> int:
+        """Send a command and print its outcome."""
+        payload = msgspec.json.encode({"kind": kind, "body": body})
+        return self.conclude(self.call("POST", "/v1/commands", payload))
+
+    def conclude(self, reply: clients.Reply) -> int:
+        """Print how a command ended and return the exit code."""
+        if self.option("output") == "json":
+            output.print_json(self.io, reply.value)
+        elif reply.good:
+            self.line(f"accepted as revision {reply.value['revision']}")
+        if not reply.good:
+            title = reply.value.get("title", "no answer")
+            self.line_error(f"{title}: {reply.value.get('detail', '')}")
+        return _EXITS.get(reply.status, EXIT_FAILED)
+
+
+class Status(_AdminCommand):
+    """Shows the hall's VMs, entries and what waits."""
+
+    name = "status"
+    description = "Shows VMs, entries, revisions, and what waits for whom."
+
+    def handle(self) -> int:
+        """Show the status."""
+        reply = self.call("GET", "/v1/status")
+        if not reply.good or self.option("output") == "json":
+            return self.conclude(reply)
+        status = reply.value
+        age = status["age"]
+        self.line(
+            f"hall {status['hall_name']}: configuration "
+            f"{status['configuration_revision']}, hall record "
+            f"{status['hall_revision']}"
+        )
+        if age < 0 or age > 60:
+            self.line("the platform does not answer; this may be old")
+        headers = ["VM", "pool", "state", "rack", "slots"]
+        output.print_table(self.io, headers, output.list_targets(status))
+        for wait in status["waits"]:
+            holders = ", ".join(wait["holders"])
+            self.line(f"{wait['subject']} waits for {holders}")
+        return EXIT_OK
+
+
+class Why(_AdminCommand):
+    """Says why a request ran where it did, waits, or was refused."""
+
+    name = "why"
+    description = "Says why a request ran where it did, or was refused."
+    arguments = [helpers.argument("request", "Identifier of the request.")]
+
+    def handle(self) -> int:
+        """Ask and print."""
+        reply = self.call("GET", f"/v1/requests/{self.argument('request')}")
+        if not reply.good or self.option("output") == "json":
+            return self.conclude(reply)
+        for line in output.explain_trace(reply.value):
+            self.line(line)
+        return EXIT_OK
+
+
+class Drain(_AdminCommand):
+    """Lets a VM leave."""
+
+    name = "drain"
+    description = "Lets a VM leave: no new work, none cut off."
+    arguments = [helpers.argument("vm", "The VM.")]
+
+    def handle(self) -> int:
+        """Order the drain."""
+        return self.send_command("drain", {"vm": self.argument("vm")})
+
+
+class Return(_AdminCommand):
+    """Lets a VM serve again."""
+
+    name = "return"
+    description = "Lets a VM that is away serve again."
+    arguments = [helpers.argument("vm", "The VM.")]
+
+    def handle(self) -> int:
+        """Order the return."""
+        return self.send_command("return", {"vm": self.argument("vm")})
+
+
+class Priority(_AdminCommand):
+    """Changes a workspace's priority."""
+
+    name = "priority"
+    description = "Changes the priority of a workspace."
+    arguments = [
+        helpers.argument("workspace", "The workspace."),
+        helpers.argument("priority", "The new priority, 1 to 1000."),
+    ]
+
+    def handle(self) -> int:
+        """Order the change."""
+        text = self.argument("priority")
+        if not text.isdigit():
+            self.line_error("priority: give a whole number")
+            return EXIT_USAGE
+        body = {
+            "workspace": self.argument("workspace"),
+            "priority": int(text),
+        }
+        return self.send_command("set-priority", body)
+
+
+class ConfigurationShow(_AdminCommand):
+    """Prints the configuration in force."""
+
+    name = "configuration show"
+    description = "Prints the configuration in force and its revision."
+
+    def handle(self) -> int:
+        """Print it."""
+        reply = self.call("GET", "/v1/configuration")
+        if not reply.good:
+            return self.conclude(reply)
+        output.print_json(self.io, reply.value)
+        return EXIT_OK
+
+
+class ConfigurationPut(_AdminCommand):
+    """Puts a configuration in force."""
+
+    name = "configuration put"
+    description = "Puts a configuration (JSON file) in force."
+    arguments = [
+        helpers.argument("file", "The configuration, a JSON file."),
+        helpers.argument("revision", "Revision that it is based on."),
+    ]
+
+    def handle(self) -> int:
+        """Send it."""
+        try:
+            body = pathlib.Path(self.argument("file")).read_bytes()
+        except OSError as error:
+            self.line_error(f"{self.argument('file')}: {error}")
+            return EXIT_USAGE
+        headers = {"If-Match": self.argument("revision")}
+        reply = self.call("PUT", "/v1/configuration", body, headers)
+        return self.conclude(reply)
+
+
+_COMMANDS: tuple[type[command.Command], ...] = (
+    SettingsCheck,
+    SettingsExplain,
+    Status,
+    Why,
+    Drain,
+    Return,
+    Priority,
+    ConfigurationShow,
+    ConfigurationPut,
+)
+
+
+def run(command_line: list[str]) -> int:
+    """Run ``rackvalve``.
+
+    :param command_line: Arguments without the program's name.
+    :return: The exit code.
+    """
+    app = application.Application(PROGRAM, version.VERSION)
+    for made in _COMMANDS:
+        app.add(made())
+    app.auto_exits(False)
+    return app.run(argv_input.ArgvInput([PROGRAM, *command_line]))
--- a/src/rackvalve/entry/dispatcher.py
+++ b/src/rackvalve/entry/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-from typing import Any
 from typing import TYPE_CHECKING
 
 from rackvalve.entry import messages
@@ -35,10 +34,11 @@
         clock: Callable[[], float],
         probe: Callable[[str, str, str, int], None],
     ) -> None:
-        super().__init__()
+        super().__init__(handle)
         self._admission = admission
         self._clock = clock
         self._probe = probe
+        self._notify: Callable[[], None] = _ignore
         self._mailboxes: dict[int, tasks.Mailbox[messages.Reply]] = {}
 
     @property
@@ -46,99 +46,12 @@
         """The core, for queries that change nothing."""
         return self._admission
 
-    @functools.singledispatchmethod
-    def handle(self, message: Any) -> None:
-        """Handle one message.
+    def set_listener(self, notify: Callable[[], None]) -> None:
+        """Name who wants to know when there is more to acknowledge.
 
-        :param message: A message of :mod:`rackvalve.entry.messages`.
+        :param notify: Called without arguments; must not wait.
         """
-        raise TypeError(f"unexpected message {message!r}")
-
-    @handle.register
-    def _on_job_submitted(self, message: messages.JobSubmitted) -> None:
-        reply = self._admission.submit(message.job, self._clock())
-        if isinstance(reply, decisions.Waiting):
-            self._mailboxes[message.job.number] = message.mailbox
-        message.mailbox.put(reply)
-
-    @handle.register
-    def _on_job_cancelled(self, message: messages.JobCancelled) -> None:
-        job = message.job
-        if not self._admission.pools[job.pool].cancel(job):
-            return
-        refused = outcomes.Refused(reason=outcomes.Reason.CANCELLED)
-        self._deliver(decisions.Ended(job=job, refused=refused))
-
-    @handle.register
-    def _on_attempt_ended(self, message: messages.AttemptEnded) -> None:
-        pool = message.started.job.pool
-        now = self._clock()
-        self._admission.finish(
-            pool, message.started.attempt, message.result, now
-        )
-        self._collect(pool, now)
-
-    @handle.register
-    def _on_attempt_silent(self, message: messages.AttemptSilent) -> None:
-        pool = self._admission.pools[message.started.job.pool]
-        pool.report_silence(message.started.attempt, self._clock())
-
-    @handle.register
-    def _on_retry_wanted(self, message: messages.RetryWanted) -> None:
-        job = message.job
-        now = self._clock()
-        decision: decisions.Started | decisions.Waiting | None = None
-        if len(message.tried) < ATTEMPTS_MAX and now < job.deadline:
-            if message.sent:
-                decision = self._admission.retry(job, message.tried, now)
-            else:
-                decision = self._admission.reroute(job, message.tried, now)
-        if decision is None:
-            message.mailbox.put(
-                outcomes.Refused(reason=outcomes.Reason.TARGETS_UNREACHABLE)
-            )
-            return
-        if isinstance(decision, decisions.Waiting):
-            self._mailboxes[job.number] = message.mailbox
-        message.mailbox.put(decision)
-
-    @handle.register
-    def _on_view_offered(self, message: messages.ViewOffered) -> None:
-        ended = self._admission.apply(message.view)
-        for decision in ended:
-            self._deliver(decision)
-        now = self._clock()
-        for pool in self._admission.pools:
-            self._collect(pool, now)
-        view = self._admission.view
-        if view is not None:
-            logs.write_event(
-                "view.applied",
-                configuration=view.configuration_revision,
-                hall_record=view.hall_revision,
-            )
-        message.done()
-
-    @handle.register
-    def _on_probe_ended(self, message: messages.ProbeEnded) -> None:
-        now = self._clock()
-        pool = self._admission.pools[message.pool]
-        pool.board.conclude_probe(message.vm, message.healthy, now)
-        self._collect(message.pool, now)
-
-    @handle.register
-    def _on_time_passed(self, message: messages.TimePassed) -> None:
-        now = self._clock()
-        for name, pool in self._admission.pools.items():
-            self._collect(name, now)
-            for target in pool.board.list_due(now):
-                allotment = target.allotment
-                self._probe(name, target.vm, allotment.host, allotment.port)
-
-    @handle.register
-    def _on_stop_ordered(self, message: messages.StopOrdered) -> None:
-        for decision in self._admission.stop():
-            self._deliver(decision)
+        self._notify = notify
 
     def _collect(self, pool: str, now: float) -> None:
         for decision in self._admission.collect(pool, now):
@@ -150,3 +63,118 @@
             mailbox.put(decision)
         else:
             mailbox.put(decision.refused)
+
+
+@functools.singledispatch
+def handle(message: object, task: Dispatcher) -> None:
+    """Handle one message.
+
+    :param message: The message.
+    :param task: The task that owns the state.
+    """
+    raise TypeError(f"unexpected message {message!r}")
+
+
+@handle.register
+def _on_job_submitted(
+    message: messages.JobSubmitted, task: Dispatcher
+) -> None:
+    reply = task._admission.submit(message.job, task._clock())
+    if isinstance(reply, decisions.Waiting):
+        task._mailboxes[message.job.number] = message.mailbox
+    message.mailbox.put(reply)
+
+
+@handle.register
+def _on_job_cancelled(
+    message: messages.JobCancelled, task: Dispatcher
+) -> None:
+    job = message.job
+    if not task._admission.pools[job.pool].cancel(job):
+        return
+    refused = outcomes.Refused(reason=outcomes.Reason.CANCELLED)
+    task._deliver(decisions.Ended(job=job, refused=refused))
+
+
+@handle.register
+def _on_attempt_ended(
+    message: messages.AttemptEnded, task: Dispatcher
+) -> None:
+    pool = message.started.job.pool
+    now = task._clock()
+    task._admission.finish(pool, message.started.attempt, message.result, now)
+    task._collect(pool, now)
+
+
+@handle.register
+def _on_attempt_silent(
+    message: messages.AttemptSilent, task: Dispatcher
+) -> None:
+    pool = task._admission.pools[message.started.job.pool]
+    pool.report_silence(message.started.attempt, task._clock())
+
+
+@handle.register
+def _on_retry_wanted(message: messages.RetryWanted, task: Dispatcher) -> None:
+    job = message.job
+    now = task._clock()
+    decision: decisions.Started | decisions.Waiting | None = None
+    if len(message.tried) < ATTEMPTS_MAX and now < job.deadline:
+        if message.sent:
+            decision = task._admission.retry(job, message.tried, now)
+        else:
+            decision = task._admission.reroute(job, message.tried, now)
+    if decision is None:
+        message.mailbox.put(
+            outcomes.Refused(reason=outcomes.Reason.TARGETS_UNREACHABLE)
+        )
+        return
+    if isinstance(decision, decisions.Waiting):
+        task._mailboxes[job.number] = message.mailbox
+    message.mailbox.put(decision)
+
+
+@handle.register
+def _on_view_offered(message: messages.ViewOffered, task: Dispatcher) -> None:
+    ended = task._admission.apply(message.view)
+    for decision in ended:
+        task._deliver(decision)
+    now = task._clock()
+    for pool in task._admission.pools:
+        task._collect(pool, now)
+    view = task._admission.view
+    if view is not None:
+        logs.write_event(
+            "view.applied",
+            configuration=view.configuration_revision,
+            hall_record=view.hall_revision,
+        )
+    task._notify()
+
+
+@handle.register
+def _on_probe_ended(message: messages.ProbeEnded, task: Dispatcher) -> None:
+    now = task._clock()
+    pool = task._admission.pools[message.pool]
+    pool.board.conclude_probe(message.vm, message.healthy, now)
+    task._collect(message.pool, now)
+
+
+@handle.register
+def _on_time_passed(message: messages.TimePassed, task: Dispatcher) -> None:
+    now = task._clock()
+    for name, pool in task._admission.pools.items():
+        task._collect(name, now)
+        for target in pool.board.list_due(now):
+            allotment = target.allotment
+            task._probe(name, target.vm, allotment.host, allotment.port)
+
+
+@handle.register
+def _on_stop_ordered(message: messages.StopOrdered, task: Dispatcher) -> None:
+    for decision in task._admission.stop():
+        task._deliver(decision)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/rackvalve/entry/follower.py
+++ b/src/rackvalve/entry/follower.py
@@ -27,7 +27,6 @@
 FETCH_MARGIN_S = 2.0
 PAUSE_S = 0.2
 REPORT_TIMEOUT_S = 2.0
-ACKNOWLEDGE_INTERVAL_S = 0.1
 
 
 class Follower:
@@ -67,7 +66,6 @@
         self._report_wanted = event.Event()
         self._leaving = False
         self._round = 0
-        self._last: record.Report | None = None
 
     @property
     def documents(self) -> document_module.Documents:
@@ -76,6 +74,7 @@
 
     def start(self) -> None:
         """Start to follow and to report."""
+        self._dispatcher.set_listener(self._report_wanted.set)
         gevent.spawn(self._follow)
         gevent.spawn(self._report)
 
@@ -115,9 +114,7 @@
         if key_map is not None:
             self._claims.set_map(key_map)
         if view is not None:
-            self._dispatcher.post(
-                messages.ViewOffered(view, self._report_wanted.set)
-            )
+            self._dispatcher.post(messages.ViewOffered(view))
 
     def _make_view(self) -> admissions.View | None:
         configuration = self._documents.get(document.KEY)
@@ -150,16 +147,10 @@
 
     def _report(self) -> None:
         """Send a report when something changed, and at each interval."""
-        waited = self._interval
         while True:
-            report = self._make_report()
-            if waited >= self._interval or report != self._last:
-                waited = 0.0
-                self._send(report)
-            if self._report_wanted.wait(ACKNOWLEDGE_INTERVAL_S):
-                self._report_wanted.clear()
-                waited = self._interval
-            waited += ACKNOWLEDGE_INTERVAL_S
+            self._report_wanted.clear()
+            self._send(self._make_report())
+            self._report_wanted.wait(self._interval)
 
     def _make_report(self) -> record.Report:
         state = self._dispatcher.admission.acknowledge()
@@ -176,12 +167,11 @@
         )
 
     def _send(self, report: record.Report) -> None:
-        self._last = report
         message = rackvalve_pb2.Reports(payloads=[codec.encode(report)])
         try:
             received = self._stub.Report(message, timeout=REPORT_TIMEOUT_S)
         except grpc.RpcError:
-            self._last = None
+            gevent.sleep(PAUSE_S)
             return
         self._hear_round(received.round)
 
--- a/src/rackvalve/entry/messages.py
+++ b/src/rackvalve/entry/messages.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from rackvalve.jobs import admission
     from rackvalve.jobs import decisions
     from rackvalve.jobs import job as jobs
@@ -83,11 +81,9 @@
     """Newer documents arrived.
 
     :param view: The documents.
-    :param done: Called once they are in force.
     """
 
     view: admission.View
-    done: Callable[[], None]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/rackvalve/entry/program.py
+++ b/src/rackvalve/entry/program.py
@@ -34,7 +34,7 @@
 from rackvalve import tasks
 
 PROGRAM = "rackvalve-entry"
-TICK_S = 0.05
+TICK_S = 0.1
 GAUGE_INTERVAL_S = 1.0
 STOP_POLL_S = 0.02
 QUIET_BEFORE_EXIT_S = 0.2
--- a/src/rackvalve/entry/runner.py
+++ b/src/rackvalve/entry/runner.py
@@ -120,7 +120,7 @@
         if result is board.Result.ABANDONED:
             gevent.spawn(self._hold, served.exchange, served.started)
             return
-        self._dispatcher.post(messages.AttemptEnded(served.started, result))
+        self._dispatcher.tell(messages.AttemptEnded(served.started, result))
 
     def _run_claimed(
         self,
@@ -150,7 +150,7 @@
         trace: traces.Trace,
     ) -> Outcome:
         mailbox: tasks.Mailbox[messages.Reply] = tasks.Mailbox()
-        self._dispatcher.post(messages.JobSubmitted(job, mailbox))
+        self._dispatcher.tell(messages.JobSubmitted(job, mailbox))
         decision = self._await_start(job, mailbox, caller, trace)
         tried: list[str] = []
         reached = False
@@ -256,7 +256,7 @@
 
         :return: A new start on another target, or the late answer.
         """
-        self._dispatcher.post(messages.AttemptSilent(started))
+        self._dispatcher.tell(messages.AttemptSilent(started))
         if job.repeatable and self._clock() < job.deadline:
             retry = self._ask_retry(job, tried, mailbox, None, sent=True)
             if isinstance(retry, decisions.Started):
@@ -274,7 +274,7 @@
         *,
         sent: bool,
     ) -> decisions.Started | outcomes.Refused:
-        self._dispatcher.post(
+        self._dispatcher.tell(
             messages.RetryWanted(job, tuple(tried), sent, mailbox)
         )
         decision = self._await_start(job, mailbox, caller, None)
@@ -318,7 +318,7 @@
         return outcomes.Unknown(reason=result.reason, detail=result.detail)
 
     def _end(self, started: decisions.Started, result: board.Result) -> None:
-        self._dispatcher.post(messages.AttemptEnded(started, result))
+        self._dispatcher.tell(messages.AttemptEnded(started, result))
 
     def _hold(
         self, exchange: senders.Exchange, started: decisions.Started
--- a/src/rackvalve/jobs/admission.py
+++ b/src/rackvalve/jobs/admission.py
@@ -241,6 +241,10 @@
         found = self._pools[pool]
         return found.collect(now) if found.waiting else []
 
+    def count_excess(self) -> int:
+        """Count the targets on which more is in use than rights allow."""
+        return sum(pool.board.count_excess() for pool in self._pools.values())
+
     def acknowledge(self) -> Acknowledgement:
         """Return what can be acknowledged now."""
         busy: list[str] = []
--- a/src/rackvalve/launchers.py
+++ b/src/rackvalve/launchers.py
@@ -25,6 +25,30 @@
     return program.run(sys.argv[1:])
 
 
+def run_admin() -> int:
+    """Run ``rackvalve-admin``."""
+    _patch()
+    from rackvalve.admin import program
+
+    return program.run(sys.argv[1:])
+
+
+def run_load() -> int:
+    """Run ``rackvalve-load``."""
+    _patch()
+    from rackvalve.load import program
+
+    return program.run(sys.argv[1:])
+
+
+def run_operator() -> int:
+    """Run ``rackvalve``."""
+    _patch()
+    from rackvalve.cli import program
+
+    return program.run(sys.argv[1:])
+
+
 def _patch() -> None:
     from gevent import monkey
 
--- /dev/null
+++ b/src/rackvalve/load/plan.py
@@ -0,0 +1,76 @@
+"""What a load run sends, and what it found."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Plan:
+    """One load run.
+
+    :param addresses: Entries (``IP:PORT``), taken in turn.
+    :param connections: Connections, each with one request at a time.
+    :param duration: Length of the run, in seconds.
+    :param rate: Requests a second over all connections; 0 sends the next
+        request of a connection as soon as the last one is answered.
+    :param workspaces: Workspaces, taken in turn.
+    :param pool: Pool of all requests.
+    :param job_class: Class of all requests.
+    :param method: HTTP method.
+    :param path: Path and query of all requests.
+    :param deadline_ms: Deadline sent, in milliseconds; 0 for none.
+    :param body_size: Size of the body, in bytes.
+    :param honour_retry_after: Whether a refused caller waits as told.
+    """
+
+    addresses: list[str]
+    connections: int = 1
+    duration: float = 5.0
+    rate: float = 0.0
+    workspaces: list[str]
+    pool: str
+    job_class: str = "quick"
+    method: str = "GET"
+    path: str = "/"
+    deadline_ms: int = 0
+    body_size: int = 0
+    honour_retry_after: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Latency:
+    """Quantiles of the time to a whole answer, in milliseconds."""
+
+    p50: float
+    p90: float
+    p99: float
+    most: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Summary:
+    """What a load run found.
+
+    :param sent: Requests sent.
+    :param served: Whole answers, of whatever status.
+    :param refused: Refusals by reason.
+    :param unknown: Unknown outcomes by reason.
+    :param broken: Answers that were not whole, or not to the request.
+    :param unreachable: Requests that no entry took.
+    :param by_workspace: Whole answers by workspace.
+    :param seconds: Length of the run.
+    :param latency: Of whole answers.
+    :param refusal: Of refusals.
+    """
+
+    sent: int
+    served: int
+    refused: dict[str, int]
+    unknown: dict[str, int]
+    broken: int
+    unreachable: int
+    by_workspace: dict[str, int]
+    seconds: float
+    latency: Latency
+    refusal: Latency
--- a/src/rackvalve/servers.py
+++ b/src/rackvalve/servers.py
@@ -36,6 +36,9 @@
         environ[ABANDON_KEY] = self.abandon_input
         return environ
 
+    def log_request(self) -> None:
+        """Write nothing; the programs log events instead."""
+
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Log an unexpected error and end the connection."""
         if not isinstance(v, OSError):
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import functools
-from typing import Any
 from typing import TYPE_CHECKING
 
 from rackvalve.configuration import document
@@ -84,7 +83,7 @@
     """
 
     def __init__(self, hall: str, *, clock: Callable[[], float]) -> None:
-        super().__init__()
+        super().__init__(handle)
         self._hall = hall
         self._clock = clock
         self._heard_at: float | None = None
@@ -93,63 +92,6 @@
         self.acting = False
         self.round = 0
 
-    @functools.singledispatchmethod
-    def handle(self, message: Any) -> None:
-        """Handle one message.
-
-        :param message: A message of this module.
-        """
-        raise TypeError(f"unexpected message {message!r}")
-
-    @handle.register
-    def _on_document_offered(self, message: DocumentOffered) -> None:
-        offered = message.document
-        if offered.revision <= self.documents.get_revision(offered.name):
-            return
-        reason = find_fault(offered)
-        if reason:
-            logs.write_warning(
-                "document.rejected",
-                name=offered.name,
-                revision=offered.revision,
-                reason=reason,
-            )
-            return
-        self.documents.offer(offered)
-        event = "hall.accepted"
-        if offered.name == document.KEY:
-            event = "configuration.accepted"
-        logs.write_event(event, name=offered.name, revision=offered.revision)
-
-    @handle.register
-    def _on_report_received(self, message: ReportReceived) -> None:
-        self.reports[message.report.vm] = message.report
-
-    @handle.register
-    def _on_source_heard(self, message: SourceHeard) -> None:
-        heard = self._clock() - message.age
-        if self._heard_at is None or heard > self._heard_at:
-            self._heard_at = heard
-
-    @handle.register
-    def _on_acting_changed(self, message: ActingChanged) -> None:
-        if message.acting == self.acting:
-            return
-        self.acting = message.acting
-        logs.write_event("lease.taken" if self.acting else "lease.lost")
-        self.documents.wake()
-
-    @handle.register
-    def _on_round_begun(self, message: RoundBegun) -> None:
-        self.round += 1
-        self.documents.wake()
-
-    @handle.register
-    def _on_round_heard(self, message: RoundHeard) -> None:
-        if message.number > self.round:
-            self.round = message.number
-            self.documents.wake()
-
     def measure_age(self) -> float:
         """Return the seconds since the platform was heard from.
 
@@ -190,3 +132,68 @@
     except errors.DocumentInvalidError as error:
         return error.reason
     return ""
+
+
+@functools.singledispatch
+def handle(message: object, task: Keeper) -> None:
+    """Handle one message.
+
+    :param message: The message.
+    :param task: The task that owns the state.
+    """
+    raise TypeError(f"unexpected message {message!r}")
+
+
+@handle.register
+def _on_document_offered(message: DocumentOffered, task: Keeper) -> None:
+    offered = message.document
+    if offered.revision <= task.documents.get_revision(offered.name):
+        return
+    reason = find_fault(offered)
+    if reason:
+        logs.write_warning(
+            "document.rejected",
+            name=offered.name,
+            revision=offered.revision,
+            reason=reason,
+        )
+        return
+    task.documents.offer(offered)
+    event = "hall.accepted"
+    if offered.name == document.KEY:
+        event = "configuration.accepted"
+    logs.write_event(event, name=offered.name, revision=offered.revision)
+
+
+@handle.register
+def _on_report_received(message: ReportReceived, task: Keeper) -> None:
+    task.reports[message.report.vm] = message.report
+
+
+@handle.register
+def _on_source_heard(message: SourceHeard, task: Keeper) -> None:
+    heard = task._clock() - message.age
+    if task._heard_at is None or heard > task._heard_at:
+        task._heard_at = heard
+
+
+@handle.register
+def _on_acting_changed(message: ActingChanged, task: Keeper) -> None:
+    if message.acting == task.acting:
+        return
+    task.acting = message.acting
+    logs.write_event("lease.taken" if task.acting else "lease.lost")
+    task.documents.wake()
+
+
+@handle.register
+def _on_round_begun(message: RoundBegun, task: Keeper) -> None:
+    task.round += 1
+    task.documents.wake()
+
+
+@handle.register
+def _on_round_heard(message: RoundHeard, task: Keeper) -> None:
+    if message.number > task.round:
+        task.round = message.number
+        task.documents.wake()
--- a/src/rackvalve/targets/board.py
+++ b/src/rackvalve/targets/board.py
@@ -147,6 +147,7 @@
         "_ejected",
         "_slots",
         "_returns",
+        "_over",
     )
 
     def __init__(self, policy: Policy, *, rng: random.Random) -> None:
@@ -157,6 +158,7 @@
         self._ejected = 0
         self._slots = 0
         self._returns: list[tuple[float, str]] = []
+        self._over: set[str] = set()
 
     @property
     def slots(self) -> int:
@@ -194,6 +196,10 @@
                 self._targets[vm] = known
             self._allot(known, allotment)
 
+    def count_excess(self) -> int:
+        """Count the targets on which more is in use than rights allow."""
+        return len(self._over)
+
     def list_excess(self) -> tuple[list[str], list[str]]:
         """List targets on which more is in use than the rights allow.
 
@@ -201,11 +207,10 @@
         """
         busy: list[str] = []
         excess: list[str] = []
-        for vm, target in self._targets.items():
-            if target.in_use <= target.allotment.share:
-                continue
-            (busy if target.allotment.share == 0 else excess).append(vm)
-        return sorted(busy), sorted(excess)
+        for vm in sorted(self._over):
+            share = self._targets[vm].allotment.share
+            (busy if share == 0 else excess).append(vm)
+        return busy, excess
 
     def choose(self, excluded: Collection[str]) -> Choice | None:
         """Choose a target with a free slot and take the slot.
@@ -353,6 +358,11 @@
         heapq.heappush(self._returns, (target.ejected_until, target.vm))
 
     def _place(self, target: Target) -> None:
+        """Keep the list of open targets, and that of overused ones."""
+        if target.in_use > target.allotment.share:
+            self._over.add(target.vm)
+        else:
+            self._over.discard(target.vm)
         is_open = target.in_use < target.usable
         if is_open and target.position < 0:
             target.position = len(self._open)
--- a/src/rackvalve/tasks.py
+++ b/src/rackvalve/tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -16,65 +17,70 @@
 
 
 class Mailbox(Generic[T]):
-    """Takes one reply at a time for one waiting greenlet."""
+    """Takes replies for one waiting greenlet."""
 
-    __slots__ = ("_result",)
+    __slots__ = ("_replies", "_arrived")
 
     def __init__(self) -> None:
-        self._result = event.AsyncResult()
+        self._replies: list[T] = []
+        self._arrived: event.Event | None = None
 
     def put(self, reply: T) -> None:
         """Leave a reply and wake the waiting greenlet.
 
         :param reply: The reply.
         """
-        self._result.set(reply)
+        self._replies.append(reply)
+        if self._arrived is not None:
+            self._arrived.set()
 
-    def take(self, timeout: float | None = None) -> T:
-        """Wait for the reply, and be ready for another one.
-
-        :param timeout: Longest wait, in seconds.
-        :raises gevent.Timeout: There was no reply in time.
-        """
-        reply: T = self._result.get(timeout=timeout)
-        self._result = event.AsyncResult()
-        return reply
+    def take(self) -> T:
+        """Take the oldest reply, or wait for one."""
+        if not self._replies:
+            self._arrived = event.Event()
+            self._arrived.wait()
+            self._arrived = None
+        return self._replies.pop(0)
 
 
 class Task:
-    """A greenlet with an inbox.
+    """State with an inbox; one message is handled at a time.
 
-    A subclass handles each message type with a method of its own,
-    registered on :meth:`handle` (``functools.singledispatchmethod``).
+    A subclass passes a ``functools.singledispatch`` function that takes a
+    message and the task, with one implementation for each message type.
+    An implementation never waits, hence a message may be handled in the
+    greenlet of its sender (:meth:`tell`) without two being handled at once.
+
+    :param handle: Handles one message.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, handle: Callable[[Any, Any], None]) -> None:
+        self._handle = handle
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to handle messages."""
-        self._greenlet = gevent.spawn(self._run)
+        """Start to handle posted messages in a greenlet of its own."""
+        gevent.spawn(self._run)
 
     def post(self, message: Any) -> None:
-        """Send a message to the task.
+        """Leave a message, to be handled soon.
 
-        :param message: A message that :meth:`handle` knows.
+        :param message: A message that the task knows.
         """
         self._inbox.put(message)
 
-    def handle(self, message: Any) -> None:
-        """Handle one message.
+    def tell(self, message: Any) -> None:
+        """Have a message handled before this returns.
 
-        :param message: The message.
+        :param message: A message that the task knows.
         """
-        raise NotImplementedError
+        self._handle(message, self)
 
     def _run(self) -> None:
         while True:
             message = self._inbox.get()
             try:
-                self.handle(message)
+                self._handle(message, self)
             except Exception:
                 # One bad message must not end the task that owns the state.
                 logs.write_failure(
--- /dev/null
+++ b/tools/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments of ``make measure``, a module each."""
