--- a/src/rackvalve/servers.py
+++ b/src/rackvalve/servers.py
@@ -15,7 +15,7 @@
 ABANDON_KEY = "rackvalve.abandon"
 IDLE_TIMEOUT_S = 120.0
 LEFTOVER_TIMEOUT_S = 0.5
-LEFTOVER_LIMIT = 256 * 1024
+LEFTOVER_LIMIT = 16 * 1024 * 1024
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -26,6 +26,7 @@
         # delayed acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(IDLE_TIMEOUT_S)
+        self._leftover: Any = None
         super().__init__(sock, address, server)
 
     def get_environ(self) -> dict[str, Any]:
@@ -45,15 +46,25 @@
             logs.write_failure("task.failed", message="request", error=repr(v))
         super().handle_error(t, v, tb)
 
-    def abandon_input(self) -> None:
-        """Leave the rest of a request's body unread and close after it.
+    def handle_one_response(self) -> None:
+        """Answer, then drop what an abandoned request still sends."""
+        self._leftover = None
+        super().handle_one_response()
+        if self._leftover is not None:
+            self._drop_leftover(self._leftover)
 
-        A little is read and dropped, so that a caller that is still
-        sending sees the answer and not a reset.
-        """
+    def abandon_input(self) -> None:
+        """Leave the rest of a request's body unread and close after it."""
         self.close_connection = True
-        source: Any = self.wsgi_input
+        self._leftover = self.wsgi_input
         self.wsgi_input: Any = _NoInput()
+
+    def _drop_leftover(self, source: Any) -> None:
+        """Read on for a moment, so that the caller sees the answer.
+
+        To close while the caller is still sending would reset the
+        connection, and the answer with it.
+        """
         left = LEFTOVER_LIMIT
         with gevent.Timeout(LEFTOVER_TIMEOUT_S, False):
             try:
--- a/src/rackvalve/steward/commands.py
+++ b/src/rackvalve/steward/commands.py
@@ -22,6 +22,8 @@
 from rackvalve.steward import writer as writers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rackvalve.steward import stepper as steppers
 
 
@@ -74,7 +76,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class ShowStatus:
-    """Show what this steward knows."""
+    """Show what the acting steward of the hall knows.
+
+    :param local: Whether to show what this steward knows instead.
+    """
+
+    local: bool = False
 
 
 Command = ReplaceConfiguration | SetPriority | Drain | Return | ShowStatus
@@ -173,6 +180,8 @@
     :param platform: The port to the platform.
     :param keeper: What the steward knows.
     :param stepper: Knows what waits.
+    :param ask_acting: Has another steward execute an encoded command, if
+        that one acts for the hall; returns ``None`` if none did.
     """
 
     def __init__(
@@ -182,7 +191,9 @@
         platform: port.Platform,
         keeper: keepers.Keeper,
         stepper: steppers.Stepper,
+        ask_acting: Callable[[bytes], bytes | None],
     ) -> None:
+        self._ask_acting = ask_acting
         self._hall = hall
         self._platform = platform
         self._writer = writers.Writer(platform)
@@ -201,6 +212,10 @@
             return codec.encode(
                 Answer(outcome="rejected", detail=error.reason)
             )
+        if isinstance(command, ShowStatus) and not command.local:
+            shown = self._show_acting()
+            if shown is not None:
+                return shown
         answer = self.run(command)
         if isinstance(answer, Answer):
             logs.write_event(
@@ -212,6 +227,12 @@
             )
         return codec.encode(answer)
 
+    def _show_acting(self) -> bytes | None:
+        """Ask the acting steward, which has the reports of the hall."""
+        if self._keeper.acting:
+            return None
+        return self._ask_acting(encode(ShowStatus(local=True)))
+
     @functools.singledispatchmethod
     def run(self, command: Any) -> Answer | Status:
         """Execute a command.
--- a/src/rackvalve/steward/program.py
+++ b/src/rackvalve/steward/program.py
@@ -84,6 +84,7 @@
             platform=self.platform,
             keeper=self.keeper,
             stepper=self.stepper,
+            ask_acting=self._ask_acting,
         )
         rackvalve_pb2_grpc.add_StewardServicer_to_server(
             servicer.StewardServicer(
@@ -157,13 +158,23 @@
         self.keeper.post(keepers.ActingChanged(held.holder == self._vm))
 
     def _has_acting_peer(self) -> bool:
+        return self._find_acting() is not None
+
+    def _find_acting(self) -> sources.PeerSource | None:
         within = sources.PEER_WAIT_S + FOLLOW_MARGIN_S
-        return any(peer.acts(within) for peer in self._peers)
+        for peer in self._peers:
+            if peer.acts(within):
+                return peer
+        return None
 
     def _pass_on(self, reports: list[record.Report]) -> None:
-        for peer in self._peers:
-            if peer.acts(sources.PEER_WAIT_S + FOLLOW_MARGIN_S):
-                peer.send_reports(reports)
+        acting = self._find_acting()
+        if acting is not None:
+            acting.send_reports(reports)
+
+    def _ask_acting(self, payload: bytes) -> bytes | None:
+        acting = self._find_acting()
+        return acting.execute(payload) if acting is not None else None
 
 
 def run(command_line: list[str]) -> int:
--- a/src/rackvalve/steward/sources.py
+++ b/src/rackvalve/steward/sources.py
@@ -32,6 +32,7 @@
 PAUSE_S = 0.5
 REPORT_TIMEOUT_S = 1.0
 ENTRY_TIMEOUT_S = 1.0
+COMMAND_TIMEOUT_S = 2.0
 
 
 class PlatformSource:
@@ -180,6 +181,19 @@
             return
         self._keeper.post(keepers.RoundHeard(received.round))
 
+    def execute(self, payload: bytes) -> bytes | None:
+        """Have the peer execute a command.
+
+        :param payload: The encoded command.
+        :return: The encoded answer; ``None`` if there is none.
+        """
+        request = rackvalve_pb2.Command(payload=payload)
+        try:
+            answer = self._stub.Execute(request, timeout=COMMAND_TIMEOUT_S)
+        except grpc.RpcError:
+            return None
+        return bytes(answer.payload)
+
     def _follow(self) -> None:
         while True:
             known = self._keeper.documents.get_revisions()
