Ask holders again before a step; trust a peer's copy only if it holds rights

Cause: an entry VM that restarts after its acknowledgement may take an older record from a peer that has not acknowledged yet, and use a target that is then declared away.

Ruled out: acknowledgements kept by incarnation (the acting steward need not have heard of the new one), and waiting for copies of all peers (the peer may be older at that moment and acknowledge later).

Change: a step is written only after every holder has reported in a round that began after all acknowledgements had come; a VM that starts anew hands out documents only once the platform, its own entry, or another holder has offered all it has. A steward vouches for its entry's end by taking the entry's address, which a frozen entry still holds.

--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -233,7 +233,7 @@
 
 @behave.when("documents of revisions 5, 3, 9 and 4 are offered to a keeper")
 def offer_documents(context):
-    keeper = keepers.Keeper("north", clock=lambda: 0.0)
+    keeper = keepers.Keeper("vm-1", "north", clock=lambda: 0.0)
     context.took = []
     for revision in (5, 3, 9, 4):
         payload = codec.encode(document.Configuration(operation=str(revision)))
--- a/src/rackvalve/fleet/transitions.py
+++ b/src/rackvalve/fleet/transitions.py
@@ -176,6 +176,42 @@
     return [entry for entry in entries if entry in listed]
 
 
+def list_unconfirmed(
+    hall: record.Hall,
+    listed: Collection[str] | None,
+    reports: Mapping[str, record.Report],
+    asked: int,
+) -> list[str]:
+    """List the holders that have not reported since they were asked.
+
+    :param hall: Record of the hall.
+    :param listed: VMs on the platform's list; ``None`` if it is not known.
+    :param reports: Newest report of each entry, by VM identity.
+    :param asked: Number of the round in which they were asked, after all
+        acknowledgements for the step had come.
+    """
+    missing = []
+    for holder in list_holders(hall, listed):
+        report = reports.get(holder)
+        if report is None or report.round < asked:
+            missing.append(holder)
+    return missing
+
+
+def may_trust(hall: record.Hall, vm: str, source: str) -> bool:
+    """Return whether a VM that starts anew may serve on a peer's copy.
+
+    Only a copy from another entry that holds rights will do: what this VM
+    acknowledged before it restarted, that one had acknowledged too before
+    any step was written, or it will be asked again before one is.
+
+    :param hall: The copy of the hall's record.
+    :param vm: The VM that starts.
+    :param source: The VM that the copy comes from.
+    """
+    return source != vm and source in hall.division.entries
+
+
 def _step_entries(
     hall: record.Hall,
     revision: int,
--- a/src/rackvalve/steward/commands.py
+++ b/src/rackvalve/steward/commands.py
@@ -375,7 +375,7 @@
                         name=key,
                         revision=result.revision,
                         payload=result.payload,
-                    )
+                    ),
                 )
             )
             return Answer(outcome="accepted", revision=result.revision)
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -10,6 +10,7 @@
 from rackvalve.configuration import rules
 from rackvalve import errors
 from rackvalve.fleet import record
+from rackvalve.fleet import transitions
 from rackvalve import logs
 from rackvalve.rpc import documents as document_module
 from rackvalve import tasks
@@ -18,6 +19,8 @@
     from collections.abc import Callable
 
 NEVER_HEARD = -1.0
+PLATFORM = "platform"
+OWN_ENTRY = "own entry"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -30,6 +33,16 @@
     document: document_module.Document
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SourceDrained:
+    """A source has offered all its documents that are newer.
+
+    :param source: Its VM, or :data:`PLATFORM` or :data:`OWN_ENTRY`.
+    """
+
+    source: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportReceived:
     """An entry's report arrived.
@@ -78,19 +91,41 @@
 class Keeper(tasks.Task):
     """Owns a steward's state; others read it and send it messages.
 
+    :param vm: Identity of the VM.
     :param hall: Name of the hall.
     :param clock: Reads the steady clock, in seconds.
     """
 
-    def __init__(self, hall: str, *, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, vm: str, hall: str, *, clock: Callable[[], float]
+    ) -> None:
         super().__init__(handle)
+        self._vm = vm
         self._hall = hall
         self._clock = clock
         self._heard_at: float | None = None
         self.documents = document_module.Documents()
         self.reports: dict[str, record.Report] = {}
+        # When this VM's own entry last reported by itself.
+        self.reported_at = clock()
         self.acting = False
         self.round = 0
+        # Whether the documents may be handed to the entry and to peers.
+        self.trusted = False
+
+    def consider_trust(self, source: str) -> None:
+        """Trust the documents from now on, if a source allows it.
+
+        :param source: Who has just offered all that it has.
+        """
+        hall, revision = self.get_hall()
+        if self.trusted or not revision:
+            return
+        if source not in (PLATFORM, OWN_ENTRY):
+            if not transitions.may_trust(hall, self._vm, source):
+                return
+        self.trusted = True
+        self.documents.wake()
 
     def measure_age(self) -> float:
         """Return the seconds since the platform was heard from.
@@ -165,9 +200,17 @@
     logs.write_event(event, name=offered.name, revision=offered.revision)
 
 
+@handle.register
+def _on_source_drained(message: SourceDrained, task: Keeper) -> None:
+    task.consider_trust(message.source)
+
+
 @handle.register
 def _on_report_received(message: ReportReceived, task: Keeper) -> None:
-    task.reports[message.report.vm] = message.report
+    report = message.report
+    task.reports[report.vm] = report
+    if report.vm == task._vm and report.incarnation:
+        task.reported_at = task._clock()
 
 
 @handle.register
--- a/src/rackvalve/steward/program.py
+++ b/src/rackvalve/steward/program.py
@@ -23,11 +23,13 @@
 from rackvalve.steward import servicer
 from rackvalve.steward import sources
 from rackvalve.steward import stepper as steppers
+from rackvalve.steward import witness as witnesses
 from rackvalve import tasks
 
 PROGRAM = "rackvalve-steward"
 LEASE_PREFIX = "acting/"
 RENEWALS = 3
+WITNESS_REPORTS = 5
 FOLLOW_MARGIN_S = 3.0
 
 
@@ -53,7 +55,9 @@
             timeout=settings.get("steward", "platform_timeout", float),
             metrics=self.metrics,
         )
-        self.keeper = keepers.Keeper(self._hall, clock=clocks.read_steady)
+        self.keeper = keepers.Keeper(
+            self._vm, self._hall, clock=clocks.read_steady
+        )
         self.stepper = steppers.Stepper(
             self._hall,
             platform=self.platform,
@@ -67,9 +71,14 @@
             watch_time=settings.get("steward", "watch_time", float),
         )
         self._peers = self._make_peers(settings)
-        entry = settings.get("entry", "rpc_listen", kinds.Address)
+        self._report_interval = settings.get(
+            "steward", "report_interval", float
+        )
+        self._entry_address = settings.get(
+            "entry", "rpc_listen", kinds.Address
+        )
         self._entry = rackvalve_pb2_grpc.EntryStub(
-            channels.make_channel(str(entry))
+            channels.make_channel(str(self._entry_address))
         )
         self._leased_at: float | None = None
 
@@ -112,6 +121,15 @@
         tasks.run_forever(
             "lease", self._lease_time / RENEWALS, self._hold_lease
         )
+        witness = witnesses.Witness(
+            vm=self._vm,
+            address=self._entry_address,
+            keeper=self.keeper,
+            pass_on=self._pass_on,
+            patience=WITNESS_REPORTS * self._report_interval,
+            clock=clocks.read_steady,
+        )
+        tasks.run_forever("witness", self._report_interval, witness.look)
         tasks.run_forever("stepper", self._step_interval, self.stepper.step)
         logs.write_event("program.started", listen=str(self._listen))
         stop.wait()
--- a/src/rackvalve/steward/servicer.py
+++ b/src/rackvalve/steward/servicer.py
@@ -51,15 +51,17 @@
     ) -> rackvalve_pb2.Accepted:
         """Hand over documents newer than those known, or wait for one."""
         wait = min(max(request.wait_s, 0.0), WAIT_MAX_S)
-        newer = self._keeper.documents.wait_newer(
-            document_module.read_known(request), wait
-        )
+        known = document_module.read_known(request)
+        newer = self._keeper.documents.wait_newer(known, wait)
+        if not self._keeper.trusted:
+            newer = []
         return rackvalve_pb2.Accepted(
             documents=document_module.to_messages(newer),
             acting=self._keeper.acting,
             age_s=self._keeper.measure_age(),
             vm=self._vm,
             round=self._keeper.round,
+            trusted=self._keeper.trusted,
         )
 
     def Report(
--- a/src/rackvalve/steward/sources.py
+++ b/src/rackvalve/steward/sources.py
@@ -124,6 +124,8 @@
                 )
             )
         )
+        if name == record.get_key(self._hall):
+            self._keeper.post(keepers.SourceDrained(keepers.PLATFORM))
 
 
 class PeerSource:
@@ -213,12 +215,12 @@
         self._acting_at = self._clock() if accepted.acting else None
         if accepted.age_s >= 0:
             self._keeper.post(keepers.SourceHeard(accepted.age_s))
-        if not accepted.documents:
-            return
         for message in accepted.documents:
             self._keeper.post(
                 keepers.DocumentOffered(document_module.from_message(message))
             )
+        if accepted.trusted:
+            self._keeper.post(keepers.SourceDrained(accepted.vm))
 
 
 def fetch_from_entry(
@@ -239,4 +241,6 @@
         keeper.post(
             keepers.DocumentOffered(document_module.from_message(message))
         )
+    if accepted.documents:
+        keeper.post(keepers.SourceDrained(keepers.OWN_ENTRY))
     return True
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -89,12 +89,10 @@
             self._keeper.post(keepers.RoundBegun())
             self._asked = (revision, self._keeper.round + 1)
             return False
-        wanted = self._asked[1]
-        for holder in transitions.list_holders(hall, self._listed):
-            report = self._keeper.reports.get(holder)
-            if report is None or report.round < wanted:
-                return False
-        return True
+        missing = transitions.list_unconfirmed(
+            hall, self._listed, self._keeper.reports, self._asked[1]
+        )
+        return not missing
 
     def _write(self, changed: transitions.Changed, revision: int) -> None:
         key = record.get_key(self._hall)
@@ -114,7 +112,7 @@
             keepers.DocumentOffered(
                 document_module.Document(
                     name=key, revision=result.revision, payload=result.payload
-                )
+                ),
             )
         )
 
