--- a/tools/measure.py
+++ b/tools/measure.py
@@ -8,33 +8,35 @@
 
 import sys  # noqa: E402
 
+from tools.experiments import cores  # noqa: E402
 from tools.experiments import entry  # noqa: E402
+from tools.experiments import faults  # noqa: E402
+from tools.experiments import once  # noqa: E402
+from tools.experiments import overload  # noqa: E402
 
 SEED = 1
 
 EXPERIMENTS = {
     "entry": entry.run,
+    "cores": cores.run,
+    "once": once.run,
+    "overload": overload.run,
+    "faults": faults.run,
 }
 
 
 def main(arguments):
-    """Run the experiments whose name starts with the first argument.
-
-    ``entry`` runs one experiment, ``entry.added`` prints only the figures
-    of it that start so.
-    """
+    """Run one experiment, by the first argument, or all of them."""
     only = arguments[0] if arguments else ""
-    wanted = only.split(".")[0]
     found = 0
     for name, run in EXPERIMENTS.items():
-        if wanted and name != wanted:
-            continue
-        for figure in run(SEED):
-            if not only.count(".") or figure.figure.startswith(only):
+        if only in ("", name):
+            for figure in run(SEED):
                 figure.print()
                 found += 1
     if not found:
-        print(f"no figure named {only!r}", file=sys.stderr)
+        known = ", ".join(EXPERIMENTS)
+        print(f"no experiment {only!r}; there are {known}", file=sys.stderr)
         return 1
     return 0
 
