Waves, moves and drains within budgets, resumed from the record alone

Ruled out: a rack at a time without regard to budgets (breaks them in the generated histories), and a wave's state in a steward's memory (another steward could not resume it).

Commands and their execution are two modules now.

--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -285,6 +285,7 @@
 def check_loads(context):
     for load in context.loads:
         found = figures.finish_load(load)
+        load.found = found
         assert found["served"] > 0, found
         assert found["broken"] == 0, found
         assert not found["unknown"], found
--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -10,9 +10,9 @@
 from rackvalve.admin import backend
 from rackvalve.admin import problems
 from rackvalve import codec
+from rackvalve import commands
 from rackvalve.configuration import document
 from rackvalve import errors
-from rackvalve.steward import commands
 
 BODY_LIMIT = 1024 * 1024
 _REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._:-]{1,128})")
--- a/src/rackvalve/admin/backend.py
+++ b/src/rackvalve/admin/backend.py
@@ -9,11 +9,11 @@
 
 from rackvalve.admin import problems
 from rackvalve import codec
+from rackvalve import commands
 from rackvalve import errors
 from rackvalve.rpc import channels
 from rackvalve.rpc import rackvalve_pb2
 from rackvalve.rpc import rackvalve_pb2_grpc
-from rackvalve.steward import commands
 
 COMMAND_TIMEOUT_S = 10.0
 EXPLAIN_TIMEOUT_S = 1.0
--- a/src/rackvalve/cli/output.py
+++ b/src/rackvalve/cli/output.py
@@ -49,6 +49,35 @@
     ]
 
 
+def list_waves(status: dict[str, Any]) -> list[str]:
+    """Return a line for each wave of a status.
+
+    :param status: The API's status.
+    """
+    return [
+        f"wave {name} is {wave['phase']}: {len(wave['done'])} done, "
+        f"{len(wave['active'])} away or leaving "
+        f"({', '.join(wave['active']) or 'none'}), "
+        f"{len(wave['pending'])} to come"
+        for name, wave in sorted(status["hall"]["waves"].items())
+    ]
+
+
+def explain_preview(preview: dict[str, Any]) -> str:
+    """Return a line that says what a wave would do.
+
+    :param preview: The API's preview.
+    """
+    line = (
+        f"it would take {preview['rounds']} rounds, with "
+        f"{preview['most_away']} VMs away at most"
+    )
+    if preview["stuck"]:
+        stuck = ", ".join(preview["stuck"])
+        line += f"; the budgets never let these leave: {stuck}"
+    return line
+
+
 def explain_trace(explained: dict[str, Any]) -> list[str]:
     """Return sentences that say why a request went where it did.
 
--- a/src/rackvalve/cli/program.py
+++ b/src/rackvalve/cli/program.py
@@ -106,6 +106,8 @@
         """Print how a command ended and return the exit code."""
         if self.option("output") == "json":
             output.print_json(self.io, reply.value)
+        elif reply.good and reply.value.get("preview"):
+            self.line(output.explain_preview(reply.value["preview"]))
         elif reply.good:
             self.line(f"accepted as revision {reply.value['revision']}")
         if not reply.good:
@@ -136,6 +138,8 @@
             self.line("the platform does not answer; this may be old")
         headers = ["VM", "pool", "state", "rack", "slots"]
         output.print_table(self.io, headers, output.list_targets(status))
+        for line in output.list_waves(status):
+            self.line(line)
         for wait in status["waits"]:
             holders = ", ".join(wait["holders"])
             self.line(f"{wait['subject']} waits for {holders}")
@@ -206,6 +210,105 @@
         return self.send_command("set-priority", body)
 
 
+class Move(_AdminCommand):
+    """Lets a VM join another pool."""
+
+    name = "move"
+    description = "Lets a VM join another pool, within its pool's budget."
+    arguments = [
+        helpers.argument("vm", "The VM."),
+        helpers.argument("pool", "The pool to join."),
+    ]
+
+    def handle(self) -> int:
+        """Order the move."""
+        body = {"vm": self.argument("vm"), "pool": self.argument("pool")}
+        return self.send_command("move", body)
+
+
+class WaveStart(_AdminCommand):
+    """Starts a maintenance wave."""
+
+    name = "wave start"
+    description = "Starts a maintenance wave, or previews it."
+    arguments = [helpers.argument("name", "Name of the wave.")]
+    options = [
+        *_AdminCommand.options,
+        helpers.option("pool", None, "Only VMs of this pool.", flag=False),
+        helpers.option("rack", None, "Only VMs of this rack.", flag=False),
+        helpers.option("vms", None, "These VMs, by comma.", flag=False),
+        helpers.option("preview", None, "Show the effect only."),
+    ]
+
+    def handle(self) -> int:
+        """Order or preview the wave."""
+        body = {
+            "name": self.argument("name"),
+            "pool": self.option("pool") or "",
+            "rack": self.option("rack") or "",
+            "vms": list(filter(None, (self.option("vms") or "").split(","))),
+            "preview": bool(self.option("preview")),
+        }
+        return self.send_command("start-wave", body)
+
+
+class WaveChange(_AdminCommand):
+    """Pauses, resumes or abandons a wave."""
+
+    name = "wave change"
+    description = "Pauses, resumes or abandons a wave."
+    arguments = [
+        helpers.argument("name", "Name of the wave."),
+        helpers.argument("phase", "paused, running or abandoned."),
+    ]
+
+    def handle(self) -> int:
+        """Order the change."""
+        body = {"name": self.argument("name"), "phase": self.argument("phase")}
+        return self.send_command("change-wave", body)
+
+
+class Budget(_AdminCommand):
+    """Changes a pool's availability budget."""
+
+    name = "budget"
+    description = "Changes the least number of available VMs of a pool."
+    arguments = [
+        helpers.argument("pool", "The pool."),
+        helpers.argument("budget", "Least available VMs in each hall."),
+    ]
+
+    def handle(self) -> int:
+        """Order the change."""
+        text = self.argument("budget")
+        if not text.isdigit():
+            self.line_error("budget: give a whole number")
+            return EXIT_USAGE
+        body = {"pool": self.argument("pool"), "budget": int(text)}
+        return self.send_command("set-budget", body)
+
+
+class Quota(_AdminCommand):
+    """Changes a workspace's quota."""
+
+    name = "quota"
+    description = "Changes the most slots that a workspace holds."
+    arguments = [
+        helpers.argument("workspace", "The workspace."),
+        helpers.argument("quota", "Most slots in a hall's pool, or 'none'."),
+    ]
+
+    def handle(self) -> int:
+        """Order the change."""
+        text = self.argument("quota")
+        if text != "none" and not text.isdigit():
+            self.line_error("quota: give a whole number, or none")
+            return EXIT_USAGE
+        quota = None if text == "none" else int(text)
+        body = {"workspace": self.argument("workspace"), "quota": quota}
+        return self.send_command("set-quota", body)
+
+
 class ConfigurationShow(_AdminCommand):
     """Prints the configuration in force."""
 
@@ -251,6 +354,11 @@
     Drain,
     Return,
     Priority,
+    Quota,
+    Budget,
+    Move,
+    WaveStart,
+    WaveChange,
     ConfigurationShow,
     ConfigurationPut,
 )
--- a/src/rackvalve/entry/follower.py
+++ b/src/rackvalve/entry/follower.py
@@ -162,6 +162,7 @@
             hall_revision=state.hall_revision,
             busy=list(state.busy),
             excess=list(state.excess),
+            unhealthy=list(state.unhealthy),
             leaving=self._leaving,
             round=self._round,
         )
--- a/src/rackvalve/fleet/record.py
+++ b/src/rackvalve/fleet/record.py
@@ -86,17 +86,46 @@
         return self.epochs[-1].entries if self.epochs else []
 
 
+class Phase(enum.Enum):
+    """Phase of a maintenance wave."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    ABANDONED = "abandoned"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Wave:
+    """A maintenance wave over VMs of the hall.
+
+    :param pending: VMs that have yet to leave, sorted.
+    :param active: VMs that leave, are away, or have not come back.
+    :param done: VMs that serve again.
+    :param phase: Its phase.
+    :param started: Time of the order, in seconds.
+    """
+
+    pending: list[str]
+    active: list[str] = dataclasses.field(default_factory=list)
+    done: list[str] = dataclasses.field(default_factory=list)
+    phase: Phase = Phase.RUNNING
+    started: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Hall:
     """Record of one data hall.
 
     :param targets: Targets by VM identity.
+    :param waves: Maintenance waves by name.
     :param division: The entries that divide the rights on them.
     :param operation: Identifier of the write that stored this record.
     """
 
     targets: dict[str, Target] = dataclasses.field(default_factory=dict)
     division: Division = dataclasses.field(default_factory=Division)
+    waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
     operation: str = ""
 
 
@@ -111,6 +140,7 @@
     :param hall_revision: Hall record in force; 0 for none.
     :param busy: Targets on which it has work but no right to new work.
     :param excess: Targets on which it holds more slots than its share.
+    :param unhealthy: Targets that it gives no work because of failures.
     :param leaving: Whether it takes no more requests.
     :param round: Newest number that the acting steward has asked with.
     """
@@ -122,6 +152,7 @@
     hall_revision: int = 0
     busy: list[str] = dataclasses.field(default_factory=list)
     excess: list[str] = dataclasses.field(default_factory=list)
+    unhealthy: list[str] = dataclasses.field(default_factory=list)
     leaving: bool = False
     round: int = 0
 
--- a/src/rackvalve/fleet/transitions.py
+++ b/src/rackvalve/fleet/transitions.py
@@ -82,7 +82,38 @@
             f"its budget is {budget}"
         )
     revoking = dataclasses.replace(target, state=record.State.REVOKING)
-    return Changed(hall=_put(hall, vm, revoking), note=f"drain of {vm}")
+    return Changed(hall=put_target(hall, vm, revoking), note=f"drain of {vm}")
+
+
+def order_move(
+    hall: record.Hall,
+    vm: str,
+    pool: str,
+    *,
+    budget: int,
+    unavailable: Collection[str],
+) -> Changed | Rejected:
+    """Order a target to join another pool, within the budget of its own.
+
+    It belongs to its old pool until every sender has acknowledged, and to
+    the new one from then on, in one write.
+
+    :param hall: Record of the hall.
+    :param vm: The target.
+    :param pool: The pool to join.
+    :param budget: Least number of available VMs of its present pool.
+    :param unavailable: Targets that do not serve now.
+    """
+    target = hall.targets.get(vm)
+    if target is not None and target.pool == pool:
+        return Rejected(reason=f"VM {vm!r} is in pool {pool!r} already")
+    ordered = order_drain(hall, vm, budget=budget, unavailable=unavailable)
+    if isinstance(ordered, Rejected):
+        return ordered
+    moving = dataclasses.replace(ordered.hall.targets[vm], move_to=pool)
+    return Changed(
+        hall=put_target(hall, vm, moving), note=f"move of {vm} to {pool}"
+    )
 
 
 def order_return(hall: record.Hall, vm: str) -> Changed | Rejected:
@@ -96,8 +127,10 @@
         return Rejected(reason=f"VM {vm!r} is not in this hall")
     if target.state is record.State.SERVING:
         return Rejected(reason=f"VM {vm!r} serves already")
+    if target.state is record.State.REVOKING and target.move_to is not None:
+        return Rejected(reason=f"VM {vm!r} moves; wait until it has joined")
     serving = dataclasses.replace(target, state=record.State.SERVING)
-    return Changed(hall=_put(hall, vm, serving), note=f"return of {vm}")
+    return Changed(hall=put_target(hall, vm, serving), note=f"return of {vm}")
 
 
 def count_available(
@@ -139,19 +172,25 @@
     :return: The change, ``None`` if there is none, and what waits.
     """
     waits: list[Waiting] = []
+    left = hall
+    notes = []
+    holders = list_holders(hall, listed)
     for vm, target in hall.targets.items():
         if target.state is not record.State.REVOKING:
             continue
-        holders = [
+        missing = [
             entry
-            for entry in list_holders(hall, listed)
+            for entry in holders
             if not _has_left_target(reports.get(entry), revision, vm)
         ]
-        if holders:
-            waits.append(Waiting(subject=vm, holders=holders))
+        if missing:
+            waits.append(Waiting(subject=vm, holders=missing))
             continue
-        away = dataclasses.replace(target, state=record.State.AWAY)
-        return Changed(hall=_put(hall, vm, away), note=f"{vm} away"), waits
+        gone = _leave(left, vm, target)
+        left = gone.hall
+        notes.append(gone.note)
+    if notes:
+        return Changed(hall=left, note=", ".join(notes)), waits
     changed, blocked = _step_entries(hall, revision, reports, listed, now)
     return changed, waits + blocked
 
@@ -293,7 +332,30 @@
     return not held
 
 
-def _put(hall: record.Hall, vm: str, target: record.Target) -> record.Hall:
+def _leave(hall: record.Hall, vm: str, target: record.Target) -> Changed:
+    """Let a target go whose senders have all acknowledged."""
+    if target.move_to is not None:
+        joined = dataclasses.replace(
+            target,
+            pool=target.move_to,
+            move_to=None,
+            state=record.State.SERVING,
+        )
+        note = f"{vm} joined {joined.pool}"
+        return Changed(hall=put_target(hall, vm, joined), note=note)
+    away = dataclasses.replace(target, state=record.State.AWAY)
+    return Changed(hall=put_target(hall, vm, away), note=f"{vm} away")
+
+
+def put_target(
+    hall: record.Hall, vm: str, target: record.Target
+) -> record.Hall:
+    """Return a record with one target replaced.
+
+    :param hall: Record of the hall.
+    :param vm: Identity of the target.
+    :param target: The target as it is from now on.
+    """
     targets = dict(hall.targets)
     targets[vm] = target
     return dataclasses.replace(hall, targets=targets)
--- /dev/null
+++ b/src/rackvalve/fleet/waves.py
@@ -0,0 +1,258 @@
+"""Maintenance waves: pure functions of the record, budgets and health.
+
+A wave lets as many VMs leave at once as the budgets of their pools allow,
+counting only VMs that serve and are healthy now; a VM that does not come
+back counts as missing.  All it needs stands in the hall's record, so that
+any steward resumes it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from rackvalve.fleet import record
+from rackvalve.fleet import transitions
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+_FOLLOWING: dict[record.Phase, tuple[record.Phase, ...]] = {
+    record.Phase.PAUSED: (record.Phase.RUNNING,),
+    record.Phase.RUNNING: (record.Phase.PAUSED,),
+    record.Phase.ABANDONED: (record.Phase.RUNNING, record.Phase.PAUSED),
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Preview:
+    """What a wave would do.
+
+    :param rounds: Rounds that it takes if every VM comes back.
+    :param most_away: Most VMs away at once.
+    :param stuck: VMs that can never leave within the budgets.
+    """
+
+    rounds: int
+    most_away: int
+    stuck: list[str]
+
+
+def order_wave(
+    hall: record.Hall, name: str, vms: Collection[str], now: float
+) -> transitions.Changed | transitions.Rejected:
+    """Order a wave over VMs.
+
+    :param hall: Record of the hall.
+    :param name: Name of the wave.
+    :param vms: The VMs.
+    :param now: Present time, in seconds.
+    """
+    if name in hall.waves:
+        return transitions.Rejected(reason=f"wave {name!r} exists already")
+    if not vms:
+        return transitions.Rejected(reason=f"wave {name!r} has no VMs")
+    for vm in sorted(vms):
+        if vm not in hall.targets:
+            return transitions.Rejected(
+                reason=f"VM {vm!r} is not in this hall"
+            )
+    wave = record.Wave(pending=sorted(vms), started=now)
+    return transitions.Changed(
+        hall=_put_wave(hall, name, wave), note=f"wave {name} ordered"
+    )
+
+
+def change_phase(
+    hall: record.Hall, name: str, phase: record.Phase
+) -> transitions.Changed | transitions.Rejected:
+    """Pause, resume or abandon a wave.
+
+    VMs that have left already still come back; a pause and an abandonment
+    only keep further ones from leaving.
+
+    :param hall: Record of the hall.
+    :param name: Name of the wave.
+    :param phase: The phase wanted.
+    """
+    wave = hall.waves.get(name)
+    if wave is None:
+        return transitions.Rejected(reason=f"wave {name!r} does not exist")
+    if wave.phase not in _FOLLOWING.get(phase, ()):
+        return transitions.Rejected(
+            reason=f"wave {name!r} is {wave.phase.value}"
+        )
+    changed = dataclasses.replace(wave, phase=phase)
+    return transitions.Changed(
+        hall=_put_wave(hall, name, changed), note=f"wave {name} {phase.value}"
+    )
+
+
+def step_waves(
+    hall: record.Hall,
+    budgets: Mapping[str, int],
+    unavailable: Collection[str],
+) -> transitions.Changed | None:
+    """Let VMs of the running waves leave, and note those that came back.
+
+    :param hall: Record of the hall.
+    :param budgets: Least number of available VMs by pool.
+    :param unavailable: Targets that do not serve now, though their state
+        is ``serving``.
+    :return: ``None`` if there is nothing to change.
+    """
+    changed = hall
+    notes = []
+    for name, wave in hall.waves.items():
+        settled = _settle(changed, wave)
+        leaving: list[str] = []
+        if settled.phase is record.Phase.RUNNING:
+            leaving = choose_leaving(
+                changed, settled.pending, budgets, unavailable
+            )
+            settled = _finish(_move_active(settled, leaving))
+        for vm in leaving:
+            target = dataclasses.replace(
+                changed.targets[vm], state=record.State.REVOKING
+            )
+            changed = transitions.put_target(changed, vm, target)
+        if settled != wave:
+            changed = _put_wave(changed, name, settled)
+            notes.append(f"wave {name}: {', '.join(leaving) or 'settled'}")
+    if not notes:
+        return None
+    return transitions.Changed(hall=changed, note="; ".join(notes))
+
+
+def choose_leaving(
+    hall: record.Hall,
+    pending: Collection[str],
+    budgets: Mapping[str, int],
+    unavailable: Collection[str],
+) -> list[str]:
+    """Choose which VMs may leave now.
+
+    Unhealthy VMs go first, since they cost no availability; then those of
+    racks that are under way already, so that a rack is done as a whole and
+    as few racks as possible are touched at once.
+
+    :param hall: Record of the hall.
+    :param pending: VMs that want to leave.
+    :param budgets: Least number of available VMs by pool.
+    :param unavailable: Targets that do not serve now.
+    """
+    room = _count_room(hall, budgets, unavailable)
+    touched = collections.Counter(
+        target.rack
+        for target in hall.targets.values()
+        if target.state is not record.State.SERVING
+    )
+    ready = [
+        vm for vm in pending if hall.targets[vm].state is record.State.SERVING
+    ]
+    ready.sort(
+        key=lambda vm: (
+            vm not in unavailable,
+            -touched[hall.targets[vm].rack],
+            hall.targets[vm].rack,
+            vm,
+        )
+    )
+    chosen = []
+    for vm in ready:
+        pool = hall.targets[vm].pool
+        if vm not in unavailable:
+            if room[pool] <= 0:
+                continue
+            room[pool] -= 1
+        chosen.append(vm)
+    return chosen
+
+
+def preview_wave(
+    hall: record.Hall,
+    vms: Collection[str],
+    budgets: Mapping[str, int],
+    unavailable: Collection[str],
+) -> Preview:
+    """Return what a wave would do, if every VM came back each round.
+
+    :param hall: Record of the hall.
+    :param vms: VMs of the wave.
+    :param budgets: Least number of available VMs by pool.
+    :param unavailable: Targets that do not serve now.
+    """
+    pending = [vm for vm in sorted(vms) if vm in hall.targets]
+    rounds = 0
+    most = 0
+    while pending:
+        leaving = choose_leaving(hall, pending, budgets, unavailable)
+        if not leaving:
+            break
+        rounds += 1
+        most = max(most, len(leaving))
+        left = set(leaving)
+        pending = [vm for vm in pending if vm not in left]
+    return Preview(rounds=rounds, most_away=most, stuck=pending)
+
+
+def _count_room(
+    hall: record.Hall,
+    budgets: Mapping[str, int],
+    unavailable: Collection[str],
+) -> collections.Counter[str]:
+    """Count how many available VMs each pool can spare."""
+    room: collections.Counter[str] = collections.Counter()
+    for vm, target in hall.targets.items():
+        if target.state is record.State.SERVING and vm not in unavailable:
+            room[target.pool] += 1
+    for pool in list(room):
+        room[pool] -= budgets.get(pool, 0)
+    return room
+
+
+def _settle(hall: record.Hall, wave: record.Wave) -> record.Wave:
+    """Note which VMs came back, and which are gone from the hall."""
+    back = [
+        vm
+        for vm in wave.active
+        if vm in hall.targets
+        and hall.targets[vm].state is record.State.SERVING
+    ]
+    gone = [
+        vm for vm in (*wave.active, *wave.pending) if vm not in hall.targets
+    ]
+    if not back and not gone:
+        return _finish(wave)
+    settled = dataclasses.replace(
+        wave,
+        active=[vm for vm in wave.active if vm not in (*back, *gone)],
+        pending=[vm for vm in wave.pending if vm not in gone],
+        done=sorted([*wave.done, *back]),
+    )
+    return _finish(settled)
+
+
+def _move_active(wave: record.Wave, leaving: list[str]) -> record.Wave:
+    if not leaving:
+        return wave
+    return dataclasses.replace(
+        wave,
+        pending=[vm for vm in wave.pending if vm not in leaving],
+        active=sorted([*wave.active, *leaving]),
+    )
+
+
+def _finish(wave: record.Wave) -> record.Wave:
+    ended = not wave.pending and not wave.active
+    if ended and wave.phase is record.Phase.RUNNING:
+        return dataclasses.replace(wave, phase=record.Phase.DONE)
+    return wave
+
+
+def _put_wave(hall: record.Hall, name: str, wave: record.Wave) -> record.Hall:
+    waves = dict(hall.waves)
+    waves[name] = wave
+    return dataclasses.replace(hall, waves=waves)
--- a/src/rackvalve/jobs/admission.py
+++ b/src/rackvalve/jobs/admission.py
@@ -49,12 +49,14 @@
     :param hall_revision: Hall record in force; 0 for none.
     :param busy: Targets in use without any right.
     :param excess: Targets in use beyond the share.
+    :param unhealthy: Targets without work because of failures.
     """
 
     configuration_revision: int
     hall_revision: int
     busy: tuple[str, ...]
     excess: tuple[str, ...]
+    unhealthy: tuple[str, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -249,16 +251,20 @@
         """Return what can be acknowledged now."""
         busy: list[str] = []
         excess: list[str] = []
+        unhealthy: list[str] = []
         for pool in self._pools.values():
             pool_busy, pool_excess = pool.board.list_excess()
             busy.extend(pool_busy)
             excess.extend(pool_excess)
+            if pool.board.ejected:
+                unhealthy.extend(pool.board.list_ejected())
         view = self._view
         return Acknowledgement(
             configuration_revision=view.configuration_revision if view else 0,
             hall_revision=view.hall_revision if view else 0,
             busy=tuple(sorted(busy)),
             excess=tuple(sorted(excess)),
+            unhealthy=tuple(sorted(unhealthy)),
         )
 
     def count(self) -> Counts:
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -136,6 +136,12 @@
             return NEVER_HEARD
         return max(0.0, self._clock() - self._heard_at)
 
+    def list_unhealthy(self) -> frozenset[str]:
+        """List the targets that any entry of the hall finds unhealthy."""
+        return frozenset(
+            vm for report in self.reports.values() for vm in report.unhealthy
+        )
+
     def get_configuration(self) -> tuple[document.Configuration, int]:
         """Return the accepted configuration and its revision."""
         found = self.documents.get(document.KEY)
--- a/src/rackvalve/steward/program.py
+++ b/src/rackvalve/steward/program.py
@@ -18,7 +18,7 @@
 from rackvalve.rpc import rackvalve_pb2_grpc
 from rackvalve.settings import kinds
 from rackvalve.settings import reader
-from rackvalve.steward import commands
+from rackvalve.steward import executor as executors
 from rackvalve.steward import keeper as keepers
 from rackvalve.steward import servicer
 from rackvalve.steward import sources
@@ -88,12 +88,13 @@
         :return: The exit code.
         """
         server = channels.make_server()
-        executor = commands.Executor(
+        executor = executors.Executor(
             self._hall,
             platform=self.platform,
             keeper=self.keeper,
             stepper=self.stepper,
             ask_acting=self._ask_acting,
+            clock=clocks.read_wall,
         )
         rackvalve_pb2_grpc.add_StewardServicer_to_server(
             servicer.StewardServicer(
--- a/src/rackvalve/steward/servicer.py
+++ b/src/rackvalve/steward/servicer.py
@@ -17,7 +17,7 @@
 
     import grpc
 
-    from rackvalve.steward import commands
+    from rackvalve.steward import executor as executors
 
 WAIT_MAX_S = 60.0
 
@@ -36,7 +36,7 @@
         *,
         vm: str,
         keeper: keepers.Keeper,
-        executor: commands.Executor,
+        executor: executors.Executor,
         pass_on: Callable[[list[record.Report]], None],
     ) -> None:
         self._vm = vm
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -11,6 +11,7 @@
 
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
+from rackvalve.fleet import waves
 from rackvalve import logs
 from rackvalve.platform import port
 from rackvalve.rpc import documents as document_module
@@ -69,10 +70,24 @@
             self._clock(),
         )
         self._note_waits(waits)
-        if changed is None or not self._confirm(hall, revision):
+        if changed is None:
+            changed = self._step_waves(hall)
+            if changed is not None:
+                # Revoking takes a right from nobody before it is heard of;
+                # only what follows needs the holders.
+                self._write(changed, revision)
+            return
+        if not self._confirm(hall, revision):
             return
         self._write(changed, revision)
 
+    def _step_waves(self, hall: record.Hall) -> transitions.Changed | None:
+        configuration, _ = self._keeper.get_configuration()
+        budgets = {
+            name: pool.budget for name, pool in configuration.pools.items()
+        }
+        return waves.step_waves(hall, budgets, self._keeper.list_unhealthy())
+
     def _list_vms(self) -> None:
         now = self._clock()
         if now - self._listed_at < LIST_INTERVAL_S:
--- a/src/rackvalve/targets/board.py
+++ b/src/rackvalve/targets/board.py
@@ -201,6 +201,14 @@
                 self._targets[vm] = known
             self._allot(known, allotment)
 
+    def list_ejected(self) -> list[str]:
+        """List the ejected targets."""
+        return [
+            vm
+            for vm, target in self._targets.items()
+            if target.ejected_until is not None
+        ]
+
     def count_excess(self) -> int:
         """Count the targets on which more is in use than rights allow."""
         return len(self._over)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -42,6 +42,7 @@
             self._send_requests()
             self._ask_why()
             self._drain()
+            self._run_wave()
             self._change_priority()
         finally:
             self.fleet.stop()
@@ -130,6 +131,50 @@
         self.summary["sent to the VM after it was away"] = (after, after == 0)
         print(self._operate("status"))
 
+    def _run_wave(self):
+        """Run a wave through a pool under load, within its budget."""
+        entry = self.fleet.entries[0]
+        print(self._operate("return", f"{entry.hall}-lookup-1"))
+        print(self._operate("budget", "lookup", "2"))
+        print(self._operate("wave", "start", "w1", "--pool", "lookup",
+                            "--preview"))  # fmt: skip
+        load = figures.start_load(
+            [f"{fleets.HOST}:{entry.entry_port}"],
+            connections=8,
+            seconds=LOAD_SECONDS,
+            pool="lookup",
+            workspaces="mechanic,dealer",
+            path="/work?run_ms=5",
+        )
+        print(self._operate("wave", "start", "w1", "--pool", "lookup"))
+        least = self._maintain(entry.hall, "w1")
+        result = figures.finish_load(load)
+        lost = result["sent"] - result["served"]
+        self.summary["requests during the wave"] = (result["sent"], True)
+        self.summary["of them not served by the wave"] = (lost, lost == 0)
+        self.summary["least VMs serving, with a budget of 2"] = (
+            least,
+            least >= 2,
+        )
+
+    def _maintain(self, hall, name):
+        """Play the platform: reboot what is away, and return it."""
+        least = 10**9
+        while True:
+            found, _ = self.fleet.read_hall(hall)
+            serving = [
+                target
+                for target in found.targets.values()
+                if target.pool == "lookup"
+                and target.state is record.State.SERVING
+            ]
+            least = min(least, len(serving))
+            if found.waves[name].phase is record.Phase.DONE:
+                return least
+            for vm in found.waves[name].active:
+                if found.targets[vm].state is record.State.AWAY:
+                    self._operate("return", vm)
+
     def _change_priority(self):
         print(self._operate("priority", "mechanic", "9"))
         shown = json.loads(self._operate("configuration", "show"))
