Measure waves and control; plan in one copy of the record

Cause: a decision about a wave of 3,200 VMs took 87.4 ms, 30 times that of 400 VMs (2.87 ms): the record's targets were copied for each VM that leaves.

Ruled out: the choice itself, which sorts and counts once.

Change: one copy for all VMs that leave, sets in place of lists; experiments waves and control of make measure.

--- a/src/rackvalve/fleet/waves.py
+++ b/src/rackvalve/fleet/waves.py
@@ -113,11 +113,7 @@
                 changed, settled.pending, budgets, unavailable
             )
             settled = _finish(_move_active(settled, leaving))
-        for vm in leaving:
-            target = dataclasses.replace(
-                changed.targets[vm], state=record.State.REVOKING
-            )
-            changed = transitions.put_target(changed, vm, target)
+        changed = _revoke(changed, leaving)
         if settled != wave:
             changed = _put_wave(changed, name, settled)
             notes.append(f"wave {name}: {', '.join(leaving) or 'settled'}")
@@ -226,21 +222,35 @@
     ]
     if not back and not gone:
         return _finish(wave)
+    ended = {*back, *gone}
     settled = dataclasses.replace(
         wave,
-        active=[vm for vm in wave.active if vm not in (*back, *gone)],
-        pending=[vm for vm in wave.pending if vm not in gone],
+        active=[vm for vm in wave.active if vm not in ended],
+        pending=[vm for vm in wave.pending if vm not in ended],
         done=sorted([*wave.done, *back]),
     )
     return _finish(settled)
 
 
+def _revoke(hall: record.Hall, leaving: list[str]) -> record.Hall:
+    """Return a record in which VMs leave, with one copy for all of them."""
+    if not leaving:
+        return hall
+    targets = dict(hall.targets)
+    for vm in leaving:
+        targets[vm] = dataclasses.replace(
+            targets[vm], state=record.State.REVOKING
+        )
+    return dataclasses.replace(hall, targets=targets)
+
+
 def _move_active(wave: record.Wave, leaving: list[str]) -> record.Wave:
     if not leaving:
         return wave
+    left = set(leaving)
     return dataclasses.replace(
         wave,
-        pending=[vm for vm in wave.pending if vm not in leaving],
+        pending=[vm for vm in wave.pending if vm not in left],
         active=sorted([*wave.active, *leaving]),
     )
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -8,11 +8,13 @@
 
 import sys  # noqa: E402
 
+from tools.experiments import control  # noqa: E402
 from tools.experiments import cores  # noqa: E402
 from tools.experiments import entry  # noqa: E402
 from tools.experiments import faults  # noqa: E402
 from tools.experiments import once  # noqa: E402
 from tools.experiments import overload  # noqa: E402
+from tools.experiments import waves  # noqa: E402
 
 SEED = 1
 
@@ -22,6 +24,8 @@
     "once": once.run,
     "overload": overload.run,
     "faults": faults.run,
+    "waves": waves.run,
+    "control": control.run,
 }
 
 
