Measure capacity slopes; pack documents on the wire and in the platform

Ruled out: deltas between revisions, a protocol of our own.

Change: large documents are stored compressed (zlib), gRPC compresses its messages; the capacity experiment prints the slopes.

--- a/src/rackvalve/platform/http.py
+++ b/src/rackvalve/platform/http.py
@@ -10,7 +10,9 @@
 from geventhttpclient import response as http_response
 import msgspec
 
+from rackvalve import errors
 from rackvalve import metrics as metric_module
+from rackvalve.platform import packing
 from rackvalve.platform import port
 from rackvalve.settings import kinds
 
@@ -63,7 +65,8 @@
         """Write a value; see :class:`rackvalve.platform.port.Platform`."""
         # POST, since the client repeats a PUT of its own accord.
         path = f"/v1/keys/{_quote(key)}?expected={expected}"
-        answer = self._call(self._client, "POST", path, payload)
+        packed = packing.pack(payload)
+        answer = self._call(self._client, "POST", path, packed)
         if isinstance(answer, port.Failed):
             return answer
         status, body = answer
@@ -153,8 +156,9 @@
 
 def _read_value(answer: _Answer) -> port.Value | port.Failed:
     try:
-        payload = base64.b64decode(answer.payload, validate=True)
-    except ValueError as error:
+        value = base64.b64decode(answer.payload, validate=True)
+        payload = packing.unpack(value)
+    except (ValueError, errors.DocumentInvalidError) as error:
         return port.Failed(reason=repr(error), applied=False)
     return port.Value(payload=payload, revision=answer.revision)
 
--- a/src/rackvalve/rpc/channels.py
+++ b/src/rackvalve/rpc/channels.py
@@ -41,7 +41,11 @@
 def make_server() -> grpc.Server:
     """Make a server to which services and an address are added."""
     executor = futures.ThreadPoolExecutor(max_workers=WORKERS)
-    return grpc.server(executor, options=_SERVER_OPTIONS)
+    return grpc.server(
+        executor,
+        options=_SERVER_OPTIONS,
+        compression=grpc.Compression.Gzip,
+    )
 
 
 def listen(server: grpc.Server, address: str) -> bool:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -20,6 +20,7 @@
 from rackvalve import codec
 from rackvalve.configuration import document
 from rackvalve.fleet import record
+from rackvalve.platform import packing
 
 BIN = pathlib.Path(sys.executable).parent
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -358,7 +359,8 @@
             self.platform_port, "GET", f"/v1/keys/{key.replace('/', '%2F')}"
         )
         answer = json.loads(reply.body)
-        return base64.b64decode(answer["payload"]), answer["revision"]
+        value = base64.b64decode(answer["payload"])
+        return packing.unpack(value), answer["revision"]
 
     def _put(self, key, payload, expected):
         path = f"/v1/keys/{key.replace('/', '%2F')}?expected={expected}"
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -8,6 +8,7 @@
 
 import sys  # noqa: E402
 
+from tools.experiments import capacity  # noqa: E402
 from tools.experiments import control  # noqa: E402
 from tools.experiments import cores  # noqa: E402
 from tools.experiments import entry  # noqa: E402
@@ -26,6 +27,7 @@
     "faults": faults.run,
     "waves": waves.run,
     "control": control.run,
+    "capacity": capacity.run,
 }
 
 
