The operators' language, on lark, with round trips and fuzzing

Found by a test that failed first: at the end of a statement lark names the last token's position; the mistake now points behind it.

Ruled out: bare names in print (a VM may be called 'pool' or '5', which the parser would read as a keyword or a number); names are printed quoted.

Change: grammar, parser, printer, evaluation over the steward's status, an API call, rackvalve run and shell; a seeded fuzzer over nine parsers.

--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import re
 from typing import Any
 
@@ -13,6 +14,9 @@
 from rackvalve import commands
 from rackvalve.configuration import document
 from rackvalve import errors
+from rackvalve.language import evaluation
+from rackvalve.language import parser
+from rackvalve.language import statements
 
 BODY_LIMIT = 1024 * 1024
 _REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._:-]{1,128})")
@@ -28,6 +32,16 @@
 Result = object
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Lines:
+    """An answer in sentences.
+
+    :param lines: The sentences.
+    """
+
+    lines: list[str]
+
+
 class App:
     """Answers operators.
 
@@ -66,6 +80,7 @@
             ("GET", "/v1/configuration"): self._get_configuration,
             ("PUT", "/v1/configuration"): self._put_configuration,
             ("POST", "/v1/commands"): self._post_command,
+            ("POST", "/v1/statements"): self._post_statement,
         }
         handler = handlers.get((method, path))
         if handler is not None:
@@ -119,6 +134,43 @@
             return problems.make_malformed(error.reason)
         return self._conclude(self._source.execute(command))
 
+    def _post_statement(self, environ: dict[str, Any]) -> Result:
+        body = _read_body(environ)
+        if isinstance(body, problems.Problem):
+            return body
+        statement = parser.parse(body.decode("utf-8", "replace"))
+        if isinstance(statement, parser.Mistake):
+            return problems.make_malformed(str(statement))
+        if isinstance(statement, statements.Instruction):
+            return self._conclude(self._source.execute(statement.command))
+        if isinstance(statement, statements.Why):
+            return self._answer_why(statement)
+        status = self._source.execute(commands.ShowStatus())
+        if not isinstance(status, commands.Status):
+            return status
+        answer = evaluation.answer_query(statement, status)
+        if isinstance(answer, evaluation.UnknownField):
+            known = ", ".join(answer.known)
+            return problems.make_malformed(
+                f"no column {answer.field!r}; there are {known}"
+            )
+        return answer
+
+    def _answer_why(self, why: statements.Why) -> Result:
+        if why.subject is statements.Subject.REQUEST:
+            return self._source.explain(why.name)
+        status = self._source.execute(commands.ShowStatus())
+        if not isinstance(status, commands.Status):
+            return status
+        if why.subject is statements.Subject.VM:
+            lines = evaluation.explain_vm(why.name, status)
+        else:
+            lines = evaluation.explain_pool(why.name, status)
+        if not lines:
+            detail = f"{why.subject.value} {why.name!r} is not known here"
+            return problems.make_missing(detail)
+        return Lines(lines=lines)
+
     def _conclude(self, result: Result) -> Result:
         if not isinstance(result, commands.Answer):
             return result
--- a/src/rackvalve/cli/output.py
+++ b/src/rackvalve/cli/output.py
@@ -8,6 +8,8 @@
 from cleo.ui import table
 import msgspec
 
+OLD_S = 60.0
+
 
 def print_json(out: io.IO, value: Any) -> None:
     """Print a value as indented JSON.
@@ -32,6 +34,29 @@
     drawn.render()
 
 
+def print_answer(out: io.IO, value: dict[str, Any]) -> bool:
+    """Print the answer to a query or a question.
+
+    :param out: Where to print.
+    :param value: The API's answer.
+    :return: Whether it was such an answer.
+    """
+    if "rows" in value:
+        if value["rows"]:
+            rows = [[str(cell) for cell in row] for row in value["rows"]]
+            print_table(out, value["columns"], rows)
+        out.write_line(f"{value['count']} found")
+        if not 0 <= value["age"] <= OLD_S:
+            out.write_line("the platform does not answer; this may be old")
+        return True
+    lines = value.get("lines")
+    if "trace" in value:
+        lines = explain_trace(value)
+    for line in lines or ():
+        out.write_line(line)
+    return lines is not None
+
+
 def list_targets(status: dict[str, Any]) -> list[list[str]]:
     """Return a row for each target of a status.
 
--- a/src/rackvalve/cli/program.py
+++ b/src/rackvalve/cli/program.py
@@ -14,6 +14,7 @@
 
 from rackvalve.cli import client as clients
 from rackvalve.cli import output
+from rackvalve.cli import shell
 from rackvalve.settings import explanation
 from rackvalve.settings import reader
 from rackvalve import version
@@ -309,6 +310,51 @@
         return self.send_command("set-quota", body)
 
 
+class Run(_AdminCommand):
+    """Runs one statement of the language."""
+
+    name = "run"
+    description = "Runs one statement of the query and command language."
+    arguments = [helpers.argument("statement", "The statement, quoted.")]
+
+    def handle(self) -> int:
+        """Run and print."""
+        return self.run_statement(self.argument("statement"))
+
+    def run_statement(self, text: str) -> int:
+        """Run a statement and print its answer.
+
+        :param text: The statement.
+        :return: The exit code.
+        """
+        reply = self.call("POST", "/v1/statements", text.encode())
+        if not reply.good or self.option("output") == "json":
+            return self.conclude(reply)
+        if not output.print_answer(self.io, reply.value):
+            return self.conclude(reply)
+        return EXIT_OK
+
+
+class Shell(Run):
+    """Runs statements as they are typed."""
+
+    name = "shell"
+    description = "Reads statements from the terminal, with history."
+    arguments = []
+
+    def handle(self) -> int:
+        """Read until the end of input."""
+        shell.set_up_history()
+        code = EXIT_OK
+        while True:
+            try:
+                text = input("rackvalve> ").strip()
+            except EOFError:
+                return code
+            if text:
+                code = self.run_statement(text)
+
+
 class ConfigurationShow(_AdminCommand):
     """Prints the configuration in force."""
 
@@ -359,6 +405,8 @@
     Move,
     WaveStart,
     WaveChange,
+    Run,
+    Shell,
     ConfigurationShow,
     ConfigurationPut,
 )
--- /dev/null
+++ b/src/rackvalve/language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
