Report service-level burn from mergeable histograms

Found by tests that failed first: the histogram's iterator gives a step's start, not its bucket, so that late answers counted as good; a hall whose only entry was gone vanished from the report in place of being missing.

Ruled out: a histogram for each workspace without bound (HdrHistogram of one digit, 400 series a minute, the rest counted together).

Change: a ledger in entries, objectives in the configuration, gathering by the administration service, rackvalve report burn as text, JSON and HTML.

--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -77,6 +77,7 @@
             return self._source.explain(match[1])
         handlers: dict[tuple[str, str], Callable[[Any], Result]] = {
             ("GET", "/v1/status"): self._get_status,
+            ("GET", "/v1/burn"): self._get_burn,
             ("GET", "/v1/configuration"): self._get_configuration,
             ("PUT", "/v1/configuration"): self._put_configuration,
             ("POST", "/v1/commands"): self._post_command,
@@ -97,6 +98,9 @@
     def _get_status(self, environ: dict[str, Any]) -> Result:
         return self._source.execute(commands.ShowStatus())
 
+    def _get_burn(self, environ: dict[str, Any]) -> Result:
+        return self._source.gather_burn()
+
     def _get_configuration(self, environ: dict[str, Any]) -> Result:
         status = self._source.execute(commands.ShowStatus())
         if not isinstance(status, commands.Status):
--- a/src/rackvalve/admin/backend.py
+++ b/src/rackvalve/admin/backend.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from rackvalve.admin import problems
+from rackvalve.burn import ledger
+from rackvalve.burn import objectives
 from rackvalve import codec
 from rackvalve import commands
 from rackvalve import errors
@@ -20,6 +22,7 @@
 
 _STATUS_DECODER = msgspec.json.Decoder(commands.Status)
 _ANSWER_DECODER = msgspec.json.Decoder(commands.Answer)
+_COUNTS_DECODER = msgspec.json.Decoder(list[ledger.Count])
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -96,6 +99,45 @@
             detail += "; no answer from " + ", ".join(missing)
         return problems.make_missing(detail)
 
+    def gather_burn(self) -> objectives.Report | problems.Problem:
+        """Gather counts from the entries of all halls and judge them."""
+        status = self.execute(commands.ShowStatus())
+        if not isinstance(status, commands.Status):
+            return problems.make_unreachable("steward: no status")
+        divisions = {
+            **status.divisions,
+            status.hall_name: status.hall.division,
+        }
+        reached, missing = [], []
+        counts: list[ledger.Count] = []
+        for hall, division in sorted(divisions.items()):
+            for vm in division.entries:
+                found = self._fetch_counts(division.addresses.get(vm, ""))
+                if found is None:
+                    missing.append(f"entry {vm} of hall {hall}")
+                    continue
+                reached.append(vm)
+                counts.extend(found)
+        for hall in status.configuration.key_halls:
+            if hall not in divisions or not divisions[hall].entries:
+                missing.append(f"hall {hall}, which has no entry")
+        return objectives.Report(
+            burns=objectives.judge(status.configuration.objectives, counts),
+            missing=missing,
+            reached=reached,
+        )
+
+    def _fetch_counts(self, address: str) -> list[ledger.Count] | None:
+        if not address:
+            return None
+        try:
+            reply = self._get_entry(address).Inspect(
+                rackvalve_pb2.Command(), timeout=EXPLAIN_TIMEOUT_S
+            )
+            return codec.decode(_COUNTS_DECODER, reply.payload)
+        except (grpc.RpcError, errors.DocumentInvalidError):
+            return None
+
     def _get_entry(self, address: str) -> rackvalve_pb2_grpc.EntryStub:
         stub = self._entries.get(address)
         if stub is None:
--- /dev/null
+++ b/src/rackvalve/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn: what entries count, objectives, and the report."""
--- a/src/rackvalve/cli/program.py
+++ b/src/rackvalve/cli/program.py
@@ -12,6 +12,8 @@
 from cleo.io.inputs import argv_input
 import msgspec
 
+from rackvalve.burn import objectives
+from rackvalve.burn import pages
 from rackvalve.cli import client as clients
 from rackvalve.cli import output
 from rackvalve.cli import shell
@@ -355,6 +357,34 @@
                 code = self.run_statement(text)
 
 
+class ReportBurn(_AdminCommand):
+    """Reports service-level burn."""
+
+    name = "report burn"
+    description = "Reports service-level burn as text, JSON or HTML."
+    options = [
+        _AdminCommand.options[0],
+        helpers.option(
+            "output", None, "text, json or html.", flag=False, default="text"
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Fetch and print."""
+        reply = self.call("GET", "/v1/burn")
+        if not reply.good:
+            return self.conclude(reply)
+        if self.option("output") == "json":
+            output.print_json(self.io, reply.value)
+            return EXIT_OK
+        report = msgspec.convert(reply.value, objectives.Report)
+        write = pages.write_text
+        if self.option("output") == "html":
+            write = pages.write_page
+        print(write(report))
+        return EXIT_OK
+
+
 class ConfigurationShow(_AdminCommand):
     """Prints the configuration in force."""
 
@@ -407,6 +437,7 @@
     WaveChange,
     Run,
     Shell,
+    ReportBurn,
     ConfigurationShow,
     ConfigurationPut,
 )
--- a/src/rackvalve/commands.py
+++ b/src/rackvalve/commands.py
@@ -201,6 +201,7 @@
     :param hall_revision: Its revision.
     :param reports: Newest reports of the hall's entries.
     :param waits: Steps that wait, and for whom.
+    :param divisions: Entries of the other halls that own keys.
     """
 
     hall_name: str
@@ -212,6 +213,7 @@
     hall_revision: int
     reports: list[record.Report]
     waits: list[transitions.Waiting]
+    divisions: dict[str, record.Division]
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/src/rackvalve/configuration/document.py
+++ b/src/rackvalve/configuration/document.py
@@ -54,12 +54,33 @@
     quota: int | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Objective:
+    """A service-level objective; an empty name stands for all.
+
+    :param pool: Pool that it is about.
+    :param workspace: Workspace that it is about.
+    :param job_class: Class that it is about.
+    :param within_ms: Time in which an answer is good, in milliseconds.
+    :param goal: Share of the requests that must be good, less than 1.
+    :param refusals_count: Whether a refusal counts as bad.
+    """
+
+    pool: str = ""
+    workspace: str = ""
+    job_class: str = ""
+    within_ms: int = 1000
+    goal: float = 0.99
+    refusals_count: bool = True
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Configuration:
     """Everything operators decide.
 
     :param pools: Pools by name.
     :param workspaces: Workspaces by name.
+    :param objectives: Service-level objectives by name.
     :param key_halls: Halls whose entries own idempotency keys; fixed once
         it is set, since a key's owner follows from it.
     :param operation: Identifier of the write that stored this document, by
@@ -68,6 +89,7 @@
 
     pools: dict[str, Pool] = dataclasses.field(default_factory=dict)
     workspaces: dict[str, Workspace] = dataclasses.field(default_factory=dict)
+    objectives: dict[str, Objective] = dataclasses.field(default_factory=dict)
     key_halls: list[str] = dataclasses.field(default_factory=list)
     operation: str = ""
 
--- a/src/rackvalve/configuration/rules.py
+++ b/src/rackvalve/configuration/rules.py
@@ -27,6 +27,27 @@
         faults += [f"{place}: {text}" for text in _check_name(name)]
         found = _check_workspace(workspace, configuration.pools)
         faults += [f"{place}.{text}" for text in found]
+    for name, objective in configuration.objectives.items():
+        found = _check_objective(objective, configuration)
+        faults += [f"objectives.{name}.{text}" for text in found]
+    return faults
+
+
+def _check_objective(
+    objective: document.Objective, configuration: document.Configuration
+) -> list[str]:
+    faults = []
+    if not 0.0 < objective.goal < 1.0:
+        faults.append("goal: must be more than 0 and less than 1")
+    if objective.within_ms < 1:
+        faults.append("within_ms: must be 1 or more")
+    if objective.pool and objective.pool not in configuration.pools:
+        faults.append(f"pool: {objective.pool!r} is not defined")
+    known = configuration.workspaces
+    if objective.workspace and objective.workspace not in known:
+        faults.append(f"workspace: {objective.workspace!r} is not defined")
+    if objective.job_class not in ("", "quick", "long"):
+        faults.append("job_class: must be quick, long or empty")
     return faults
 
 
--- a/src/rackvalve/entry/program.py
+++ b/src/rackvalve/entry/program.py
@@ -10,6 +10,7 @@
 from gevent import event
 
 from rackvalve import arguments
+from rackvalve.burn import ledger as ledgers
 from rackvalve import clocks
 from rackvalve.entry import app as apps
 from rackvalve.entry import claims as claim_module
@@ -71,7 +72,8 @@
             self._vm, incarnation, registry=registry, clock=clocks.read_wall
         )
         history = traces.Traces()
-        self.app = self._make_app(claims, history)
+        ledger = ledgers.Ledger()
+        self.app = self._make_app(claims, history, ledger)
         steward = settings.get("steward", "listen", kinds.Address)
         self.follower = followers.Follower(
             vm=self._vm,
@@ -90,6 +92,7 @@
             hall=self._hall,
             registry=registry,
             history=history,
+            ledger=ledger,
             dispatcher=self.dispatcher,
             follower=self.follower,
             clock=clocks.read_wall,
@@ -145,7 +148,10 @@
         )
 
     def _make_app(
-        self, claims: claim_module.Claims, history: traces.Traces
+        self,
+        claims: claim_module.Claims,
+        history: traces.Traces,
+        ledger: ledgers.Ledger,
     ) -> apps.App:
         settings = self._settings
         sender = senders.Sender(
@@ -158,6 +164,7 @@
             claims=claims,
             history=history,
             metrics=self.metrics,
+            ledger=ledger,
             clock=clocks.read_steady,
         )
         return apps.App(
--- a/src/rackvalve/entry/runner.py
+++ b/src/rackvalve/entry/runner.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent import socket as gevent_socket
 
+from rackvalve.burn import ledger as ledgers
 from rackvalve.entry import messages
 from rackvalve.entry import sender as senders
 from rackvalve.entry import traces
@@ -63,6 +64,7 @@
     :param claims: Claims idempotency keys.
     :param history: Remembers the course of requests.
     :param metrics: Counts outcomes.
+    :param ledger: Counts outcomes and times for the burn report.
     :param clock: Reads the steady clock, in seconds.
     """
 
@@ -74,6 +76,7 @@
         claims: claim_module.Claims,
         history: traces.Traces,
         metrics: metric_module.Metrics,
+        ledger: ledgers.Ledger,
         clock: Callable[[], float],
     ) -> None:
         self._dispatcher = dispatcher
@@ -81,6 +84,7 @@
         self._claims = claims
         self._history = history
         self._metrics = metrics
+        self._ledger = ledger
         self._clock = clock
 
     def run(
@@ -348,6 +352,16 @@
         trace.state = _name_outcome(outcome)
         trace.took = self._clock() - job.received
         self._metrics.count(f"requests.{trace.state}")
+        self._ledger.note(
+            ledgers.Series(
+                pool=job.pool,
+                workspace=job.workspace,
+                job_class=job.job_class.value,
+            ),
+            trace.state,
+            trace.took,
+            self._clock(),
+        )
         if isinstance(outcome, Served):
             return
         trace.reason = outcome.reason.value
--- a/src/rackvalve/entry/servicer.py
+++ b/src/rackvalve/entry/servicer.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from rackvalve.burn import objectives
+from rackvalve import clocks
 from rackvalve import codec
 from rackvalve.jobs import keys
 from rackvalve import outcomes
@@ -16,6 +18,7 @@
 
     import grpc
 
+    from rackvalve.burn import ledger as ledgers
     from rackvalve.entry import dispatcher as dispatchers
     from rackvalve.entry import follower as followers
     from rackvalve.entry import traces
@@ -30,6 +33,7 @@
     :param hall: Its data hall.
     :param registry: The idempotency keys that this process owns.
     :param history: The course of recent requests.
+    :param ledger: Counts for the burn report.
     :param dispatcher: Knows the documents in force.
     :param follower: Knows the documents taken.
     :param clock: Reads the wall clock, in seconds.
@@ -42,6 +46,7 @@
         hall: str,
         registry: keys.KeyRegistry,
         history: traces.Traces,
+        ledger: ledgers.Ledger,
         dispatcher: dispatchers.Dispatcher,
         follower: followers.Follower,
         clock: Callable[[], float],
@@ -50,6 +55,7 @@
         self._hall = hall
         self._registry = registry
         self._history = history
+        self._ledger = ledger
         self._dispatcher = dispatcher
         self._follower = follower
         self._clock = clock
@@ -79,6 +85,20 @@
             found=True, payload=codec.encode(trace)
         )
 
+    def Inspect(
+        self,
+        request: rackvalve_pb2.Command,
+        context: grpc.ServicerContext,
+    ) -> rackvalve_pb2.CommandAnswer:
+        """Return the counts for the burn report."""
+        now = clocks.read_steady()
+        counts = [
+            count
+            for window in objectives.WINDOWS
+            for count in self._ledger.count(window, now)
+        ]
+        return rackvalve_pb2.CommandAnswer(payload=codec.encode(counts))
+
     def Claim(
         self,
         request: rackvalve_pb2.ClaimRequest,
--- a/src/rackvalve/steward/executor.py
+++ b/src/rackvalve/steward/executor.py
@@ -117,6 +117,7 @@
             hall_revision=hall_revision,
             reports=list(keeper.reports.values()),
             waits=self._stepper.waits,
+            divisions=keeper.get_divisions(),
         )
 
     @run.register
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -136,6 +136,16 @@
             return NEVER_HEARD
         return max(0.0, self._clock() - self._heard_at)
 
+    def get_divisions(self) -> dict[str, record.Division]:
+        """Return the divisions of the other halls that own keys."""
+        divisions = {}
+        for name in self.documents.get_revisions():
+            found = self.documents.get(name)
+            if found and name.startswith(record.DIVISION_PREFIX):
+                hall = name.removeprefix(record.DIVISION_PREFIX)
+                divisions[hall] = record.decode_division(found.payload)
+        return divisions
+
     def list_unhealthy(self) -> frozenset[str]:
         """List the targets that any entry of the hall finds unhealthy."""
         return frozenset(
