Operators' tokens with roles, rotated with the configuration

Ruled out: a salted slow hash; tokens are 256 random bits, which a guess does not reach, and each call would pay for it.

Change: roles and the check as a pure function of the configuration and the time, 401 and 403 as problems, rackvalve token new, the audit events.

The audit trail is in the logs, not in the platform.

--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -13,12 +13,15 @@
 from rackvalve import codec
 from rackvalve import commands
 from rackvalve.configuration import document
+from rackvalve.configuration import operators
 from rackvalve import errors
 from rackvalve.language import evaluation
 from rackvalve.language import parser
 from rackvalve.language import statements
+from rackvalve import logs
 
 BODY_LIMIT = 1024 * 1024
+_OPERATOR_KEY = "rackvalve.operator"
 _REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._:-]{1,128})")
 _REVISION = re.compile(r'"?([0-9]{1,18})"?')
 
@@ -46,10 +49,14 @@
     """Answers operators.
 
     :param source: Reaches the steward and the entries.
+    :param clock: Reads the wall clock, in seconds.
     """
 
-    def __init__(self, source: backend.Backend) -> None:
+    def __init__(
+        self, source: backend.Backend, *, clock: Callable[[], float]
+    ) -> None:
         self._source = source
+        self._clock = clock
 
     def __call__(
         self, environ: dict[str, Any], start_response: Any
@@ -72,6 +79,10 @@
     def _answer(self, environ: dict[str, Any]) -> Result:
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
+        # Statements and commands need more than this, by their kind.
+        denied = self._authorize(environ, operators.Role.READ)
+        if denied is not None:
+            return denied
         match = _REQUEST_PATH.fullmatch(path)
         if match is not None and method == "GET":
             return self._source.explain(match[1])
@@ -95,6 +106,43 @@
             )
         return problems.make_missing(path)
 
+    def _authorize(
+        self, environ: dict[str, Any], needed: operators.Role
+    ) -> problems.Problem | None:
+        """Return why the caller may not do something, ``None`` if it may."""
+        status = self._source.execute(commands.ShowStatus())
+        if isinstance(status, problems.Problem):
+            return status
+        if not isinstance(status, commands.Status):
+            return problems.make_unreachable("steward: no status")
+        header = environ.get("HTTP_AUTHORIZATION", "")
+        token = header.removeprefix("Bearer ") if header else ""
+        known = status.configuration.operators
+        checked = operators.check_token(known, token, needed, self._clock())
+        if isinstance(checked, operators.Denied):
+            return problems.make_denied(needed.value, known=checked.known)
+        environ[_OPERATOR_KEY] = checked.operator
+        return None
+
+    def _execute(
+        self, environ: dict[str, Any], command: commands.Command
+    ) -> Result:
+        """Execute a command, if the caller's role allows it."""
+        denied = self._authorize(environ, commands.get_role(command))
+        if denied is not None:
+            return denied
+        result = self._source.execute(command)
+        if isinstance(result, commands.Answer):
+            logs.write_event(
+                "command.done",
+                operator=environ[_OPERATOR_KEY],
+                command=commands.encode(command).decode(),
+                outcome=result.outcome,
+                revision=result.revision,
+                detail=result.detail,
+            )
+        return self._conclude(result)
+
     def _get_status(self, environ: dict[str, Any]) -> Result:
         return self._source.execute(commands.ShowStatus())
 
@@ -126,7 +174,7 @@
         command = commands.ReplaceConfiguration(
             configuration=configuration, expected=int(match[1])
         )
-        return self._conclude(self._source.execute(command))
+        return self._execute(environ, command)
 
     def _post_command(self, environ: dict[str, Any]) -> Result:
         body = _read_body(environ)
@@ -136,7 +184,7 @@
             command = commands.decode(body)
         except errors.DocumentInvalidError as error:
             return problems.make_malformed(error.reason)
-        return self._conclude(self._source.execute(command))
+        return self._execute(environ, command)
 
     def _post_statement(self, environ: dict[str, Any]) -> Result:
         body = _read_body(environ)
@@ -146,7 +194,7 @@
         if isinstance(statement, parser.Mistake):
             return problems.make_malformed(str(statement))
         if isinstance(statement, statements.Instruction):
-            return self._conclude(self._source.execute(statement.command))
+            return self._execute(environ, statement.command)
         if isinstance(statement, statements.Why):
             return self._answer_why(statement)
         status = self._source.execute(commands.ShowStatus())
--- a/src/rackvalve/admin/problems.py
+++ b/src/rackvalve/admin/problems.py
@@ -29,6 +29,8 @@
 STATUSES: dict[int, str] = {
     200: "200 OK",
     400: "400 Bad Request",
+    401: "401 Unauthorized",
+    403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
     409: "409 Conflict",
@@ -73,3 +75,24 @@
         status=503,
         detail=detail,
     )
+
+
+def make_denied(needed: str, *, known: bool) -> Problem:
+    """Return the error for a token that does not allow what was asked.
+
+    :param needed: The role needed.
+    :param known: Whether the token is an operator's.
+    """
+    if known:
+        return Problem(
+            type="forbidden",
+            title="The operator's role does not allow it",
+            status=403,
+            detail=f"role {needed!r} is needed",
+        )
+    return Problem(
+        type="unauthorized",
+        title="No operator has this token, or it has expired",
+        status=401,
+        detail="Authorization: give a bearer token",
+    )
--- a/src/rackvalve/admin/program.py
+++ b/src/rackvalve/admin/program.py
@@ -10,6 +10,7 @@
 from rackvalve.admin import app as apps
 from rackvalve.admin import backend
 from rackvalve import arguments
+from rackvalve import clocks
 from rackvalve import logs
 from rackvalve import servers
 from rackvalve.settings import kinds
@@ -37,7 +38,9 @@
     )
     steward = settings.get("steward", "listen", kinds.Address)
     listen = settings.get("admin", "listen", kinds.Address)
-    application = apps.App(backend.Backend(str(steward)))
+    application = apps.App(
+        backend.Backend(str(steward)), clock=clocks.read_wall
+    )
     server = servers.make_server(listen.host, listen.port, application)
     stop = event.Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
--- a/src/rackvalve/cli/client.py
+++ b/src/rackvalve/cli/client.py
@@ -34,9 +34,11 @@
     """Calls one administration service.
 
     :param address: Its address, ``IP:PORT``.
+    :param token: The operator's token, empty for none.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, token: str) -> None:
+        self._token = token
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
             raise ValueError(f"{address!r} is not IP:PORT")
@@ -61,9 +63,12 @@
         :param body: JSON.
         :param headers: Further headers.
         """
+        given = dict(headers or {})
+        if self._token:
+            given["Authorization"] = f"Bearer {self._token}"
         try:
             response = self._client.request(
-                method, path, body=body, headers=headers
+                method, path, body=body, headers=given
             )
             text = bytes(response.read())
             value = msgspec.json.decode(text)
--- a/src/rackvalve/cli/program.py
+++ b/src/rackvalve/cli/program.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import secrets
 from typing import Any
 
 from cleo import application
@@ -17,14 +18,18 @@
 from rackvalve.cli import client as clients
 from rackvalve.cli import output
 from rackvalve.cli import shell
+from rackvalve.configuration import operators
 from rackvalve.settings import explanation
 from rackvalve.settings import reader
 from rackvalve import version
 
 PROGRAM = "rackvalve"
 ADMIN_VARIABLE = "RACKVALVE_ADMIN"
+TOKEN_VARIABLE = "RACKVALVE_TOKEN"
 ADMIN_DEFAULT = "127.0.0.1:8090"
 
+TOKEN_BYTES = 32
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -35,6 +40,8 @@
 _EXITS = {
     200: EXIT_OK,
     400: EXIT_USAGE,
+    401: EXIT_REJECTED,
+    403: EXIT_REJECTED,
     404: EXIT_REJECTED,
     409: EXIT_CONFLICT,
     422: EXIT_REJECTED,
@@ -98,7 +105,9 @@
         address = self.option("admin") or os.environ.get(
             ADMIN_VARIABLE, ADMIN_DEFAULT
         )
-        return clients.Client(address).call(method, path, body, headers)
+        token = os.environ.get(TOKEN_VARIABLE, "")
+        client = clients.Client(address, token)
+        return client.call(method, path, body, headers)
 
     def send_command(self, kind: str, body: dict[str, Any]) -> int:
         """Send a command and print its outcome."""
@@ -357,6 +366,21 @@
                 code = self.run_statement(text)
 
 
+class TokenNew(command.Command):
+    """Makes a token for an operator."""
+
+    name = "token new"
+    description = "Makes a token, and the hash for the configuration."
+
+    def handle(self) -> int:
+        """Make and print both; nothing is kept."""
+        token = secrets.token_urlsafe(TOKEN_BYTES)
+        self.line(f"token (for the operator): {token}")
+        digest = operators.hash_token(token)
+        self.line(f"token_hash (for the configuration): {digest}")
+        return EXIT_OK
+
+
 class ReportBurn(_AdminCommand):
     """Reports service-level burn."""
 
@@ -438,6 +462,7 @@
     Run,
     Shell,
     ReportBurn,
+    TokenNew,
     ConfigurationShow,
     ConfigurationPut,
 )
--- a/src/rackvalve/commands.py
+++ b/src/rackvalve/commands.py
@@ -9,6 +9,7 @@
 
 from rackvalve import codec
 from rackvalve.configuration import document
+from rackvalve.configuration import operators
 from rackvalve import errors
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
@@ -250,3 +251,17 @@
         msgspec.json.Decoder(known), bytes(envelope.body)
     )
     return command
+
+
+def get_role(command: Command) -> operators.Role:
+    """Return the role that a command needs.
+
+    :param command: The command.
+    """
+    if isinstance(command, ShowStatus):
+        return operators.Role.READ
+    if isinstance(command, StartWave) and command.preview:
+        return operators.Role.READ
+    if isinstance(command, Drain | Return | Move | StartWave | ChangeWave):
+        return operators.Role.OPERATE
+    return operators.Role.ADMINISTER
--- a/src/rackvalve/configuration/document.py
+++ b/src/rackvalve/configuration/document.py
@@ -74,6 +74,21 @@
     refusals_count: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Operator:
+    """One operator of the administration API.
+
+    :param role: ``read``, ``operate`` or ``administer``.
+    :param token_hash: SHA-256 of the operator's token, in hexadecimal.
+    :param expires: Time after which the token is not taken, in seconds
+        since 1970; ``None`` for never.
+    """
+
+    role: str
+    token_hash: str
+    expires: float | None = None
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Configuration:
     """Everything operators decide.
@@ -81,6 +96,8 @@
     :param pools: Pools by name.
     :param workspaces: Workspaces by name.
     :param objectives: Service-level objectives by name.
+    :param operators: Operators by name; while there are none, the
+        administration API takes commands without a token.
     :param key_halls: Halls whose entries own idempotency keys; fixed once
         it is set, since a key's owner follows from it.
     :param operation: Identifier of the write that stored this document, by
@@ -90,6 +107,7 @@
     pools: dict[str, Pool] = dataclasses.field(default_factory=dict)
     workspaces: dict[str, Workspace] = dataclasses.field(default_factory=dict)
     objectives: dict[str, Objective] = dataclasses.field(default_factory=dict)
+    operators: dict[str, Operator] = dataclasses.field(default_factory=dict)
     key_halls: list[str] = dataclasses.field(default_factory=list)
     operation: str = ""
 
--- a/src/rackvalve/configuration/rules.py
+++ b/src/rackvalve/configuration/rules.py
@@ -5,11 +5,14 @@
 import re
 from typing import TYPE_CHECKING
 
+from rackvalve.configuration import operators
+
 if TYPE_CHECKING:
     from rackvalve.configuration import document
 
 PRIORITY_MAX = 1000
 QUEUE_LIMIT_MAX = 1_000_000
+_HASH = re.compile(r"[0-9a-f]{64}")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
 
@@ -30,6 +33,22 @@
     for name, objective in configuration.objectives.items():
         found = _check_objective(objective, configuration)
         faults += [f"objectives.{name}.{text}" for text in found]
+    for name, operator in configuration.operators.items():
+        found = _check_operator(operator)
+        faults += [f"operators.{name}.{text}" for text in found]
+    roles = {operator.role for operator in configuration.operators.values()}
+    if roles and operators.Role.ADMINISTER.value not in roles:
+        faults.append("operators: one must have the role administer")
+    return faults
+
+
+def _check_operator(operator: document.Operator) -> list[str]:
+    faults = []
+    known = [role.value for role in operators.Role]
+    if operator.role not in known:
+        faults.append("role: must be one of " + ", ".join(known))
+    if not _HASH.fullmatch(operator.token_hash):
+        faults.append("token_hash: must be a SHA-256 in hexadecimal")
     return faults
 
 
