--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 ONLY ?=
 SECONDS ?= 300
 
-.PHONY: test lint demo measure fuzz proto lock clean
+.PHONY: test lint demo measure fuzz proto reference lock clean
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -36,6 +36,9 @@
 	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/rackvalve/rpc --pyi_out=src/rackvalve/rpc --grpc_python_out=src/rackvalve/rpc proto/rackvalve.proto
 	sed -i 's/^import rackvalve_pb2 as/from rackvalve.rpc import rackvalve_pb2 as/' src/rackvalve/rpc/rackvalve_pb2_grpc.py
 
+reference: .venv/ready
+	$(BIN)/python -m tools.reference
+
 lock: .venv/ready
 	$(BIN)/python -m pip freeze --exclude-editable > requirements.lock
 
