--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import json
 import random
@@ -12,6 +11,7 @@
 import gevent
 from geventhttpclient import response as http_response
 
+from features import fleet_history as histories
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
@@ -19,140 +19,12 @@
 from tools import fleet as fleets
 
 POOL = "alarms"
-POOLS = ("p", "q")
-VMS = 8
-BUDGETS = {"p": 2, "q": 1}
-
-
-def make_hall(vms, racks=3, pools=("p",)):
-    targets = {
-        f"vm-{n}": record.Target(
-            pool=pools[n % len(pools)],
-            host="h",
-            port=1,
-            slots=1,
-            rack=f"r{n % racks}",
-        )
-        for n in range(vms)
-    }
-    epoch = record.Epoch(since=0.0, entries=["a"])
-    division = record.Division(epochs=[epoch], addresses={"a": "x"})
-    return record.Hall(targets=targets, division=division)
-
-
-def count_serving(hall, pool, down):
-    return transitions.count_available(hall, pool, down)
-
-
-class FleetHistory:
-    """Random orders, steps, failures and returns on one hall."""
-
-    def __init__(self, source, naive):
-        self.source = source
-        self.naive = naive
-        self.hall = make_hall(VMS, pools=POOLS)
-        self.down = set()
-        self.broken = False
-
-    def run(self, length):
-        """Run random events and check after each change."""
-        events = [
-            self._order_wave,
-            self._step,
-            self._step,
-            self._acknowledge,
-            self._acknowledge,
-            self._come_back,
-            self._fail,
-            self._recover,
-            self._drain,
-            self._move,
-        ]
-        for _ in range(length):
-            before = self.hall
-            self.source.choice(events)()
-            self._check(before)
-
-    def _pick(self):
-        return f"vm-{self.source.randrange(VMS)}"
-
-    def _apply(self, outcome):
-        if isinstance(outcome, transitions.Changed):
-            self.hall = outcome.hall
-
-    def _order_wave(self):
-        vms = {self._pick() for _ in range(4)}
-        name = f"w{len(self.hall.waves)}"
-        self._apply(waves.order_wave(self.hall, name, vms, 0.0))
-
-    def _step(self):
-        if self.naive:
-            self._step_rack()
-            return
-        self._apply(waves.step_waves(self.hall, BUDGETS, self.down))
-
-    def _step_rack(self):
-        rack = f"r{self.source.randrange(3)}"
-        for vm, target in self.hall.targets.items():
-            if target.rack == rack and target.state is record.State.SERVING:
-                leaving = dataclasses.replace(
-                    target, state=record.State.REVOKING
-                )
-                self.hall = transitions.put_target(self.hall, vm, leaving)
-
-    def _acknowledge(self):
-        report = record.Report(
-            vm="a", incarnation="i", address="x", hall_revision=1
-        )
-        changed, _ = transitions.step(self.hall, 1, {"a": report}, ["a"], 0.0)
-        if changed is not None:
-            self.hall = changed.hall
-
-    def _come_back(self):
-        self._apply(transitions.order_return(self.hall, self._pick()))
-
-    def _fail(self):
-        self.down.add(self._pick())
-
-    def _recover(self):
-        self.down.discard(self._pick())
-
-    def _drain(self):
-        vm = self._pick()
-        budget = BUDGETS[self.hall.targets[vm].pool]
-        self._apply(
-            transitions.order_drain(
-                self.hall, vm, budget=budget, unavailable=self.down
-            )
-        )
-
-    def _move(self):
-        vm = self._pick()
-        budget = BUDGETS[self.hall.targets[vm].pool]
-        self._apply(
-            transitions.order_move(
-                self.hall,
-                vm,
-                self.source.choice(POOLS),
-                budget=budget,
-                unavailable=self.down,
-            )
-        )
-
-    def _check(self, before):
-        assert set(self.hall.targets) == set(before.targets)
-        for pool, budget in BUDGETS.items():
-            had = count_serving(before, pool, self.down)
-            has = count_serving(self.hall, pool, self.down)
-            # Failures may take a pool below its budget; orders may not.
-            if has < had and has < budget:
-                self.broken = True
 
 
 def run_histories(count, naive):
     source = random.Random(23)
     for _ in range(count):
-        history = FleetHistory(source, naive)
+        history = histories.FleetHistory(source, naive)
         history.run(40)
         if history.broken:
             return True
@@ -181,7 +53,7 @@
 
 @behave.given("a hall of {vms:d} VMs in one pool with a budget of {budget:d}")
 def make_small_hall(context, vms, budget):
-    context.hall = make_hall(vms)
+    context.hall = histories.make_hall(vms)
     context.budgets = {"p": budget}
     context.down = set()
 
@@ -353,7 +225,9 @@
             hall, _ = context.fleet.read_hall("north")
         except (OSError, http_response.HTTPParseError):
             continue
-        context.least = min(context.least, count_serving(hall, POOL, ()))
+        context.least = min(
+            context.least, histories.count_serving(hall, POOL, ())
+        )
         wave = hall.waves.get(name)
         if wave is not None and wave.phase is record.Phase.DONE:
             context.wave = wave
