Forget what is gone: ended waves, reports of gone VMs, idle connections

Cause, found by reading: the hall's record kept every wave for ever; a VM that was found unhealthy by an entry that is gone counted as unhealthy for ever and held waves up; connections to targets that had left stayed open. The three daemons each set up their logs in the same lines.

Ruled out: dropping reports by age (a silent entry may still hold rights; only the platform's list proves an end).

Change: the newest 20 ended waves are kept; reports of VMs that are not listed are dropped; connections to others than the hall's targets are closed each minute; the shared command line sets up the logs; an account that has not changed is not set anew.

--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -15,6 +15,7 @@
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
+from rackvalve.steward import keeper as keepers
 from tools.experiments import figures
 from tools import fleet as fleets
 
@@ -170,6 +171,47 @@
     assert len(wave.done) == 2 and len(wave.pending) == 2, wave
 
 
+@behave.when("{count:d} waves run one after another")
+def run_many(context, count):
+    for number in range(count):
+        ordered = waves.order_wave(
+            context.hall, f"w{number}", context.hall.targets, float(number)
+        )
+        context.hall = ordered.hall
+        step_wave(context)
+        for vm in list_leaving(context):
+            returned = transitions.order_return(context.hall, vm)
+            context.hall = returned.hall
+        step_wave(context)
+
+
+@behave.then("the record holds at most {count:d} waves")
+def check_waves(context, count):
+    held = context.hall.waves
+    assert len(held) <= count, len(held)
+    assert "w99" in held and "w0" not in held, sorted(held)
+
+
+@behave.given("a keeper with a report that finds a VM unhealthy")
+def make_keeper(context):
+    context.keeper = keepers.Keeper("vm-1", "north", clock=lambda: 0.0)
+    report = record.Report(
+        vm="entry-2", incarnation="i", address="a", unhealthy=["vm-9"]
+    )
+    context.keeper.tell(keepers.ReportReceived(report))
+    assert context.keeper.list_unhealthy() == {"vm-9"}
+
+
+@behave.when("the entry's VM is gone from the list")
+def list_without(context):
+    context.keeper.tell(keepers.VmsListed(frozenset({"vm-1", "vm-9"})))
+
+
+@behave.then("no VM counts as unhealthy")
+def check_no_unhealthy(context):
+    assert not context.keeper.list_unhealthy()
+
+
 @behave.given("an own fleet of one hall with administration")
 def start_with_admin(context):
     fleet = fleets.Fleet({"north": 2}, {POOL: 4, "calib": 2}, with_admin=True)
--- a/features/waves.feature
+++ b/features/waves.feature
@@ -40,6 +40,16 @@
     When the wave is abandoned
     Then no further VM leaves, and those away come back
 
+  Scenario: Ended waves do not pile up in the record
+    Given a hall of 4 VMs in one pool with a budget of 0
+    When 100 waves run one after another
+    Then the record holds at most 22 waves
+
+  Scenario: What an entry said whose VM is gone does not count
+    Given a keeper with a report that finds a VM unhealthy
+    When the entry's VM is gone from the list
+    Then no VM counts as unhealthy
+
   Scenario: A wave under load loses no request and keeps the budget
     Given an own fleet of one hall with administration
     When a wave passes through the pool under load
--- a/src/rackvalve/admin/program.py
+++ b/src/rackvalve/admin/program.py
@@ -30,12 +30,6 @@
 
 
 def _main(settings: reader.Settings) -> int:
-    logs.set_up(
-        settings.get("logs", "level", str),
-        PROGRAM,
-        settings.get("instance", "vm", str),
-        settings.get("instance", "hall", str),
-    )
     steward = settings.get("steward", "listen", kinds.Address)
     listen = settings.get("admin", "listen", kinds.Address)
     application = apps.App(
--- a/src/rackvalve/arguments.py
+++ b/src/rackvalve/arguments.py
@@ -11,6 +11,7 @@
 from cleo.io.inputs import argv_input
 
 from rackvalve import errors
+from rackvalve import logs
 from rackvalve.settings import reader
 from rackvalve import version
 
@@ -24,6 +25,7 @@
 class _RunCommand(command.Command):
     """Runs a daemon until it is told to stop.
 
+    :param program: Name of the program, for logs.
     :param main: The composition root; returns the exit code.
     """
 
@@ -33,7 +35,8 @@
         helpers.argument("settings", "Path of the VM's settings file.")
     ]
 
-    def __init__(self, main: Main) -> None:
+    def __init__(self, program: str, main: Main) -> None:
+        self._program = program
         self._main = main
         super().__init__()
 
@@ -45,11 +48,17 @@
             for fault in error.faults:
                 print(fault, file=sys.stderr)
             return EXIT_USAGE
+        logs.set_up(
+            settings.get("logs", "level", str),
+            self._program,
+            settings.get("instance", "vm", str),
+            settings.get("instance", "hall", str),
+        )
         return self._main(settings)
 
 
 def run_daemon(name: str, main: Main, arguments: list[str]) -> int:
-    """Read a daemon's command line and settings, and run it.
+    """Read a daemon's command line and settings, set up logs, and run it.
 
     :param name: Name of the program.
     :param main: The composition root; returns the exit code.
@@ -57,6 +66,6 @@
     :return: Exit code: 0 stopped as ordered, 1 failed, 2 wrong settings.
     """
     app = application.Application(name, version.VERSION)
-    app.add(_RunCommand(main))
+    app.add(_RunCommand(name, main))
     app.auto_exits(False)
     return app.run(argv_input.ArgvInput([name, *arguments]))
--- a/src/rackvalve/entry/program.py
+++ b/src/rackvalve/entry/program.py
@@ -38,6 +38,7 @@
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.2
 GAUGE_INTERVAL_S = 1.0
+FORGET_INTERVAL_S = 60.0
 STOP_POLL_S = 0.02
 QUIET_BEFORE_EXIT_S = 0.2
 
@@ -126,6 +127,7 @@
         gevent.spawn(self.metrics.run)
         gevent.spawn(self._run_ticks)
         tasks.run_forever("gauges", GAUGE_INTERVAL_S, self._set_gauges)
+        tasks.run_forever("targets", FORGET_INTERVAL_S, self._forget_targets)
         logs.write_event("program.started", listen=str(self._listen))
         stop.wait()
         self._stop(server, stop)
@@ -155,13 +157,13 @@
         ledger: ledgers.Ledger,
     ) -> apps.App:
         settings = self._settings
-        sender = senders.Sender(
+        self.sender = senders.Sender(
             connect_timeout=settings.get("entry", "connect_timeout", float),
             answer_limit=settings.get("entry", "answer_buffer", int),
         )
         runner = runners.Runner(
             dispatcher=self.dispatcher,
-            sender=sender,
+            sender=self.sender,
             claims=claims,
             history=history,
             metrics=self.metrics,
@@ -186,6 +188,15 @@
             gevent.sleep(BUSY_TICK_S if pending else IDLE_TICK_S)
             self.dispatcher.post(messages.TimePassed())
 
+    def _forget_targets(self) -> None:
+        """Close the connections to targets that have left the hall."""
+        view = self.dispatcher.admission.view
+        if view is not None:
+            targets = view.hall.targets.values()
+            self.sender.forget(
+                {(target.host, target.port) for target in targets}
+            )
+
     def _set_gauges(self) -> None:
         counts = self.dispatcher.admission.count()
         self.metrics.set_gauge("requests.waiting", counts.waiting)
@@ -232,10 +243,4 @@
 
 
 def _main(settings: reader.Settings) -> int:
-    logs.set_up(
-        settings.get("logs", "level", str),
-        PROGRAM,
-        settings.get("instance", "vm", str),
-        settings.get("instance", "hall", str),
-    )
     return Entry(settings).run()
--- a/src/rackvalve/fleet/waves.py
+++ b/src/rackvalve/fleet/waves.py
@@ -19,6 +19,8 @@
     from collections.abc import Collection
     from collections.abc import Mapping
 
+ENDED_KEPT = 20
+
 _FOLLOWING: dict[record.Phase, tuple[record.Phase, ...]] = {
     record.Phase.PAUSED: (record.Phase.RUNNING,),
     record.Phase.RUNNING: (record.Phase.PAUSED,),
@@ -60,9 +62,8 @@
                 reason=f"VM {vm!r} is not in this hall"
             )
     wave = record.Wave(pending=sorted(vms), started=now)
-    return transitions.Changed(
-        hall=_put_wave(hall, name, wave), note=f"wave {name} ordered"
-    )
+    ordered = _put_wave(_forget_ended(hall), name, wave)
+    return transitions.Changed(hall=ordered, note=f"wave {name} ordered")
 
 
 def change_phase(
@@ -262,6 +263,26 @@
     return wave
 
 
+def _forget_ended(hall: record.Hall) -> record.Hall:
+    """Drop the oldest waves that have ended, so that the record stays small.
+
+    An abandoned wave is kept while VMs of it are still away.
+    """
+    ended = [
+        (wave.started, name)
+        for name, wave in hall.waves.items()
+        if wave.phase is record.Phase.DONE
+        or (wave.phase is record.Phase.ABANDONED and not wave.active)
+    ]
+    dropped = {name for _, name in sorted(ended)[:-ENDED_KEPT]}
+    if not dropped:
+        return hall
+    waves = {
+        name: wave for name, wave in hall.waves.items() if name not in dropped
+    }
+    return dataclasses.replace(hall, waves=waves)
+
+
 def _put_wave(hall: record.Hall, name: str, wave: record.Wave) -> record.Hall:
     waves = dict(hall.waves)
     waves[name] = wave
--- a/src/rackvalve/jobs/scheduler.py
+++ b/src/rackvalve/jobs/scheduler.py
@@ -133,6 +133,8 @@
         if account is None:
             account = queue.Account(workspace, weight, quota)
             self._accounts[workspace] = account
+        elif account.weight == weight and account.quota == quota:
+            return
         for state in self._classes.values():
             state.queue.reweigh(workspace, weight - account.weight)
         account.weight = weight
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -53,6 +53,16 @@
     report: record.Report
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class VmsListed:
+    """The platform listed its VMs.
+
+    :param vms: Their identities.
+    """
+
+    vms: frozenset[str]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SourceHeard:
     """The platform answered, or a peer that heard from it.
@@ -237,6 +247,13 @@
         task.reported_at = task._clock()
 
 
+@handle.register
+def _on_vms_listed(message: VmsListed, task: Keeper) -> None:
+    # What a VM said that is gone must not count as its present state.
+    for vm in [vm for vm in task.reports if vm not in message.vms]:
+        del task.reports[vm]
+
+
 @handle.register
 def _on_source_heard(message: SourceHeard, task: Keeper) -> None:
     heard = task._clock() - message.age
--- a/src/rackvalve/steward/program.py
+++ b/src/rackvalve/steward/program.py
@@ -206,10 +206,4 @@
 
 
 def _main(settings: reader.Settings) -> int:
-    logs.set_up(
-        settings.get("logs", "level", str),
-        PROGRAM,
-        settings.get("instance", "vm", str),
-        settings.get("instance", "hall", str),
-    )
     return Steward(settings).run()
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -97,6 +97,7 @@
             return
         self._listed_at = now
         self._listed = frozenset(listed)
+        self._keeper.post(keepers.VmsListed(self._listed))
 
     def _confirm(self, hall: record.Hall, revision: int) -> bool:
         """Return whether every holder has reported since it was asked."""
