Authorize with the operators alone, not with the whole status

Cause: each call of the administration API had the steward encode, compress and send its whole status (82 KB at the size to design for) to check a token. Ruled out: keeping operators in the admin process, which would lag behind a rotation. Change: a query for the operators alone.

--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -110,15 +110,14 @@
         self, environ: dict[str, Any], needed: operators.Role
     ) -> problems.Problem | None:
         """Return why the caller may not do something, ``None`` if it may."""
-        status = self._source.execute(commands.ShowStatus())
-        if isinstance(status, problems.Problem):
-            return status
-        if not isinstance(status, commands.Status):
-            return problems.make_unreachable("steward: no status")
+        found = self._source.list_operators()
+        if isinstance(found, problems.Problem):
+            return found
         header = environ.get("HTTP_AUTHORIZATION", "")
         token = header.removeprefix("Bearer ") if header else ""
-        known = status.configuration.operators
-        checked = operators.check_token(known, token, needed, self._clock())
+        checked = operators.check_token(
+            found.operators, token, needed, self._clock()
+        )
         if isinstance(checked, operators.Denied):
             return problems.make_denied(needed.value, known=checked.known)
         environ[_OPERATOR_KEY] = checked.operator
--- a/src/rackvalve/admin/backend.py
+++ b/src/rackvalve/admin/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TypeVar
 
 import grpc
 import msgspec
@@ -17,10 +18,13 @@
 from rackvalve.rpc import rackvalve_pb2
 from rackvalve.rpc import rackvalve_pb2_grpc
 
+T = TypeVar("T")
+
 COMMAND_TIMEOUT_S = 10.0
 EXPLAIN_TIMEOUT_S = 1.0
 
 _STATUS_DECODER = msgspec.json.Decoder(commands.Status)
+_OPERATORS_DECODER = msgspec.json.Decoder(commands.Operators)
 _ANSWER_DECODER = msgspec.json.Decoder(commands.Answer)
 _COUNTS_DECODER = msgspec.json.Decoder(list[ledger.Count])
 
@@ -58,18 +62,36 @@
 
         :param command: The command.
         """
+        reply = self._call(command)
+        if isinstance(reply, problems.Problem):
+            return reply
+        if isinstance(command, commands.ShowStatus):
+            return self._decode(_STATUS_DECODER, reply)
+        return self._decode(_ANSWER_DECODER, reply)
+
+    def _call(self, command: commands.Command) -> bytes | problems.Problem:
         request = rackvalve_pb2.Command(payload=commands.encode(command))
         try:
             reply = self._steward.Execute(request, timeout=COMMAND_TIMEOUT_S)
         except grpc.RpcError as error:
             return problems.make_unreachable(f"steward: {error.code().name}")
+        return bytes(reply.payload)
+
+    def _decode(
+        self, decoder: msgspec.json.Decoder[T], payload: bytes
+    ) -> T | problems.Problem:
         try:
-            if isinstance(command, commands.ShowStatus):
-                return codec.decode(_STATUS_DECODER, reply.payload)
-            return codec.decode(_ANSWER_DECODER, reply.payload)
+            return codec.decode(decoder, payload)
         except errors.DocumentInvalidError as error:
             return problems.make_unreachable(f"steward: {error.reason}")
 
+    def list_operators(self) -> commands.Operators | problems.Problem:
+        """Return the operators of the accepted configuration."""
+        reply = self._call(commands.ShowOperators())
+        if isinstance(reply, problems.Problem):
+            return reply
+        return self._decode(_OPERATORS_DECODER, reply)
+
     def explain(self, request_id: str) -> Explained | problems.Problem:
         """Ask the entries of the hall for the course of a request.
 
--- a/src/rackvalve/commands.py
+++ b/src/rackvalve/commands.py
@@ -144,6 +144,11 @@
     local: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ShowOperators:
+    """Show the operators of the accepted configuration."""
+
+
 Command = (
     ReplaceConfiguration
     | SetPriority
@@ -155,6 +160,7 @@
     | StartWave
     | ChangeWave
     | ShowStatus
+    | ShowOperators
 )
 
 _TAGS: dict[str, type[Any]] = {
@@ -168,6 +174,7 @@
     "set-budget": SetBudget,
     "set-quota": SetQuota,
     "show-status": ShowStatus,
+    "show-operators": ShowOperators,
 }
 
 
@@ -188,6 +195,16 @@
     preview: waves.Preview | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Operators:
+    """Who may call the administration API.
+
+    :param operators: The operators by name.
+    """
+
+    operators: dict[str, document.Operator]
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Status:
     """What a steward knows.
@@ -258,7 +275,7 @@
 
     :param command: The command.
     """
-    if isinstance(command, ShowStatus):
+    if isinstance(command, ShowStatus | ShowOperators):
         return operators.Role.READ
     if isinstance(command, StartWave) and command.preview:
         return operators.Role.READ
--- a/src/rackvalve/steward/executor.py
+++ b/src/rackvalve/steward/executor.py
@@ -26,7 +26,7 @@
 
     from rackvalve.steward import stepper as steppers
 
-Result = commands.Answer | commands.Status
+Result = commands.Answer | commands.Status | commands.Operators
 
 
 class Executor:
@@ -120,6 +120,11 @@
             divisions=keeper.get_divisions(),
         )
 
+    @run.register
+    def _run_operators(self, command: commands.ShowOperators) -> Result:
+        configuration, _ = self._keeper.get_configuration()
+        return commands.Operators(operators=configuration.operators)
+
     @run.register
     def _run_replace(self, command: commands.ReplaceConfiguration) -> Result:
         faults = rules.find_faults(command.configuration)
