Take bodies in a module of their own; hold the framing of two lengths

Cause: reading as a newcomer: the size of a body was -1 and -2 in one function to say 'not known' and 'truncated'. Ruled out: refusing a request with both lengths. The server drops the Content-Length as RFC 9112 says, and the target gets one; a scenario holds that. Change: entry/bodies.py holds memory and reads; the application only asks.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -54,6 +54,11 @@
     Then the answer has status 413 and names "body"
     And no target was reached
 
+  Scenario: Of two lengths the chunks count, and the target gets one
+    When a caller sends a chunked body that also announces 5 bytes
+    Then the outcome is "served"
+    And the answer is the whole answer to this request
+
   Scenario: A truncated body is refused
     When a caller announces 100 bytes and sends 10
     Then the answer has status 400 and names "body"
--- a/features/steps/input_steps.py
+++ b/features/steps/input_steps.py
@@ -99,6 +99,13 @@
     send_head(context, ["Transfer-Encoding: chunked"], body)
 
 
+@behave.when("a caller sends a chunked body that also announces 5 bytes")
+def send_two_lengths(context):
+    lines = ["Transfer-Encoding: chunked", "Content-Length: 5"]
+    context.body = b"0123456789"
+    send_head(context, lines, b"a\r\n0123456789\r\n0\r\n\r\n")
+
+
 @behave.when("a caller announces {size:d} bytes and sends {sent:d}")
 def send_truncated(context, size, sent):
     send_head(context, [f"Content-Length: {size}"], b"x" * sent)
--- a/src/rackvalve/entry/app.py
+++ b/src/rackvalve/entry/app.py
@@ -7,7 +7,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import gevent
 import uuid_utils
 
 from rackvalve.entry import runner as runners
@@ -22,9 +21,9 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
+    from rackvalve.entry import bodies
 
 READY_PATH = "/-/ready"
-BODY_TIMEOUT_S = 30.0
 RETRY_AFTER_HEADER = "Retry-After"
 RETRY_AFTER_MS_HEADER = "Rackvalve-Retry-After-Ms"
 
@@ -61,9 +60,8 @@
     """Reads requests, has them run, and writes their outcomes.
 
     :param runner: Runs requests.
-    :param body_limit: Largest body taken, in bytes.
+    :param body_store: Takes the bodies.
     :param header_limit: Longest value of an own header, in characters.
-    :param memory_limit: Sum of the bodies held at once, in bytes.
     :param steady_clock: Reads the steady clock, in seconds.
     :param wall_clock: Reads the wall clock, in seconds.
     """
@@ -72,16 +70,14 @@
         self,
         *,
         runner: runners.Runner,
-        body_limit: int,
+        body_store: bodies.Bodies,
         header_limit: int,
-        memory_limit: int,
         steady_clock: Callable[[], float],
         wall_clock: Callable[[], float],
     ) -> None:
         self._runner = runner
-        self._body_limit = body_limit
+        self._bodies = body_store
         self._header_limit = header_limit
-        self._memory_left = memory_limit
         self._steady_clock = steady_clock
         self._wall_clock = wall_clock
         self._numbers = itertools.count(1)
@@ -127,12 +123,12 @@
             )
             environ[servers.ABANDON_KEY]()
             return self._write_outcome(start_response, refused, job.request_id)
-        size, held = self._hold_memory(environ)
+        held = self._bodies.hold(environ)
         if isinstance(held, outcomes.Refused):
             environ[servers.ABANDON_KEY]()
             return self._write_outcome(start_response, held, job.request_id)
         try:
-            body = self._read_body(environ, size)
+            body = self._bodies.read(environ)
             if isinstance(body, outcomes.Refused):
                 environ[servers.ABANDON_KEY]()
                 return self._write_outcome(
@@ -148,7 +144,7 @@
                 job, request, environ[servers.SOCKET_KEY], self._wall_clock()
             )
         finally:
-            self._memory_left += held
+            self._bodies.release(held)
         if isinstance(outcome, runners.Served):
             return self._write_served(start_response, outcome, job, method)
         return self._write_outcome(start_response, outcome, job.request_id)
@@ -158,67 +154,6 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _hold_memory(
-        self, environ: Mapping[str, Any]
-    ) -> tuple[int, int | outcomes.Refused]:
-        """Set memory aside for a body.
-
-        :return: The size of the body, -1 if it is not known, and the bytes
-            set aside.
-        """
-        text = environ.get("CONTENT_LENGTH") or ""
-        chunked = "HTTP_TRANSFER_ENCODING" in environ
-        if not text and not chunked:
-            return 0, 0
-        size = -1
-        if text and not chunked:
-            if not text.isascii() or not text.isdigit() or len(text) > 18:
-                return 0, outcomes.Refused(
-                    reason=outcomes.Reason.FIELD_MALFORMED,
-                    detail="Content-Length: not a number of bytes",
-                )
-            size = int(text)
-        if size > self._body_limit:
-            return 0, self._refuse_size()
-        wanted = size if size >= 0 else self._body_limit
-        if wanted > self._memory_left:
-            return 0, outcomes.Refused(
-                reason=outcomes.Reason.MEMORY_FULL,
-                detail="body: no memory to hold it now",
-                retry_after=1.0,
-            )
-        self._memory_left -= wanted
-        return size, wanted
-
-    def _read_body(
-        self, environ: Mapping[str, Any], size: int
-    ) -> bytes | outcomes.Refused:
-        if size == 0:
-            return b""
-        source = environ["wsgi.input"]
-        try:
-            with gevent.Timeout(BODY_TIMEOUT_S):
-                body: bytes = source.read(
-                    size if size > 0 else self._body_limit + 1
-                )
-        except (OSError, ValueError, gevent.Timeout):
-            body = b""
-            size = -2
-        if size > 0 and len(body) < size or size == -2:
-            return outcomes.Refused(
-                reason=outcomes.Reason.BODY_TRUNCATED,
-                detail="body: ended before its length",
-            )
-        if len(body) > self._body_limit:
-            return self._refuse_size()
-        return body
-
-    def _refuse_size(self) -> outcomes.Refused:
-        return outcomes.Refused(
-            reason=outcomes.Reason.BODY_TOO_LARGE,
-            detail=f"body: larger than {self._body_limit} bytes",
-        )
-
     def _write_outcome(
         self,
         start_response: StartResponse,
--- a/src/rackvalve/entry/program.py
+++ b/src/rackvalve/entry/program.py
@@ -13,6 +13,7 @@
 from rackvalve.burn import ledger as ledgers
 from rackvalve import clocks
 from rackvalve.entry import app as apps
+from rackvalve.entry import bodies
 from rackvalve.entry import claims as claim_module
 from rackvalve.entry import dispatcher as dispatchers
 from rackvalve.entry import follower as followers
@@ -172,9 +173,11 @@
         )
         return apps.App(
             runner=runner,
-            body_limit=settings.get("entry", "body_limit", int),
+            body_store=bodies.Bodies(
+                body_limit=settings.get("entry", "body_limit", int),
+                memory_limit=settings.get("entry", "memory_limit", int),
+            ),
             header_limit=settings.get("entry", "header_limit", int),
-            memory_limit=settings.get("entry", "memory_limit", int),
             steady_clock=clocks.read_steady,
             wall_clock=clocks.read_wall,
         )
