Let waves leave room for the loss of a rack, where a pool asks for it

Cause: docs/CAPACITY.md listed it as out of reach: a rack that fails during a wave took a pool below its budget. Change: survive_rack by pool; a wave takes a VM only if the pool keeps its budget without its fullest rack, unless the pool was too small before.

--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -127,6 +127,39 @@
     assert list_leaving(context) == context.down
 
 
+def lose_worst_rack(context, rack_safe):
+    """Step a wave, lose each rack, and return the fewest VMs left."""
+    ordered = waves.order_wave(context.hall, "w", context.hall.targets, 0.0)
+    stepped = waves.step_waves(
+        ordered.hall, context.budgets, (), rack_safe=rack_safe
+    )
+    left = []
+    for rack in {t.rack for t in context.hall.targets.values()}:
+        lost = {
+            vm
+            for vm, target in context.hall.targets.items()
+            if target.rack == rack
+        }
+        left.append(histories.count_serving(stepped.hall, "p", lost))
+    assert len(stepped.hall.waves["w"].active) > 0
+    return min(left)
+
+
+@behave.when("a wave that is to survive a rack steps and any rack is lost")
+def step_safely(context):
+    context.left = lose_worst_rack(context, {"p"})
+
+
+@behave.then("the pool still has its budget")
+def check_survived(context):
+    assert context.left >= context.budgets["p"], context.left
+
+
+@behave.then("a wave that is not leaves less than the budget")
+def check_not_survived(context):
+    assert lose_worst_rack(context, ()) < context.budgets["p"]
+
+
 @behave.when("a wave is ordered and paused")
 def order_and_pause(context):
     ordered = waves.order_wave(context.hall, "w", context.hall.targets, 0.0)
--- a/features/waves.feature
+++ b/features/waves.feature
@@ -31,6 +31,12 @@
     When 2 VMs become unhealthy and the wave steps
     Then only the unhealthy VMs leave
 
+  Scenario: A rack that is lost during a wave leaves the budget intact
+    Given a hall of 9 VMs in one pool with a budget of 3
+    When a wave that is to survive a rack steps and any rack is lost
+    Then the pool still has its budget
+    And a wave that is not leaves less than the budget
+
   Scenario: Paused, resumed and abandoned
     Given a hall of 4 VMs in one pool with a budget of 2
     When a wave is ordered and paused
--- a/src/rackvalve/configuration/document.py
+++ b/src/rackvalve/configuration/document.py
@@ -27,6 +27,8 @@
     :param queue_limit: Most requests that wait at one entry.
     :param workspace_queue_limit: Most requests of one workspace that wait
         at one entry.
+    :param survive_rack: Whether waves leave the budget intact even if a
+        rack is lost meanwhile, where the pool is large enough for it.
     :param echo_required: Whether a target must return the request
         identifier; an answer without it is not taken as whole.
     """
@@ -36,6 +38,7 @@
     long_guaranteed: float = 0.25
     queue_limit: int = 1000
     workspace_queue_limit: int = 200
+    survive_rack: bool = False
     echo_required: bool = True
 
 
@@ -112,6 +115,16 @@
     operation: str = ""
 
 
+def list_rack_safe(configuration: Configuration) -> frozenset[str]:
+    """List the pools whose waves leave room for the loss of a rack.
+
+    :param configuration: The configuration.
+    """
+    return frozenset(
+        name for name, pool in configuration.pools.items() if pool.survive_rack
+    )
+
+
 _DECODER = msgspec.json.Decoder(Configuration, strict=True)
 
 
--- a/src/rackvalve/fleet/waves.py
+++ b/src/rackvalve/fleet/waves.py
@@ -95,6 +95,8 @@
     hall: record.Hall,
     budgets: Mapping[str, int],
     unavailable: Collection[str],
+    *,
+    rack_safe: Collection[str] = (),
 ) -> transitions.Changed | None:
     """Let VMs of the running waves leave, and note those that came back.
 
@@ -102,6 +104,7 @@
     :param budgets: Least number of available VMs by pool.
     :param unavailable: Targets that do not serve now, though their state
         is ``serving``.
+    :param rack_safe: Pools that keep their budget if a rack is lost too.
     :return: ``None`` if there is nothing to change.
     """
     changed = hall
@@ -111,7 +114,11 @@
         leaving: list[str] = []
         if settled.phase is record.Phase.RUNNING:
             leaving = choose_leaving(
-                changed, settled.pending, budgets, unavailable
+                changed,
+                settled.pending,
+                budgets,
+                unavailable,
+                rack_safe=rack_safe,
             )
             settled = _finish(_move_active(settled, leaving))
         changed = _revoke(changed, leaving)
@@ -128,6 +135,8 @@
     pending: Collection[str],
     budgets: Mapping[str, int],
     unavailable: Collection[str],
+    *,
+    rack_safe: Collection[str] = (),
 ) -> list[str]:
     """Choose which VMs may leave now.
 
@@ -139,8 +148,9 @@
     :param pending: VMs that want to leave.
     :param budgets: Least number of available VMs by pool.
     :param unavailable: Targets that do not serve now.
+    :param rack_safe: Pools that keep their budget if a rack is lost too.
     """
-    room = _count_room(hall, budgets, unavailable)
+    room = _Room(hall, budgets, unavailable, rack_safe)
     touched = collections.Counter(
         target.rack
         for target in hall.targets.values()
@@ -159,12 +169,8 @@
     )
     chosen = []
     for vm in ready:
-        pool = hall.targets[vm].pool
-        if vm not in unavailable:
-            if room[pool] <= 0:
-                continue
-            room[pool] -= 1
-        chosen.append(vm)
+        if vm in unavailable or room.take(hall.targets[vm]):
+            chosen.append(vm)
     return chosen
 
 
@@ -173,6 +179,8 @@
     vms: Collection[str],
     budgets: Mapping[str, int],
     unavailable: Collection[str],
+    *,
+    rack_safe: Collection[str] = (),
 ) -> Preview:
     """Return what a wave would do, if every VM came back each round.
 
@@ -180,12 +188,15 @@
     :param vms: VMs of the wave.
     :param budgets: Least number of available VMs by pool.
     :param unavailable: Targets that do not serve now.
+    :param rack_safe: Pools that keep their budget if a rack is lost too.
     """
     pending = [vm for vm in sorted(vms) if vm in hall.targets]
     rounds = 0
     most = 0
     while pending:
-        leaving = choose_leaving(hall, pending, budgets, unavailable)
+        leaving = choose_leaving(
+            hall, pending, budgets, unavailable, rack_safe=rack_safe
+        )
         if not leaving:
             break
         rounds += 1
@@ -195,19 +206,62 @@
     return Preview(rounds=rounds, most_away=most, stuck=pending)
 
 
-def _count_room(
-    hall: record.Hall,
-    budgets: Mapping[str, int],
-    unavailable: Collection[str],
-) -> collections.Counter[str]:
-    """Count how many available VMs each pool can spare."""
-    room: collections.Counter[str] = collections.Counter()
-    for vm, target in hall.targets.items():
-        if target.state is record.State.SERVING and vm not in unavailable:
-            room[target.pool] += 1
-    for pool in list(room):
-        room[pool] -= budgets.get(pool, 0)
-    return room
+class _Room:
+    """How many available VMs each pool can spare, as VMs are chosen.
+
+    :param hall: Record of the hall.
+    :param budgets: Least number of available VMs by pool.
+    :param unavailable: Targets that do not serve now.
+    :param rack_safe: Pools that keep their budget if a rack is lost too.
+    """
+
+    def __init__(
+        self,
+        hall: record.Hall,
+        budgets: Mapping[str, int],
+        unavailable: Collection[str],
+        rack_safe: Collection[str],
+    ) -> None:
+        self._budgets = budgets
+        self._racks: dict[str, collections.Counter[str]] = {}
+        self._totals: collections.Counter[str] = collections.Counter()
+        for vm, target in hall.targets.items():
+            if target.state is record.State.SERVING and vm not in unavailable:
+                racks = self._racks.setdefault(
+                    target.pool, collections.Counter()
+                )
+                racks[target.rack] += 1
+                self._totals[target.pool] += 1
+        # A pool that a rack's loss would break already is not held up.
+        self._rack_safe = {
+            pool for pool in rack_safe if self._survives_rack(pool)
+        }
+
+    def take(self, target: record.Target) -> bool:
+        """Take one available VM out, if its pool can spare it.
+
+        :param target: The VM.
+        :return: Whether it may leave.
+        """
+        pool = target.pool
+        if self._totals[pool] <= self._budgets.get(pool, 0):
+            return False
+        self._count(target, -1)
+        if pool in self._rack_safe and not self._survives_rack(pool):
+            self._count(target, 1)
+            return False
+        return True
+
+    def _count(self, target: record.Target, change: int) -> None:
+        self._totals[target.pool] += change
+        self._racks[target.pool][target.rack] += change
+
+    def _survives_rack(self, pool: str) -> bool:
+        racks = self._racks.get(pool)
+        if not racks:
+            return False
+        left = self._totals[pool] - max(racks.values())
+        return left >= self._budgets.get(pool, 0)
 
 
 def _settle(hall: record.Hall, wave: record.Wave) -> record.Wave:
--- a/src/rackvalve/steward/executor.py
+++ b/src/rackvalve/steward/executor.py
@@ -240,6 +240,7 @@
             _choose_vms(hall, command),
             {name: pool.budget for name, pool in configuration.pools.items()},
             self._keeper.list_unhealthy(),
+            rack_safe=document.list_rack_safe(configuration),
         )
         return commands.Answer(
             outcome="accepted", revision=revision, preview=preview
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from rackvalve.configuration import document
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
@@ -86,7 +87,12 @@
         budgets = {
             name: pool.budget for name, pool in configuration.pools.items()
         }
-        return waves.step_waves(hall, budgets, self._keeper.list_unhealthy())
+        return waves.step_waves(
+            hall,
+            budgets,
+            self._keeper.list_unhealthy(),
+            rack_safe=document.list_rack_safe(configuration),
+        )
 
     def _list_vms(self) -> None:
         now = self._clock()
