Name each round, so that two acting stewards' rounds are not confused

Cause, found by reading: rounds were numbers that a steward raised. With two stewards that act at once, a report made in the other's greater round counted as an answer to a round that the entry had not heard of; and the number was read before the message that raised it was handled.

Ruled out: numbers from clocks, which differ between VMs.

Change: a round is a name of its own, and only a report that repeats it confirms; the message is handled before the name is remembered. Times of the burn report are put into histograms when they are wanted.

--- a/features/rights.feature
+++ b/features/rights.feature
@@ -42,6 +42,11 @@
     When 500 generated changes of entries divide the slots naively
     Then the shares in force exceeded the slots
 
+  Scenario: A report made in another steward's round confirms nothing
+    Given two stewards that act at once and have both begun rounds
+    When an entry reports in the second steward's round
+    Then the first steward still waits for it, the second does not
+
   Scenario Outline: Exhaustive exploration finds no violation
     When the model "<model>" is explored
     Then no violation is found in more than <states> states
--- a/features/steps/rights_steps.py
+++ b/features/steps/rights_steps.py
@@ -12,6 +12,8 @@
 from rackvalve.fleet import shares
 from rackvalve.jobs import keys
 from rackvalve import outcomes
+from rackvalve.steward import keeper as keepers
+from rackvalve.steward import stepper as steppers
 from tools.baselines import keys as naive_keys
 from tools import explorer
 
@@ -273,6 +275,41 @@
     assert context.worst > 0, context.worst
 
 
+@behave.given("two stewards that act at once and have both begun rounds")
+def begin_rounds(context):
+    context.hall = record.Hall(division=DIVISION)
+    context.keepers = []
+    for number in range(2):
+        keeper = keepers.Keeper(f"vm-{number}", "h", clock=lambda: 0.0)
+        keeper.tell(keepers.ActingChanged(True))
+        stepper = steppers.Stepper(
+            "h", platform=None, keeper=keeper, clock=lambda: 0.0
+        )
+        assert not stepper._confirm(context.hall, 1)
+        context.keepers.append((keeper, stepper))
+
+
+@behave.when("an entry reports in the second steward's round")
+def report_second(context):
+    report = record.Report(
+        vm="a",
+        incarnation="i",
+        address="x",
+        hall_revision=1,
+        round=context.keepers[1][0].round,
+    )
+    for keeper, _ in context.keepers:
+        keeper.tell(keepers.ReportReceived(report))
+
+
+@behave.then("the first steward still waits for it, the second does not")
+def check_rounds(context):
+    confirmed = [
+        stepper._confirm(context.hall, 1) for _, stepper in context.keepers
+    ]
+    assert confirmed == [False, True], confirmed
+
+
 @behave.when('the model "{model}" is explored')
 def explore(context, model):
     variant = explorer.Variant()
--- a/src/rackvalve/burn/ledger.py
+++ b/src/rackvalve/burn/ledger.py
@@ -18,6 +18,7 @@
 DIGITS = 1
 SERIES_MAX = 400
 OTHERS = "others"
+PENDING_MAX = 512
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -56,13 +57,27 @@
 
 
 class _Tally:
-    """Counts of one series in one slice."""
+    """Counts of one series in one slice.
 
-    __slots__ = ("outcomes", "times")
+    Times are gathered by millisecond and put into the histogram when it is
+    wanted: that takes a hundredth of the time of one call for each request.
+    """
+
+    __slots__ = ("outcomes", "pending", "_times")
 
     def __init__(self) -> None:
         self.outcomes: collections.Counter[str] = collections.Counter()
-        self.times = make_histogram()
+        self.pending: collections.Counter[int] = collections.Counter()
+        self._times: histogram.HdrHistogram | None = None
+
+    def get_times(self) -> histogram.HdrHistogram:
+        """Return the histogram of all times so far."""
+        if self._times is None:
+            self._times = make_histogram()
+        for value, count in self.pending.items():
+            self._times.record_value(value, count)
+        self.pending.clear()
+        return self._times
 
 
 class Ledger:
@@ -94,7 +109,9 @@
             tally = tallies.setdefault(series, _Tally())
         tally.outcomes[outcome] += 1
         if outcome == "served":
-            tally.times.record_value(max(LEAST_MS, int(seconds * 1000)))
+            tally.pending[max(LEAST_MS, int(seconds * 1000))] += 1
+            if len(tally.pending) > PENDING_MAX:
+                tally.get_times()
 
     def count(self, window: float, now: float) -> list[Count]:
         """Return the counts of the last seconds, series by series.
@@ -109,7 +126,7 @@
             for series, tally in tallies.items():
                 total = merged.setdefault(series, _Tally())
                 total.outcomes.update(tally.outcomes)
-                total.times.add(tally.times)
+                total.get_times().add(tally.get_times())
         return [
             Count(
                 series=series,
@@ -117,7 +134,7 @@
                 served=tally.outcomes["served"],
                 refused=tally.outcomes["refused"],
                 unknown=tally.outcomes["unknown"],
-                times=tally.times.encode().decode("ascii"),
+                times=tally.get_times().encode().decode("ascii"),
             )
             for series, tally in merged.items()
         ]
--- a/src/rackvalve/entry/follower.py
+++ b/src/rackvalve/entry/follower.py
@@ -65,7 +65,7 @@
         self._documents = document_module.Documents()
         self._report_wanted = event.Event()
         self._leaving = False
-        self._round = 0
+        self._round = ""
 
     @property
     def documents(self) -> document_module.Documents:
@@ -176,8 +176,8 @@
             return
         self._hear_round(received.round)
 
-    def _hear_round(self, number: int) -> None:
+    def _hear_round(self, name: str) -> None:
         """Report anew when the acting steward asks for it."""
-        if number > self._round:
-            self._round = number
+        if name and name != self._round:
+            self._round = name
             self._report_wanted.set()
--- a/src/rackvalve/entry/runner.py
+++ b/src/rackvalve/entry/runner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 import gevent
@@ -34,6 +35,7 @@
     from rackvalve import metrics as metric_module
 
 SERVER_ERROR = 500
+SERIES_CACHED = 4096
 LIMIT_FACTOR = 4.0
 LIMIT_LEAST_S = 0.25
 
@@ -86,6 +88,7 @@
         self._metrics = metrics
         self._ledger = ledger
         self._clock = clock
+        self._get_series = functools.lru_cache(SERIES_CACHED)(_make_series)
 
     def run(
         self,
@@ -352,16 +355,8 @@
         trace.state = _name_outcome(outcome)
         trace.took = self._clock() - job.received
         self._metrics.count(f"requests.{trace.state}")
-        self._ledger.note(
-            ledgers.Series(
-                pool=job.pool,
-                workspace=job.workspace,
-                job_class=job.job_class.value,
-            ),
-            trace.state,
-            trace.took,
-            self._clock(),
-        )
+        series = self._get_series(job.pool, job.workspace, trace.job_class)
+        self._ledger.note(series, trace.state, trace.took, self._clock())
         if isinstance(outcome, Served):
             return
         trace.reason = outcome.reason.value
@@ -378,6 +373,10 @@
         )
 
 
+def _make_series(pool: str, workspace: str, job_class: str) -> ledgers.Series:
+    return ledgers.Series(pool=pool, workspace=workspace, job_class=job_class)
+
+
 def _name_outcome(outcome: Outcome) -> str:
     if isinstance(outcome, Served):
         return "served"
--- a/src/rackvalve/fleet/record.py
+++ b/src/rackvalve/fleet/record.py
@@ -142,7 +142,7 @@
     :param excess: Targets on which it holds more slots than its share.
     :param unhealthy: Targets that it gives no work because of failures.
     :param leaving: Whether it takes no more requests.
-    :param round: Newest number that the acting steward has asked with.
+    :param round: Name of the newest round that the entry has heard of.
     """
 
     vm: str
@@ -154,7 +154,7 @@
     excess: list[str] = dataclasses.field(default_factory=list)
     unhealthy: list[str] = dataclasses.field(default_factory=list)
     leaving: bool = False
-    round: int = 0
+    round: str = ""
 
 
 _DECODER = msgspec.json.Decoder(Hall, strict=True)
--- a/src/rackvalve/fleet/transitions.py
+++ b/src/rackvalve/fleet/transitions.py
@@ -219,20 +219,20 @@
     hall: record.Hall,
     listed: Collection[str] | None,
     reports: Mapping[str, record.Report],
-    asked: int,
+    asked: str,
 ) -> list[str]:
     """List the holders that have not reported since they were asked.
 
     :param hall: Record of the hall.
     :param listed: VMs on the platform's list; ``None`` if it is not known.
     :param reports: Newest report of each entry, by VM identity.
-    :param asked: Number of the round in which they were asked, after all
+    :param asked: Name of the round in which they were asked, after all
         acknowledgements for the step had come.
     """
     missing = []
     for holder in list_holders(hall, listed):
         report = reports.get(holder)
-        if report is None or report.round < asked:
+        if report is None or report.round != asked:
             missing.append(holder)
     return missing
 
--- a/src/rackvalve/steward/keeper.py
+++ b/src/rackvalve/steward/keeper.py
@@ -85,17 +85,22 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RoundBegun:
-    """All holders are asked to report anew."""
+    """All holders are asked to report anew.
+
+    :param name: Name of the round, unique to it.
+    """
+
+    name: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RoundHeard:
     """The acting steward of the hall told its round.
 
-    :param number: Number of the round.
+    :param name: Name of the round.
     """
 
-    number: int
+    name: str
 
 
 class Keeper(tasks.Task):
@@ -122,7 +127,7 @@
         # When this VM's own entry last reported by itself.
         self.reported_at = clock()
         self.acting = False
-        self.round = 0
+        self.round = ""
         # Whether the documents may be handed to the entry and to peers.
         self.trusted = False
 
@@ -272,12 +277,13 @@
 
 @handle.register
 def _on_round_begun(message: RoundBegun, task: Keeper) -> None:
-    task.round += 1
+    task.round = message.name
     task.documents.wake()
 
 
 @handle.register
 def _on_round_heard(message: RoundHeard, task: Keeper) -> None:
-    if message.number > task.round:
-        task.round = message.number
+    # While this steward acts itself, only its own rounds count here.
+    if message.name and message.name != task.round and not task.acting:
+        task.round = message.name
         task.documents.wake()
--- a/src/rackvalve/steward/sources.py
+++ b/src/rackvalve/steward/sources.py
@@ -211,7 +211,8 @@
             self._take(accepted)
 
     def _take(self, accepted: rackvalve_pb2.Accepted) -> None:
-        self._keeper.post(keepers.RoundHeard(accepted.round))
+        if accepted.acting:
+            self._keeper.post(keepers.RoundHeard(accepted.round))
         self._acting_at = self._clock() if accepted.acting else None
         if accepted.age_s >= 0:
             self._keeper.post(keepers.SourceHeard(accepted.age_s))
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+import uuid
 
 from rackvalve.configuration import document
 from rackvalve.fleet import record
@@ -50,7 +51,7 @@
         self._listed: frozenset[str] | None = None
         self._listed_at = 0.0
         # The round that confirms a step, and the revision it is for.
-        self._asked: tuple[int, int] | None = None
+        self._asked: tuple[int, str] | None = None
         self.waits: list[transitions.Waiting] = []
 
     def step(self) -> None:
@@ -108,8 +109,9 @@
     def _confirm(self, hall: record.Hall, revision: int) -> bool:
         """Return whether every holder has reported since it was asked."""
         if self._asked is None or self._asked[0] != revision:
-            self._keeper.post(keepers.RoundBegun())
-            self._asked = (revision, self._keeper.round + 1)
+            name = str(uuid.uuid4())
+            self._keeper.tell(keepers.RoundBegun(name))
+            self._asked = (revision, name)
             return False
         missing = transitions.list_unconfirmed(
             hall, self._listed, self._keeper.reports, self._asked[1]
--- a/tools/explorer.py
+++ b/tools/explorer.py
@@ -45,7 +45,7 @@
 
     :param copy: Revision of the steward's copy; 0 for none.
     :param applied: Revision in force at the entry; 0 for none.
-    :param round: Newest round that the entry has heard.
+    :param round: Name of the newest round that the entry has heard of.
     :param busy: Jobs that the entry has on the target.
     :param heard: VMs whose newest documents the steward has taken since
         its start; ``*`` for the platform.
@@ -53,7 +53,7 @@
 
     copy: int = 0
     applied: int = 0
-    round: int = 0
+    round: str = ""
     busy: int = 0
     heard: frozenset[str] = frozenset()
 
@@ -64,11 +64,11 @@
 
     :param reports: Last report of each entry: VM, revision, busy, round.
     :param asked: Revision and round of the confirmation under way.
-    :param number: Number of its newest round.
+    :param number: Number of rounds that it has begun.
     """
 
-    reports: tuple[tuple[str, int, int, int], ...] = ()
-    asked: tuple[int, int] | None = None
+    reports: tuple[tuple[str, int, int, str], ...] = ()
+    asked: tuple[int, str] | None = None
     number: int = 0
 
 
@@ -279,8 +279,8 @@
                     f"{vm} hears {peer}",
                     _put_steward(world, index, changed),
                 )
-            if other.round < memory.number:
-                heard = dataclasses.replace(other, round=memory.number)
+            if memory.asked is not None and other.round != memory.asked[1]:
+                heard = dataclasses.replace(other, round=memory.asked[1])
                 yield (
                     f"{peer} hears round of {vm}",
                     _put(world, other_index, heard),
@@ -300,9 +300,10 @@
         if self.variant.confirm:
             if memory.asked is None or memory.asked[0] != state.copy:
                 if memory.number < self.rounds:
-                    number = max(memory.number, state.round) + 1
+                    number = memory.number + 1
+                    name = f"{vm}{number}"
                     asking = dataclasses.replace(
-                        memory, asked=(state.copy, number), number=number
+                        memory, asked=(state.copy, name), number=number
                     )
                     yield (
                         f"{vm} begins a round",
