Write to the platform and tell the steward in one place; drop dead code

Cause, found by reading the whole change: the executor and the stepper each named the key, read the operation and offered an accepted document to the keeper; priority and quota were changed by the same lines twice; budgets by pool were built in two places; a command asked the steward for the operators twice; two functions had no caller; two events and a gauge stood in the reference pages and were never written.

Ruled out: sharing the two halves of the language's printer, which are alike in shape only.

Change: the writer writes configurations and records by name and offers what was accepted; one function changes a workspace; list_budgets beside list_rack_safe; operators are asked once a request; what was dead is gone. No behaviour, bound or assertion changed.

--- a/src/rackvalve/admin/app.py
+++ b/src/rackvalve/admin/app.py
@@ -22,6 +22,7 @@
 
 BODY_LIMIT = 1024 * 1024
 _OPERATOR_KEY = "rackvalve.operator"
+_OPERATORS_KEY = "rackvalve.operators"
 _REQUEST_PATH = re.compile(r"/v1/requests/([A-Za-z0-9._:-]{1,128})")
 _REVISION = re.compile(r'"?([0-9]{1,18})"?')
 
@@ -110,9 +111,13 @@
         self, environ: dict[str, Any], needed: operators.Role
     ) -> problems.Problem | None:
         """Return why the caller may not do something, ``None`` if it may."""
-        found = self._source.list_operators()
+        found = environ.get(_OPERATORS_KEY)
+        if found is None:
+            found = self._source.list_operators()
         if isinstance(found, problems.Problem):
             return found
+        # Asked once a request, though a command is checked by its kind too.
+        environ[_OPERATORS_KEY] = found
         header = environ.get("HTTP_AUTHORIZATION", "")
         token = header.removeprefix("Bearer ") if header else ""
         checked = operators.check_token(
--- a/src/rackvalve/configuration/document.py
+++ b/src/rackvalve/configuration/document.py
@@ -115,6 +115,14 @@
     operation: str = ""
 
 
+def list_budgets(configuration: Configuration) -> dict[str, int]:
+    """Return the least number of available VMs by pool.
+
+    :param configuration: The configuration.
+    """
+    return {name: pool.budget for name, pool in configuration.pools.items()}
+
+
 def list_rack_safe(configuration: Configuration) -> frozenset[str]:
     """List the pools whose waves leave room for the loss of a rack.
 
--- a/src/rackvalve/entry/traces.py
+++ b/src/rackvalve/entry/traces.py
@@ -84,11 +84,3 @@
         :param request_id: Its identifier.
         """
         return self._traces.get(request_id)
-
-    def list_waiting(self) -> list[Trace]:
-        """List the requests that wait, oldest first."""
-        return [
-            trace
-            for trace in self._traces.values()
-            if trace.state == "waiting"
-        ]
--- a/src/rackvalve/jobs/scheduler.py
+++ b/src/rackvalve/jobs/scheduler.py
@@ -266,10 +266,6 @@
                 ended.append(decisions.Ended(job=job, refused=refused))
         return ended
 
-    def get_next_deadline(self) -> float | None:
-        """Return the earliest deadline that may pass, in seconds."""
-        return self._deadlines[0][0] if self._deadlines else None
-
     def predict_limit(self, job: jobs.Job) -> float | None:
         """Return a run time that few such jobs exceed, in seconds.
 
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -21,8 +21,6 @@
     "program.stopped": "The program ended; says what was cut off.",
     "request.refused": "A request was refused and did not run.",
     "request.unknown": "A request may have run; its answer is not whole.",
-    "request.cancelled": "A caller went away before its request started.",
-    "target.ejected": "A target gets no work for a while.",
     "view.applied": "An entry took a newer configuration or hall record.",
     "configuration.accepted": "A steward took a newer configuration.",
     "hall.accepted": "A steward took a newer hall record.",
--- a/src/rackvalve/metrics.py
+++ b/src/rackvalve/metrics.py
@@ -24,7 +24,6 @@
     "requests.waiting": "gauge: requests in the queues",
     "requests.running": "gauge: requests on targets",
     "targets.ejected": "gauge: targets without work because of failures",
-    "configuration.revision": "gauge: revision in force",
     "platform.calls": "counter: calls to the platform, each watch as one",
     "platform.failures": "counter: calls to the platform that failed",
 }
--- a/src/rackvalve/steward/executor.py
+++ b/src/rackvalve/steward/executor.py
@@ -17,13 +17,12 @@
 from rackvalve.fleet import waves
 from rackvalve import logs
 from rackvalve.platform import port
-from rackvalve.rpc import documents as document_module
-from rackvalve.steward import keeper as keepers
 from rackvalve.steward import writer as writers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rackvalve.steward import keeper as keepers
     from rackvalve.steward import stepper as steppers
 
 Result = commands.Answer | commands.Status | commands.Operators
@@ -55,7 +54,7 @@
         self._ask_acting = ask_acting
         self._hall = hall
         self._platform = platform
-        self._writer = writers.Writer(platform)
+        self._writer = writers.Writer(platform, keeper)
         self._keeper = keeper
         self._stepper = stepper
 
@@ -144,25 +143,23 @@
 
     @run.register
     def _run_priority(self, command: commands.SetPriority) -> Result:
-        def change(
-            configuration: document.Configuration,
-        ) -> document.Configuration:
-            workspace = configuration.workspaces[command.workspace]
-            changed = dataclasses.replace(workspace, priority=command.priority)
-            return _put_workspace(configuration, command.workspace, changed)
-
-        return self._change_configuration(change, command.expected)
+        return self._change_workspace(
+            command.workspace,
+            command.expected,
+            lambda workspace: dataclasses.replace(
+                workspace, priority=command.priority
+            ),
+        )
 
     @run.register
     def _run_quota(self, command: commands.SetQuota) -> Result:
-        def change(
-            configuration: document.Configuration,
-        ) -> document.Configuration:
-            workspace = configuration.workspaces[command.workspace]
-            changed = dataclasses.replace(workspace, quota=command.quota)
-            return _put_workspace(configuration, command.workspace, changed)
-
-        return self._change_configuration(change, command.expected)
+        return self._change_workspace(
+            command.workspace,
+            command.expected,
+            lambda workspace: dataclasses.replace(
+                workspace, quota=command.quota
+            ),
+        )
 
     @run.register
     def _run_budget(self, command: commands.SetBudget) -> Result:
@@ -238,7 +235,7 @@
         preview = waves.preview_wave(
             hall,
             _choose_vms(hall, command),
-            {name: pool.budget for name, pool in configuration.pools.items()},
+            document.list_budgets(configuration),
             self._keeper.list_unhealthy(),
             rack_safe=document.list_rack_safe(configuration),
         )
@@ -252,6 +249,23 @@
         pool = configuration.pools.get(target.pool) if target else None
         return pool.budget if pool else 0
 
+    def _change_workspace(
+        self,
+        name: str,
+        expected: int | None,
+        change: Callable[[document.Workspace], document.Workspace],
+    ) -> commands.Answer:
+        """Read, change, check, and write one workspace."""
+
+        def change_all(
+            configuration: document.Configuration,
+        ) -> document.Configuration:
+            workspaces = dict(configuration.workspaces)
+            workspaces[name] = change(workspaces[name])
+            return dataclasses.replace(configuration, workspaces=workspaces)
+
+        return self._change_configuration(change_all, expected)
+
     def _change_configuration(
         self,
         change: Callable[[document.Configuration], document.Configuration],
@@ -310,12 +324,7 @@
     def _write_configuration(
         self, configuration: document.Configuration, expected: int
     ) -> commands.Answer:
-        result = self._writer.write(
-            document.KEY,
-            configuration,
-            expected,
-            lambda payload: document.decode(payload).operation,
-        )
+        result = self._writer.write_configuration(configuration, expected)
         return self._conclude(document.KEY, result)
 
     def _write_hall(
@@ -327,26 +336,12 @@
             return commands.Answer(
                 outcome="rejected", revision=expected, detail=outcome.reason
             )
+        result = self._writer.write_hall(self._hall, outcome.hall, expected)
         key = record.get_key(self._hall)
-        result = self._writer.write(
-            key,
-            outcome.hall,
-            expected,
-            lambda payload: record.decode(payload).operation,
-        )
         return self._conclude(key, result)
 
     def _conclude(self, key: str, result: writers.Result) -> commands.Answer:
         if isinstance(result, writers.Accepted):
-            self._keeper.post(
-                keepers.DocumentOffered(
-                    document_module.Document(
-                        name=key,
-                        revision=result.revision,
-                        payload=result.payload,
-                    ),
-                )
-            )
             return commands.Answer(
                 outcome="accepted", revision=result.revision
             )
@@ -360,16 +355,6 @@
         return commands.Answer(outcome=word, detail=result.reason)
 
 
-def _put_workspace(
-    configuration: document.Configuration,
-    name: str,
-    workspace: document.Workspace,
-) -> document.Configuration:
-    workspaces = dict(configuration.workspaces)
-    workspaces[name] = workspace
-    return dataclasses.replace(configuration, workspaces=workspaces)
-
-
 def _choose_vms(hall: record.Hall, command: commands.StartWave) -> list[str]:
     if command.vms:
         return sorted(set(command.vms))
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -11,18 +11,18 @@
 import uuid
 
 from rackvalve.configuration import document
-from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
 from rackvalve import logs
 from rackvalve.platform import port
-from rackvalve.rpc import documents as document_module
 from rackvalve.steward import keeper as keepers
 from rackvalve.steward import writer as writers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rackvalve.fleet import record
+
 LIST_INTERVAL_S = 2.0
 
 
@@ -45,7 +45,7 @@
     ) -> None:
         self._hall = hall
         self._platform = platform
-        self._writer = writers.Writer(platform)
+        self._writer = writers.Writer(platform, keeper)
         self._keeper = keeper
         self._clock = clock
         self._listed: frozenset[str] | None = None
@@ -85,12 +85,9 @@
 
     def _step_waves(self, hall: record.Hall) -> transitions.Changed | None:
         configuration, _ = self._keeper.get_configuration()
-        budgets = {
-            name: pool.budget for name, pool in configuration.pools.items()
-        }
         return waves.step_waves(
             hall,
-            budgets,
+            document.list_budgets(configuration),
             self._keeper.list_unhealthy(),
             rack_safe=document.list_rack_safe(configuration),
         )
@@ -119,26 +116,13 @@
         return not missing
 
     def _write(self, changed: transitions.Changed, revision: int) -> None:
-        key = record.get_key(self._hall)
-        result = self._writer.write(
-            key,
-            changed.hall,
-            revision,
-            lambda payload: record.decode(payload).operation,
-        )
+        result = self._writer.write_hall(self._hall, changed.hall, revision)
         self._asked = None
         if not isinstance(result, writers.Accepted):
             return
         logs.write_event(
             "hall.stepped", note=changed.note, revision=result.revision
         )
-        self._keeper.post(
-            keepers.DocumentOffered(
-                document_module.Document(
-                    name=key, revision=result.revision, payload=result.payload
-                ),
-            )
-        )
 
     def _note_waits(self, waits: list[transitions.Waiting]) -> None:
         if waits != self.waits:
--- a/src/rackvalve/steward/writer.py
+++ b/src/rackvalve/steward/writer.py
@@ -13,15 +13,16 @@
 import gevent
 
 from rackvalve import codec
+from rackvalve.configuration import document
 from rackvalve import errors
+from rackvalve.fleet import record
 from rackvalve.platform import port
+from rackvalve.rpc import documents as document_module
+from rackvalve.steward import keeper as keepers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rackvalve.configuration import document
-    from rackvalve.fleet import record
-
 READ_TRIES = 5
 READ_PAUSE_S = 0.2
 
@@ -64,36 +65,76 @@
 
 
 class Writer:
-    """Writes through the port to the platform.
+    """Writes through the port to the platform, and tells the steward.
 
     :param platform: The port.
+    :param keeper: Takes what was accepted.
     """
 
-    def __init__(self, platform: port.Platform) -> None:
+    def __init__(
+        self, platform: port.Platform, keeper: keepers.Keeper
+    ) -> None:
         self._platform = platform
+        self._keeper = keeper
+
+    def write_configuration(
+        self, configuration: document.Configuration, expected: int
+    ) -> Result:
+        """Write the configuration if its revision is as expected.
 
-    def write(
+        :param configuration: The configuration.
+        :param expected: Revision that it must have.
+        """
+        return self._write(
+            document.KEY,
+            configuration,
+            expected,
+            lambda payload: document.decode(payload).operation,
+        )
+
+    def write_hall(
+        self, name: str, hall: record.Hall, expected: int
+    ) -> Result:
+        """Write a hall's record if its revision is as expected.
+
+        :param name: Name of the hall.
+        :param hall: The record.
+        :param expected: Revision that it must have.
+        """
+        return self._write(
+            record.get_key(name),
+            hall,
+            expected,
+            lambda payload: record.decode(payload).operation,
+        )
+
+    def _write(
         self,
         key: str,
         value: document.Configuration | record.Hall,
         expected: int,
         read_operation: Callable[[bytes], str],
     ) -> Result:
-        """Write a document if its revision is as expected.
-
-        :param key: Name of the value.
-        :param value: The document; it gets an operation identifier.
-        :param expected: Revision that the key must have.
-        :param read_operation: Reads the identifier out of a payload.
-        """
         operation = str(uuid.uuid4())
         payload = codec.encode(dataclasses.replace(value, operation=operation))
+        result = self._swap(key, payload, expected)
+        if result is None:
+            result = self._read_back(key, operation, read_operation)
+        if isinstance(result, Accepted):
+            offered = document_module.Document(
+                name=key, revision=result.revision, payload=result.payload
+            )
+            self._keeper.post(keepers.DocumentOffered(offered))
+        return result
+
+    def _swap(self, key: str, payload: bytes, expected: int) -> Result | None:
+        """Write once; ``None`` if it must be read back to know more."""
         outcome = self._platform.write(key, payload, expected)
         if isinstance(outcome, port.Written):
             return Accepted(revision=outcome.revision, payload=payload)
         if isinstance(outcome, port.Failed) and not outcome.applied:
             return Unfinished(reason=outcome.reason, applied=False)
-        return self._read_back(key, operation, read_operation)
+        return None
 
     def _read_back(
         self, key: str, operation: str, read_operation: Callable[[bytes], str]
