Name the request package for requests, free 'jobs' and 'platform'

Cause: the users call a job what is kept and runs as steps of tasks; the package named jobs is about requests passed through, and the package named platform speaks a protocol of our own invention. Ruled out: new names for the new things, which the users' words already name. Change: jobs becomes requests, platform becomes keyvalue; imports sorted anew.

--- a/features/scheduling_history.py
+++ b/features/scheduling_history.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies
 
 from rackvalve.configuration import document
-from rackvalve.jobs import decisions
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import scheduler
 from rackvalve import outcomes
+from rackvalve.requests import decisions
+from rackvalve.requests import job as jobs
+from rackvalve.requests import scheduler
 from rackvalve.targets import board as boards
 from tools.baselines import fifo
 from tools import poolsim
--- a/features/steps/rights_steps.py
+++ b/features/steps/rights_steps.py
@@ -10,8 +10,8 @@
 
 from rackvalve.fleet import record
 from rackvalve.fleet import shares
-from rackvalve.jobs import keys
 from rackvalve import outcomes
+from rackvalve.requests import keys
 from rackvalve.steward import keeper as keepers
 from rackvalve.steward import stepper as steppers
 from tools.baselines import keys as naive_keys
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -8,8 +8,8 @@
 import hypothesis
 
 from features import scheduling_history as histories
-from rackvalve.jobs import decisions
-from rackvalve.jobs import job as jobs
+from rackvalve.requests import decisions
+from rackvalve.requests import job as jobs
 from rackvalve.targets import board as boards
 from rackvalve.targets import budget
 from tools import poolsim
--- a/src/rackvalve/entry/app.py
+++ b/src/rackvalve/entry/app.py
@@ -11,8 +11,8 @@
 
 from rackvalve.entry import runner as runners
 from rackvalve.entry import sender as senders
-from rackvalve.jobs import job as jobs
 from rackvalve import outcomes
+from rackvalve.requests import job as jobs
 from rackvalve import servers
 from rackvalve.targets import board
 
--- a/src/rackvalve/entry/claims.py
+++ b/src/rackvalve/entry/claims.py
@@ -10,8 +10,8 @@
 import grpc
 
 from rackvalve.fleet import shares
-from rackvalve.jobs import keys
 from rackvalve import outcomes
+from rackvalve.requests import keys
 from rackvalve.rpc import channels
 from rackvalve.rpc import rackvalve_pb2
 from rackvalve.rpc import rackvalve_pb2_grpc
@@ -21,7 +21,7 @@
     from collections.abc import Mapping
 
     from rackvalve.fleet import record
-    from rackvalve.jobs import job as jobs
+    from rackvalve.requests import job as jobs
 
 CLAIM_TIMEOUT_S = 1.0
 SETTLE_TIMEOUT_S = 1.0
--- a/src/rackvalve/entry/dispatcher.py
+++ b/src/rackvalve/entry/dispatcher.py
@@ -6,15 +6,15 @@
 from typing import TYPE_CHECKING
 
 from rackvalve.entry import messages
-from rackvalve.jobs import decisions
 from rackvalve import logs
 from rackvalve import outcomes
+from rackvalve.requests import decisions
 from rackvalve import tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rackvalve.jobs import admission as admissions
+    from rackvalve.requests import admission as admissions
 
 ATTEMPTS_MAX = 4
 
--- a/src/rackvalve/entry/follower.py
+++ b/src/rackvalve/entry/follower.py
@@ -14,8 +14,8 @@
 from rackvalve.entry import messages
 from rackvalve import errors
 from rackvalve.fleet import record
-from rackvalve.jobs import admission as admissions
 from rackvalve import logs
+from rackvalve.requests import admission as admissions
 from rackvalve.rpc import documents as document_module
 from rackvalve.rpc import rackvalve_pb2
 
--- a/src/rackvalve/entry/messages.py
+++ b/src/rackvalve/entry/messages.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from rackvalve.jobs import admission
-    from rackvalve.jobs import decisions
-    from rackvalve.jobs import job as jobs
     from rackvalve import outcomes
+    from rackvalve.requests import admission
+    from rackvalve.requests import decisions
+    from rackvalve.requests import job as jobs
     from rackvalve.targets import board
     from rackvalve import tasks
 
--- a/src/rackvalve/entry/program.py
+++ b/src/rackvalve/entry/program.py
@@ -23,10 +23,10 @@
 from rackvalve.entry import sender as senders
 from rackvalve.entry import servicer
 from rackvalve.entry import traces
-from rackvalve.jobs import admission as admissions
-from rackvalve.jobs import keys
 from rackvalve import logs
 from rackvalve import metrics as metric_module
+from rackvalve.requests import admission as admissions
+from rackvalve.requests import keys
 from rackvalve.rpc import channels
 from rackvalve.rpc import rackvalve_pb2_grpc
 from rackvalve import servers
--- a/src/rackvalve/entry/runner.py
+++ b/src/rackvalve/entry/runner.py
@@ -18,11 +18,11 @@
 from rackvalve.entry import messages
 from rackvalve.entry import sender as senders
 from rackvalve.entry import traces
-from rackvalve.jobs import decisions
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import scheduler
 from rackvalve import logs
 from rackvalve import outcomes
+from rackvalve.requests import decisions
+from rackvalve.requests import job as jobs
+from rackvalve.requests import scheduler
 from rackvalve import sockets
 from rackvalve.targets import board
 from rackvalve import tasks
--- a/src/rackvalve/entry/sender.py
+++ b/src/rackvalve/entry/sender.py
@@ -16,8 +16,8 @@
 import geventhttpclient
 from geventhttpclient import response as http_response
 
-from rackvalve.jobs import job as jobs
 from rackvalve import outcomes
+from rackvalve.requests import job as jobs
 from rackvalve import sockets
 
 if TYPE_CHECKING:
--- a/src/rackvalve/entry/servicer.py
+++ b/src/rackvalve/entry/servicer.py
@@ -7,8 +7,8 @@
 from rackvalve.burn import objectives
 from rackvalve import clocks
 from rackvalve import codec
-from rackvalve.jobs import keys
 from rackvalve import outcomes
+from rackvalve.requests import keys
 from rackvalve.rpc import documents as document_module
 from rackvalve.rpc import rackvalve_pb2
 from rackvalve.rpc import rackvalve_pb2_grpc
--- a/src/rackvalve/platform/http.py
+++ b/src/rackvalve/keyvalue/http.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from rackvalve import errors
+from rackvalve.keyvalue import packing
+from rackvalve.keyvalue import port
 from rackvalve import metrics as metric_module
-from rackvalve.platform import packing
-from rackvalve.platform import port
 from rackvalve.settings import kinds
 
 STATUS_OK = 200
@@ -53,7 +53,7 @@
         self._client = self._make_client(timeout)
 
     def read(self, key: str) -> port.Value | port.Failed:
-        """Read a value; see :class:`rackvalve.platform.port.Platform`."""
+        """Read a value; see :class:`rackvalve.keyvalue.port.Platform`."""
         answer = self._call(self._client, "GET", f"/v1/keys/{_quote(key)}")
         if isinstance(answer, port.Failed):
             return answer
@@ -62,7 +62,7 @@
     def write(
         self, key: str, payload: bytes, expected: int
     ) -> port.Written | port.Conflict | port.Failed:
-        """Write a value; see :class:`rackvalve.platform.port.Platform`."""
+        """Write a value; see :class:`rackvalve.keyvalue.port.Platform`."""
         # POST, since the client repeats a PUT of its own accord.
         path = f"/v1/keys/{_quote(key)}?expected={expected}"
         packed = packing.pack(payload)
@@ -77,7 +77,7 @@
     def watch(
         self, key: str, after: int, wait: float
     ) -> port.Value | port.Unchanged | port.Failed:
-        """Watch a value; see :class:`rackvalve.platform.port.Platform`."""
+        """Watch a value; see :class:`rackvalve.keyvalue.port.Platform`."""
         # A watch has a connection of its own: it stays busy for minutes.
         client = self._make_client(wait + self._timeout)
         path = f"/v1/keys/{_quote(key)}?after={after}&wait={wait}"
@@ -94,7 +94,7 @@
     def take_lease(
         self, name: str, holder: str, duration: float
     ) -> port.Held | port.Failed:
-        """Take a lease; see :class:`rackvalve.platform.port.Platform`."""
+        """Take a lease; see :class:`rackvalve.keyvalue.port.Platform`."""
         path = (
             f"/v1/leases/{_quote(name)}?holder={_quote(holder)}"
             f"&duration={duration}"
@@ -105,7 +105,7 @@
         return port.Held(holder=answer[1].holder)
 
     def list_vms(self) -> list[str] | port.Failed:
-        """List VMs; see :class:`rackvalve.platform.port.Platform`."""
+        """List VMs; see :class:`rackvalve.keyvalue.port.Platform`."""
         answer = self._call(self._client, "GET", "/v1/vms")
         if isinstance(answer, port.Failed):
             return answer
--- a/src/rackvalve/load/generator.py
+++ b/src/rackvalve/load/generator.py
@@ -13,9 +13,9 @@
 from hdrh import histogram
 import uuid_utils
 
-from rackvalve.jobs import job as jobs
 from rackvalve.load import plan as plans
 from rackvalve import outcomes
+from rackvalve.requests import job as jobs
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/rackvalve/jobs/admission.py
+++ b/src/rackvalve/requests/admission.py
@@ -12,10 +12,10 @@
 
 from rackvalve.fleet import record
 from rackvalve.fleet import shares
-from rackvalve.jobs import decisions
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import scheduler
 from rackvalve import outcomes
+from rackvalve.requests import decisions
+from rackvalve.requests import job as jobs
+from rackvalve.requests import scheduler
 from rackvalve.targets import board as boards
 from rackvalve.targets import budget
 
--- a/src/rackvalve/jobs/decisions.py
+++ b/src/rackvalve/requests/decisions.py
@@ -8,7 +8,7 @@
 from rackvalve import outcomes
 
 if TYPE_CHECKING:
-    from rackvalve.jobs import job as jobs
+    from rackvalve.requests import job as jobs
     from rackvalve.targets import board as boards
 
 
--- a/src/rackvalve/jobs/queue.py
+++ b/src/rackvalve/requests/queue.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from rackvalve.jobs import job as jobs
+    from rackvalve.requests import job as jobs
 
 
 class Account:
--- a/src/rackvalve/jobs/scheduler.py
+++ b/src/rackvalve/requests/scheduler.py
@@ -3,7 +3,7 @@
 Between the classes: long work never takes the slots reserved for quick
 work, and beyond them both compete by virtual time, long work with the
 weight guaranteed to it.  Within a class: weighted fair queueing among
-workspaces (:mod:`rackvalve.jobs.queue`).  A job that cannot start before
+workspaces (:mod:`rackvalve.requests.queue`).  A job that cannot start before
 its deadline is refused at once, with the time at which a place is expected.
 """
 
@@ -13,11 +13,11 @@
 import math
 from typing import TYPE_CHECKING
 
-from rackvalve.jobs import decisions
-from rackvalve.jobs import estimates
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import queue
 from rackvalve import outcomes
+from rackvalve.requests import decisions
+from rackvalve.requests import estimates
+from rackvalve.requests import job as jobs
+from rackvalve.requests import queue
 from rackvalve.targets import board as boards
 
 if TYPE_CHECKING:
--- a/src/rackvalve/steward/executor.py
+++ b/src/rackvalve/steward/executor.py
@@ -15,8 +15,8 @@
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
+from rackvalve.keyvalue import port
 from rackvalve import logs
-from rackvalve.platform import port
 from rackvalve.steward import writer as writers
 
 if TYPE_CHECKING:
--- a/src/rackvalve/steward/program.py
+++ b/src/rackvalve/steward/program.py
@@ -10,10 +10,10 @@
 from rackvalve import arguments
 from rackvalve import clocks
 from rackvalve.fleet import record
+from rackvalve.keyvalue import http
+from rackvalve.keyvalue import port
 from rackvalve import logs
 from rackvalve import metrics as metric_module
-from rackvalve.platform import http
-from rackvalve.platform import port
 from rackvalve.rpc import channels
 from rackvalve.rpc import rackvalve_pb2_grpc
 from rackvalve.settings import kinds
--- a/src/rackvalve/steward/sources.py
+++ b/src/rackvalve/steward/sources.py
@@ -14,8 +14,8 @@
 from rackvalve import codec
 from rackvalve.configuration import document
 from rackvalve.fleet import record
+from rackvalve.keyvalue import port
 from rackvalve import logs
-from rackvalve.platform import port
 from rackvalve.rpc import channels
 from rackvalve.rpc import documents as document_module
 from rackvalve.rpc import rackvalve_pb2
--- a/src/rackvalve/steward/stepper.py
+++ b/src/rackvalve/steward/stepper.py
@@ -13,8 +13,8 @@
 from rackvalve.configuration import document
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
+from rackvalve.keyvalue import port
 from rackvalve import logs
-from rackvalve.platform import port
 from rackvalve.steward import keeper as keepers
 from rackvalve.steward import writer as writers
 
--- a/src/rackvalve/steward/writer.py
+++ b/src/rackvalve/steward/writer.py
@@ -16,7 +16,7 @@
 from rackvalve.configuration import document
 from rackvalve import errors
 from rackvalve.fleet import record
-from rackvalve.platform import port
+from rackvalve.keyvalue import port
 from rackvalve.rpc import documents as document_module
 from rackvalve.steward import keeper as keepers
 
--- a/tools/baselines/fifo.py
+++ b/tools/baselines/fifo.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from rackvalve.jobs import decisions
+from rackvalve.requests import decisions
 from rackvalve.targets import board as boards
 
 
--- a/tools/baselines/keys.py
+++ b/tools/baselines/keys.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from rackvalve.jobs import keys
 from rackvalve import outcomes
+from rackvalve.requests import keys
 
 
 class MemoryRegistry:
--- a/tools/experiments/capacity.py
+++ b/tools/experiments/capacity.py
@@ -12,9 +12,9 @@
 from rackvalve.fleet import record
 from rackvalve.fleet import transitions
 from rackvalve.fleet import waves
-from rackvalve.jobs import admission as admissions
-from rackvalve.jobs import keys
-from rackvalve.platform import packing
+from rackvalve.keyvalue import packing
+from rackvalve.requests import admission as admissions
+from rackvalve.requests import keys
 from rackvalve.targets import board
 from tools.experiments import figures
 from tools import fleet as fleets
--- a/tools/experiments/cores.py
+++ b/tools/experiments/cores.py
@@ -7,8 +7,8 @@
 import time
 
 from rackvalve.configuration import document
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import scheduler
+from rackvalve.requests import job as jobs
+from rackvalve.requests import scheduler
 from rackvalve.targets import board as boards
 from tools.baselines import fifo
 from tools.experiments import figures
--- a/tools/experiments/once.py
+++ b/tools/experiments/once.py
@@ -11,9 +11,9 @@
 import gevent
 from gevent import event
 
+from rackvalve.keyvalue import http
+from rackvalve.keyvalue import port
 from rackvalve import metrics
-from rackvalve.platform import http
-from rackvalve.platform import port
 from rackvalve.settings import kinds
 from tools.experiments import figures
 from tools import fleet as fleets
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -20,7 +20,7 @@
 from rackvalve import codec
 from rackvalve.configuration import document
 from rackvalve.fleet import record
-from rackvalve.platform import packing
+from rackvalve.keyvalue import packing
 
 BIN = pathlib.Path(sys.executable).parent
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -20,10 +20,10 @@
 from rackvalve.configuration import rules
 from rackvalve import errors
 from rackvalve.fleet import record
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import keys
+from rackvalve.keyvalue import packing
 from rackvalve.language import parser
-from rackvalve.platform import packing
+from rackvalve.requests import job as jobs
+from rackvalve.requests import keys
 from rackvalve.settings import reader
 
 _FILE = pathlib.Path(tempfile.gettempdir()) / "rackvalve-fuzz.ini"
--- a/tools/poolsim.py
+++ b/tools/poolsim.py
@@ -9,10 +9,10 @@
 import random
 
 from rackvalve.configuration import document
-from rackvalve.jobs import decisions
-from rackvalve.jobs import job as jobs
-from rackvalve.jobs import scheduler
 from rackvalve import outcomes
+from rackvalve.requests import decisions
+from rackvalve.requests import job as jobs
+from rackvalve.requests import scheduler
 from rackvalve.targets import board as boards
 
 POLICY = boards.Policy(failures=5, time=5.0, cap=0.5)
