--- /dev/null
+++ b/src/rackvalve/jobs/progress.py
@@ -0,0 +1,303 @@
+"""How far a job is: which tasks are done, which run where, its end.
+
+A task's next run is started only when all its earlier runs are known to be
+over; the number of a job's runs only rises.  Both are kept in the record of
+the job before a worker hears of a run, so that any later owner knows what
+may be running.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from rackvalve.jobs import definition
+
+
+class Phase(enum.Enum):
+    """Where a job is in its life."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL = frozenset({Phase.COMPLETED, Phase.FAILED, Phase.CANCELLED})
+
+
+class Stage(enum.Enum):
+    """Where a run is in its life, as its owner knows it."""
+
+    # Decided, not yet in the store.
+    PLANNED = "planned"
+    # In the store; the order may be on its way.
+    ORDERED = "ordered"
+    # The worker has confirmed it.
+    CONFIRMED = "confirmed"
+    # A stop was ordered.
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on a worker.
+
+    :param number: Number of the run, above all earlier ones of its job.
+    :param worker: Identity of the worker.
+    :param stage: Where it is in its life.
+    :param now: Present time, in seconds.
+    """
+
+    __slots__ = (
+        "number",
+        "worker",
+        "stage",
+        "since",
+        "inherited",
+        "percent",
+        "percent_since",
+        "confirmed_at",
+        "stop_wanted",
+        "load",
+        "pace",
+        "over_limit_since",
+        "ticket",
+        "evacuated",
+    )
+
+    def __init__(
+        self, number: int, worker: str, stage: Stage, now: float
+    ) -> None:
+        self.number = number
+        self.worker = worker
+        self.stage = stage
+        self.since = now
+        # Taken over from the owner before; not yet seen on its worker.
+        self.inherited = False
+        self.percent = 0.0
+        self.percent_since = now
+        self.confirmed_at: float | None = None
+        self.stop_wanted = False
+        self.load = 0.0
+        self.pace = 100
+        self.over_limit_since: float | None = None
+        self.ticket = ""
+        # Stopped by order while it was at work.
+        self.evacuated = False
+
+
+class Task:
+    """One task of a job.
+
+    :param name: Its name within the job.
+    """
+
+    __slots__ = (
+        "name",
+        "done",
+        "failures",
+        "checkpoint",
+        "runs",
+        "avoid",
+        "not_before",
+        "away_since",
+    )
+
+    def __init__(self, name: definition.TaskName) -> None:
+        self.name = name
+        self.done = False
+        self.failures = 0
+        self.checkpoint = ""
+        self.runs: dict[int, Run] = {}
+        # Workers on which it failed.
+        self.avoid: set[str] = set()
+        self.not_before = 0.0
+        # For tasks that last: since when it has not been at work.
+        self.away_since: float | None = None
+
+
+class JobState:
+    """A job and how far it is.
+
+    :param identity: The caller's identifier.
+    :param queue: Name of its queue.
+    :param job: What was handed in.
+    :param accepted: When it was accepted, seconds since 1970.
+    """
+
+    __slots__ = (
+        "identity",
+        "queue",
+        "job",
+        "accepted",
+        "arrived",
+        "phase",
+        "next_run",
+        "tasks",
+        "waiting",
+        "finished",
+        "cancel_wanted",
+        "changed",
+        "opened",
+        "reason",
+    )
+
+    def __init__(
+        self,
+        identity: str,
+        queue: str,
+        job: definition.Job,
+        accepted: float,
+    ) -> None:
+        self.identity = identity
+        self.queue = queue
+        self.job = job
+        self.accepted = accepted
+        # When this owner learned of it, on its steady clock.
+        self.arrived = 0.0
+        self.phase = Phase.QUEUED
+        self.next_run = 1
+        self.tasks: dict[definition.TaskName, Task] = {}
+        # Tasks whose turn has come and that have no run, in order.
+        self.waiting: dict[definition.TaskName, None] = {}
+        # When it ended, seconds since 1970; 0 while it is open.
+        self.finished = 0.0
+        self.cancel_wanted = False
+        self.changed = False
+        # Steps whose turn has come, as (repetition, step).
+        self.opened: set[tuple[int, int]] = set()
+        self.reason = ""
+
+    @property
+    def is_final(self) -> bool:
+        """Whether callers have seen, or may see, its last state."""
+        return self.phase in FINAL
+
+    def task(self, name: definition.TaskName) -> Task | None:
+        """Return a task, or ``None`` if the job has none of this name.
+
+        :param name: The task's name.
+        """
+        found = self.tasks.get(name)
+        if found is None and self._has(name):
+            found = self.tasks[name] = Task(name)
+        return found
+
+    def step_of(self, name: definition.TaskName) -> definition.Step:
+        """Return the step of a task.
+
+        :param name: The task's name.
+        """
+        return self.job.steps[name.step]
+
+    def take_run_number(self) -> int:
+        """Return a number above those of all earlier runs of the job."""
+        number = self.next_run
+        self.next_run += 1
+        return number
+
+    def open_steps(self, wall: float, early: float) -> None:
+        """Let the tasks of steps wait whose turn has come.
+
+        :param wall: Present time, seconds since 1970.
+        :param early: How much before its time a repetition may start.
+        """
+        if self.is_final or self.cancel_wanted:
+            return
+        for repetition in range(max(1, self.job.repetitions)):
+            if not self._is_due(repetition, wall, early):
+                return
+            for number in range(len(self.job.steps)):
+                self._open_step(repetition, number)
+
+    def next_due(self) -> float | None:
+        """Return when the next repetition is due, seconds since 1970."""
+        if self.is_final or not self.job.repetitions:
+            return None
+        for repetition in range(self.job.repetitions):
+            if (repetition, 0) not in self.opened:
+                return self._due(repetition)
+        return None
+
+    def requeue(self, task: Task, not_before: float) -> None:
+        """Let a task wait for another run.
+
+        :param task: The task, without a run.
+        :param not_before: Earliest time of its next run.
+        """
+        if task.done or task.runs or self.is_final or self.cancel_wanted:
+            return
+        task.not_before = not_before
+        self.waiting[task.name] = None
+
+    def finish_if_done(self, wall: float) -> None:
+        """Complete the job if all its tasks are done.
+
+        :param wall: Present time, seconds since 1970.
+        """
+        if self.is_final:
+            return
+        wanted = sum(step.tasks for step in self.job.steps) * max(
+            1, self.job.repetitions
+        )
+        done = sum(1 for task in self.tasks.values() if task.done)
+        if done == wanted:
+            self.finish(Phase.COMPLETED, wall, "all tasks are done")
+
+    def finish(self, phase: Phase, wall: float, reason: str) -> None:
+        """End the job.
+
+        :param phase: Its last phase.
+        :param wall: Present time, seconds since 1970.
+        :param reason: Why, for logs and operators.
+        """
+        self.phase = phase
+        self.finished = wall
+        self.reason = reason
+        self.waiting.clear()
+        self.changed = True
+
+    def step_is_done(self, repetition: int, number: int) -> bool:
+        """Return whether all tasks of a step are done.
+
+        :param repetition: Number of the repetition.
+        :param number: Number of the step.
+        """
+        for index in range(self.job.steps[number].tasks):
+            name = definition.TaskName(
+                repetition=repetition, step=number, index=index
+            )
+            task = self.tasks.get(name)
+            if task is None or not task.done:
+                return False
+        return True
+
+    def _open_step(self, repetition: int, number: int) -> None:
+        if (repetition, number) in self.opened:
+            return
+        step = self.job.steps[number]
+        if not all(self.step_is_done(repetition, n) for n in step.after):
+            return
+        self.opened.add((repetition, number))
+        for index in range(step.tasks):
+            name = definition.TaskName(
+                repetition=repetition, step=number, index=index
+            )
+            task = self.tasks.setdefault(name, Task(name))
+            if not task.done and not task.runs:
+                self.waiting[name] = None
+
+    def _is_due(self, repetition: int, wall: float, early: float) -> bool:
+        if not self.job.repetitions:
+            return True
+        return wall >= self._due(repetition) - early
+
+    def _due(self, repetition: int) -> float:
+        return self.job.first_run + repetition * self.job.interval
+
+    def _has(self, name: definition.TaskName) -> bool:
+        return (
+            name.repetition < max(1, self.job.repetitions)
+            and name.step < len(self.job.steps)
+            and name.index < self.job.steps[name.step].tasks
+        )
--- /dev/null
+++ b/src/rackvalve/jobs/records.py
@@ -0,0 +1,210 @@
+"""A job's records in the store: keys and encodings.
+
+Three keys a job lie under one prefix, so that one reading tells its state:
+what was handed in, written once by the entry that took it; that it is to be
+cancelled, written once; how far it is, written by the owner alone.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TypeVar
+
+import msgspec
+
+from rackvalve import errors
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+
+T = TypeVar("T")
+
+PREFIX = "job/"
+
+
+class Part(enum.Enum):
+    """Which of a job's records."""
+
+    DEFINITION = "definition"
+    CANCEL = "cancel"
+    PROGRESS = "progress"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Key:
+    """A record's key, taken apart.
+
+    :param queue: Name of the job's queue.
+    :param identity: The job's identifier.
+    :param part: Which record.
+    """
+
+    queue: str
+    identity: str
+    part: Part
+
+
+class _Definition(msgspec.Struct):
+    accepted: float
+    job: definition.Job
+
+
+class _Task(msgspec.Struct, array_like=True, omit_defaults=True):
+    name: str
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    # Number and worker of each run that may be running.
+    runs: list[tuple[int, str]] = []
+
+
+class _Progress(msgspec.Struct, omit_defaults=True):
+    phase: progress.Phase
+    next_run: int = 1
+    finished: float = 0.0
+    reason: str = ""
+    tasks: list[_Task] = []
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Summary:
+    """What callers may be told from a progress record alone.
+
+    :param phase: Where the job is in its life.
+    """
+
+    phase: progress.Phase
+
+
+def write_key(queue: str, identity: str, part: Part) -> str:
+    """Return the key of a record.
+
+    :param queue: Name of the job's queue.
+    :param identity: The job's identifier.
+    :param part: Which record.
+    """
+    return f"{job_prefix(queue, identity)}{part.value}"
+
+
+def job_prefix(queue: str, identity: str) -> str:
+    """Return the prefix of all records of a job.
+
+    :param queue: Name of the job's queue.
+    :param identity: The job's identifier.
+    """
+    return f"{PREFIX}{queue}/{identity}/"
+
+
+def read_key(key: str) -> Key | None:
+    """Take a record's key apart.
+
+    :param key: The key.
+    :return: Its parts, or ``None`` for a key of another kind.
+    """
+    parts = key.split("/")
+    if len(parts) != 4 or parts[0] + "/" != PREFIX:
+        return None
+    try:
+        part = Part(parts[3])
+    except ValueError:
+        return None
+    return Key(queue=parts[1], identity=parts[2], part=part)
+
+
+def write_definition(job: definition.Job, accepted: float) -> bytes:
+    """Encode what was handed in.
+
+    :param job: The job.
+    :param accepted: When it was accepted, seconds since 1970.
+    """
+    return msgspec.json.encode(_Definition(accepted=accepted, job=job))
+
+
+def read_definition(
+    queue: str, identity: str, payload: bytes
+) -> progress.JobState:
+    """Decode what was handed in, into a job that has not begun.
+
+    :param queue: Name of the job's queue.
+    :param identity: The job's identifier.
+    :param payload: The record.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    record = _decode(payload, _Definition)
+    return progress.JobState(identity, queue, record.job, record.accepted)
+
+
+def write_progress(state: progress.JobState) -> bytes:
+    """Encode how far a job is.
+
+    :param state: The job.
+    """
+    tasks = [
+        _Task(
+            name=str(task.name),
+            done=task.done,
+            failures=task.failures,
+            checkpoint="" if task.done else task.checkpoint,
+            runs=[(run.number, run.worker) for run in task.runs.values()],
+        )
+        for task in state.tasks.values()
+        if task.done or task.failures or task.runs or task.checkpoint
+    ]
+    return msgspec.json.encode(
+        _Progress(
+            phase=state.phase,
+            next_run=state.next_run,
+            finished=state.finished,
+            reason=state.reason,
+            tasks=tasks,
+        )
+    )
+
+
+def read_progress(
+    state: progress.JobState, payload: bytes, now: float
+) -> None:
+    """Bring a job that was just decoded to where its record says it is.
+
+    :param state: The job.
+    :param payload: The progress record.
+    :param now: Present time, in seconds.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    record = _decode(payload, _Progress)
+    state.phase = record.phase
+    state.next_run = record.next_run
+    state.finished = record.finished
+    state.reason = record.reason
+    for row in record.tasks:
+        name = definition.parse_task_name(row.name)
+        task = state.task(name) if name is not None else None
+        if task is None:
+            raise errors.DocumentInvalidError(f"unknown task {row.name!r}")
+        task.done = row.done
+        task.failures = row.failures
+        task.checkpoint = row.checkpoint
+        for number, worker in row.runs:
+            run = progress.Run(number, worker, progress.Stage.ORDERED, now)
+            run.inherited = True
+            task.runs[number] = run
+
+
+def read_summary(payload: bytes) -> Summary:
+    """Decode only what callers may be told.
+
+    :param payload: The progress record.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    return Summary(phase=_decode(payload, _Phase).phase)
+
+
+class _Phase(msgspec.Struct):
+    phase: progress.Phase
+
+
+def _decode(payload: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.DocumentInvalidError(str(error)) from error
--- a/src/rackvalve/launchers.py
+++ b/src/rackvalve/launchers.py
@@ -33,6 +33,17 @@
     return program.run(sys.argv[1:])
 
 
+def run_manager() -> int:
+    """Run ``rackvalve-manager``."""
+    from gevent import monkey
+
+    # Only these: the manager uses no threads, and gevent's own sockets.
+    monkey.patch_all(thread=False, subprocess=False, ssl=False)
+    from rackvalve.manager import program
+
+    return program.run(sys.argv[1:])
+
+
 def run_load() -> int:
     """Run ``rackvalve-load``."""
     _patch()
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -9,6 +9,7 @@
 
 import logging as std_logging
 import sys
+from typing import TextIO
 
 from absl import flags
 from absl import logging
@@ -32,6 +33,34 @@
     "platform.answered": "The platform answers again.",
     "document.rejected": "A stored document was not taken; says why.",
     "command.done": "An operator's command ended; says with what outcome.",
+    "configuration.applied": "A manager took a newer configuration.",
+    "settings.reloaded": "The settings file was read anew.",
+    "settings.rejected": "The changed settings file was not taken.",
+    "dependency.lost": "The store or a worker does not answer; says which.",
+    "dependency.regained": "The store or a worker answers again.",
+    "store.failed": "A write to the store failed and is made again.",
+    "watch.restarted": "The store has lost history; all is read anew.",
+    "ownership.taken": "This process schedules from now on.",
+    "ownership.deposed": "Another owner was found; says by what.",
+    "ownership.lost": "This process schedules no more.",
+    "ownership.resigned": "This process handed the ownership over.",
+    "owner.loaded": "A new owner has read all records.",
+    "worker.found": "A worker was seen for the first time.",
+    "worker.established": "A worker has taken the owner's fencing token.",
+    "worker.draining": "A worker says that it will leave.",
+    "worker.over": "A worker's life is over; says what proves it.",
+    "job.accepted": "A job is kept and its caller was told so.",
+    "job.taken": "The owner learned of a job.",
+    "job.cancel_recorded": "A caller's cancelling is kept.",
+    "job.cancelled": "The owner ends a job at its caller's wish.",
+    "job.ended": "A job's last state is in the store.",
+    "run.ordered": "A worker is told to start a run.",
+    "run.rejected": "A worker did not start a run; says why.",
+    "run.stopping": "A worker is told to stop a run; says why.",
+    "run.ended": "A run is over; says how.",
+    "order.failed": "An order to a worker failed.",
+    "order.undeliverable": "An order's worker is not known.",
+    "call.answered": "A caller got another answer than success.",
     "task.failed": "A task met an unexpected error and goes on.",
 }
 
@@ -68,18 +97,25 @@
         return msgspec.json.encode(line).decode()
 
 
-def set_up(level: str, program: str, vm: str, hall: str) -> None:
-    """Send JSON lines to standard error.
+def set_up(
+    level: str,
+    program: str,
+    vm: str,
+    hall: str,
+    stream: TextIO = sys.stderr,
+) -> None:
+    """Send JSON lines to a stream.
 
     :param level: Least level written: debug, info, warning or error.
     :param program: Name of the program.
     :param vm: Identity of the VM.
     :param hall: Data hall of the VM.
+    :param stream: Where the lines go.
     """
     # The programs' settings come from a file; absl's flags stay unused.
     flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream
     handler.setFormatter(
         _JsonFormatter({"program": program, "vm": vm, "hall": hall})
     )
--- /dev/null
+++ b/src/rackvalve/manager/contact.py
@@ -0,0 +1,336 @@
+"""The traffic with one life of a worker: holds and orders."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent import queue as gevent_queue
+
+from rackvalve import clocks
+from rackvalve import logs
+from rackvalve.manager import timing
+from rackvalve.platform import connections
+from rackvalve.platform import workers as clients
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import reports
+from rackvalve.scheduling import workers
+
+if TYPE_CHECKING:
+    from rackvalve.manager import owner as owners
+
+_ENDINGS = {
+    clients.Ending.DONE: reports.Ending.DONE,
+    clients.Ending.FAILED: reports.Ending.FAILED,
+}
+_REJECTIONS = {
+    clients.Reason.OUTDATED_RUN: messages.StartResult.OUTDATED,
+    clients.Reason.NO_ROOM: messages.StartResult.NO_ROOM,
+    clients.Reason.TICKET: messages.StartResult.TICKET,
+}
+# An order to stop a run that no record names is not repeated for ever; the
+# next report asks for it again.
+STRAY_TRIES = 3
+
+
+class WorkerClock:
+    """What is known of a worker's steady clock."""
+
+    __slots__ = ("_told", "_heard")
+
+    def __init__(self) -> None:
+        self._told: float | None = None
+        self._heard = 0.0
+
+    def note(self, told: float, now: float) -> None:
+        """Take a reading.
+
+        :param told: What the worker's clock showed, in seconds.
+        :param now: When we heard it, on our clock.
+        """
+        self._told = told
+        self._heard = now
+
+    def read(self, now: float) -> float | None:
+        """Return the least that the worker's clock shows now.
+
+        :param now: Present time, in seconds.
+        """
+        if self._told is None:
+            return None
+        return self._told + (now - self._heard)
+
+
+class Contact:
+    """Holds one worker and sends it orders, until it is closed.
+
+    :param owner: Whom to tell what the worker says.
+    :param worker: The worker.
+    :param client: The client of the worker.
+    """
+
+    def __init__(
+        self,
+        owner: owners.Owner,
+        worker: workers.WorkerState,
+        client: clients.Worker,
+    ) -> None:
+        self._owner = owner
+        self._worker = worker
+        self._client = client
+        self._clock = WorkerClock()
+        self._orders: gevent_queue.SimpleQueue = gevent_queue.SimpleQueue()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._answering = True
+        self._lost = False
+
+    def start(self) -> None:
+        """Start to hold and to send."""
+        self._greenlets = [gevent.spawn(self._hold_forever)]
+        for _ in range(timing.ORDER_SENDERS):
+            self._greenlets.append(gevent.spawn(self._send_forever))
+
+    def close(self) -> None:
+        """End all traffic with the worker."""
+        gevent.killall(self._greenlets, block=False)
+        self._client.close()
+
+    def send(self, order: messages.Order) -> None:
+        """Send an order soon.
+
+        :param order: The order.
+        """
+        self._orders.put(order)
+
+    def _hold_forever(self) -> None:
+        while True:
+            outcome = self._hold()
+            if isinstance(outcome, clients.Report):
+                self._take_report(outcome)
+                self._wait_for_record()
+            elif not self._take_outcome(outcome):
+                gevent.sleep(timing.ORDER_PAUSE_S)
+
+    def _hold(self) -> clients.Report | clients.Outcome:
+        now = clocks.read_steady()
+        shown = self._clock.read(now)
+        until = None
+        wait = timing.HOLD_WAIT_S
+        if shown is None:
+            wait = 0.0
+        elif self._answering and self._owner.may_extend(now):
+            until = shown + timing.WORKER_LEASE_S
+            self._worker.note_extension(now, timing.WORKER_LEASE_S)
+        if self._worker.unrecorded:
+            # The store has not taken the last ends; they come again at once.
+            wait = 0.0
+        self._sent = now
+        return self._client.hold(
+            lease_until=until,
+            fence=self._owner.fence,
+            acknowledged=self._worker.acknowledged(self._owner.durable),
+            wait=wait,
+        )
+
+    def _take_report(self, report: clients.Report) -> None:
+        now = clocks.read_steady()
+        self._clock.note(report.clock, now)
+        self._answering = True
+        if self._lost:
+            self._lost = False
+            logs.write_event(
+                "dependency.regained",
+                dependency="worker",
+                worker=self._worker.identity,
+            )
+        self._owner.take_report(
+            self._worker, _translate(report, self._sent), now
+        )
+
+    def _wait_for_record(self) -> None:
+        """Let the ends of the last report come into the store first."""
+        for _ in range(10):
+            self._worker.acknowledged(self._owner.durable)
+            if not self._worker.unrecorded:
+                return
+            gevent.sleep(0.005)
+        gevent.sleep(timing.ORDER_PAUSE_S)
+
+    def _take_outcome(self, outcome: clients.Outcome) -> bool:
+        """Act on an answer that is no report.
+
+        :return: Whether the next hold may follow at once.
+        """
+        if isinstance(outcome, clients.OtherLife):
+            self._owner.end_life(self._worker.identity, "another life answers")
+            return False
+        if isinstance(outcome, clients.Rejected):
+            if outcome.reason is clients.Reason.FENCED:
+                self._owner.depose(
+                    f"worker {self._worker.identity} has a greater token"
+                )
+            return False
+        if not self._lost:
+            self._lost = True
+            logs.write_warning(
+                "dependency.lost",
+                dependency="worker",
+                worker=self._worker.identity,
+                reason=str(outcome),
+            )
+        self._answering = False
+        return False
+
+    def _send_forever(self) -> None:
+        while True:
+            _send_order(self._orders.get(), self)
+
+    def start_run(self, order: messages.StartRun) -> None:
+        """Have the worker start a run; tell the owner what became of it.
+
+        :param order: The order.
+        """
+        key = (f"{order.job}.{order.task}", order.run)
+        uncertain = False
+        while True:
+            placed = self._worker.runs.get(key)
+            if placed is None or placed.run.stop_wanted:
+                return
+            outcome = self._try_start(placed)
+            result = self._judge_start(outcome, uncertain)
+            if result is not None:
+                self._owner.take_start(placed, result, uncertain)
+                return
+            if isinstance(outcome, connections.NoAnswer) and outcome.sent:
+                uncertain = True
+            gevent.sleep(timing.ORDER_PAUSE_S)
+
+    def _try_start(self, placed: workers.Placed) -> clients.Outcome:
+        now = clocks.read_steady()
+        shown = self._clock.read(now)
+        if shown is None:
+            return connections.NoAnswer(reason="clock unknown", sent=False)
+        self._worker.note_extension(now, timing.WORKER_LEASE_S)
+        return self._client.start(
+            task=placed.full_name,
+            run=placed.run.number,
+            spec=placed.state.job.spec,
+            lease_until=shown + timing.WORKER_LEASE_S,
+            fence=self._owner.fence,
+            checkpoint=placed.task.checkpoint,
+            ticket=placed.run.ticket,
+        )
+
+    def _judge_start(
+        self, outcome: clients.Outcome, uncertain: bool
+    ) -> messages.StartResult | None:
+        """Return what an answer comes to; ``None`` to try again."""
+        if isinstance(outcome, clients.Done):
+            return messages.StartResult.STARTED
+        if isinstance(outcome, clients.Unwell):
+            return messages.StartResult.UNWELL
+        if isinstance(outcome, clients.Malformed):
+            return messages.StartResult.MALFORMED
+        if isinstance(outcome, clients.Rejected) and outcome.reason:
+            if outcome.reason in _REJECTIONS:
+                return _REJECTIONS[outcome.reason]
+        if isinstance(outcome, connections.NoAnswer):
+            if not outcome.sent and not uncertain:
+                return messages.StartResult.NOT_SENT
+            return None
+        self._take_outcome(outcome)
+        return None
+
+    def stop_run(self, order: messages.StopRun) -> None:
+        """Have the worker stop a run.
+
+        :param order: The order.
+        """
+        key = (order.task, order.run)
+        tries = 0
+        while key in self._worker.runs or tries < STRAY_TRIES:
+            tries += 1
+            outcome = self._client.stop(
+                task=order.task, run=order.run, fence=self._owner.fence
+            )
+            if isinstance(outcome, clients.Done):
+                self._owner.take_stop(self._worker.identity, key)
+                return
+            if isinstance(outcome, clients.Malformed):
+                return
+            if not isinstance(outcome, (connections.NoAnswer, clients.Unwell)):
+                self._take_outcome(outcome)
+            gevent.sleep(timing.ORDER_PAUSE_S)
+
+    def set_pace(self, order: messages.SetPace) -> None:
+        """Have a run work at a share of its speed; the next report corrects.
+
+        :param order: The order.
+        """
+        outcome = self._client.set_pace(
+            task=order.task,
+            run=order.run,
+            percent=order.percent,
+            fence=self._owner.fence,
+        )
+        if not isinstance(outcome, clients.Done):
+            logs.write_warning(
+                "order.failed",
+                worker=self._worker.identity,
+                order="pace",
+                task=order.task,
+                reason=str(outcome),
+            )
+
+
+@functools.singledispatch
+def _send_order(order: object, contact: Contact) -> None:
+    """Send one order.
+
+    :param order: The order.
+    :param contact: Traffic with the worker.
+    """
+    raise TypeError(f"no sender for {order!r}")
+
+
+@_send_order.register
+def _(order: messages.StartRun, contact: Contact) -> None:
+    contact.start_run(order)
+
+
+@_send_order.register
+def _(order: messages.StopRun, contact: Contact) -> None:
+    contact.stop_run(order)
+
+
+@_send_order.register
+def _(order: messages.SetPace, contact: Contact) -> None:
+    contact.set_pace(order)
+
+
+def _translate(report: clients.Report, sent: float) -> reports.Report:
+    return reports.Report(
+        sent=sent,
+        running=tuple(
+            reports.RunningRow(
+                task=row.task,
+                run=row.run,
+                checkpoint=row.checkpoint,
+                percent=row.percent,
+                load=row.load,
+            )
+            for row in report.running
+        ),
+        ended=tuple(
+            reports.EndedRow(
+                number=row.number,
+                task=row.task,
+                run=row.run,
+                ending=_ENDINGS.get(row.ending, reports.Ending.CUT_SHORT),
+                cause=row.ending.value,
+                checkpoint=row.checkpoint,
+            )
+            for row in report.ended
+        ),
+    )
--- /dev/null
+++ b/src/rackvalve/manager/front.py
@@ -0,0 +1,420 @@
+"""The callers' side: submit, ask for and cancel jobs, count a queue's.
+
+Every answer is given at once.  A job is accepted when its record is in the
+store, under the condition that the configuration is still the one that it
+was checked against; it is refused only if no write of it can take effect any
+more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import http
+import re
+from typing import Any
+
+import gevent
+import msgspec
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
+from rackvalve import logs
+from rackvalve.manager import owner as owners
+from rackvalve.manager import timing
+from rackvalve.manager import view as views
+from rackvalve.platform import callers
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import queues
+from rackvalve import servers
+
+_IDENTITY = re.compile(r"[0-9a-fA-F]{16}")
+_STATES = {
+    progress.Phase.QUEUED: callers.State.QUEUED,
+    progress.Phase.RUNNING: callers.State.RUNNING,
+    progress.Phase.COMPLETED: callers.State.COMPLETED,
+    progress.Phase.FAILED: callers.State.FAILED,
+    progress.Phase.CANCELLED: callers.State.CANCELLED,
+}
+
+Headers = list[tuple[str, str]]
+StartResponse = Callable[[str, Headers], Any]
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Reply:
+    """What a caller is answered.
+
+    :param status: HTTP status.
+    :param body: Body in JSON.
+    :param reason: Why, for logs; empty for the ordinary case.
+    """
+
+    status: http.HTTPStatus
+    body: bytes = b"{}"
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Call:
+    """One request.
+
+    :param method: HTTP method.
+    :param queue: The queue.
+    :param identity: The job's identifier, empty for the whole queue.
+    :param until: When it must be answered, in seconds.
+    """
+
+    method: str
+    queue: queues.Queue
+    identity: str
+    until: float
+
+
+class Front:
+    """Answers callers.
+
+    :param store: The store.
+    :param view: The operator's orders.
+    :param is_leaving: Whether this process is to end.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        view: views.View,
+        *,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._is_leaving = is_leaving
+        self.active = 0
+        self._waiting: dict[str, int] = {}
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        """Answer one request (WSGI)."""
+        self.active += 1
+        began = clocks.read_steady()
+        try:
+            reply = self._answer(environ, began)
+        finally:
+            self.active -= 1
+        headers = [("Content-Type", "application/json")]
+        if reply.status in (
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+        ):
+            headers.append(("Retry-After", str(timing.RETRY_AFTER_S)))
+        if self._is_leaving():
+            headers.append(("Connection", "close"))
+        if reply.reason:
+            logs.write_event(
+                "call.answered",
+                method=environ["REQUEST_METHOD"],
+                path=environ.get(servers.TARGET_KEY, "")[:200],
+                status=int(reply.status),
+                reason=reply.reason,
+                version=_version(self._view),
+                silence=round(self._view.silence(began), 3),
+                seconds=round(clocks.read_steady() - began, 4),
+            )
+        start_response(f"{reply.status.value} {reply.status.phrase}", headers)
+        return [reply.body]
+
+    def _answer(self, environ: dict[str, Any], now: float) -> Reply:
+        if self._view.configuration is None:
+            return _refuse("no configuration yet")
+        host = environ.get("HTTP_HOST", "")
+        path = environ.get("PATH_INFO", "")
+        queue = self._find_queue(host, path)
+        if queue is None:
+            return self._answer_unknown(host, path, environ, now)
+        return self._answer_queue(queue, path, environ, now)
+
+    def _find_queue(self, host: str, path: str) -> queues.Queue | None:
+        configuration = self._view.configuration
+        assert configuration is not None
+        found = configuration.find_queue(host, path)
+        if found is None and ":" in host:
+            found = configuration.find_queue(host.rpartition(":")[0], path)
+        return found
+
+    def _answer_unknown(
+        self, host: str, path: str, environ: dict[str, Any], now: float
+    ) -> Reply:
+        """Look whether a newer configuration has the queue."""
+        item = self._store.read(documents.CONFIGURATION_KEY)
+        if not isinstance(item, stores.Item):
+            return _refuse("no such queue here, and the store is silent")
+        self._view.take_item(item)
+        queue = self._find_queue(host, path)
+        if queue is None:
+            return Reply(
+                status=http.HTTPStatus.NOT_FOUND, reason="no such queue"
+            )
+        return self._answer_queue(queue, path, environ, now)
+
+    def _answer_queue(
+        self,
+        queue: queues.Queue,
+        path: str,
+        environ: dict[str, Any],
+        now: float,
+    ) -> Reply:
+        rest = path[len(queue.prefix) :].strip("/")
+        if rest and not _IDENTITY.fullmatch(rest):
+            return _reject("an identifier is 16 hexadecimal digits")
+        call = Call(
+            method=environ["REQUEST_METHOD"],
+            queue=queue,
+            identity=rest,
+            until=now + _read_budget(environ),
+        )
+        if not call.identity:
+            if call.method != "GET":
+                return Reply(
+                    status=http.HTTPStatus.METHOD_NOT_ALLOWED,
+                    reason="a queue can only be counted",
+                )
+            return self._count(call)
+        if call.method == "POST":
+            return self._submit(call, environ)
+        if call.method == "GET":
+            return self._tell_state(call)
+        if call.method == "DELETE":
+            return self._cancel(call)
+        return Reply(
+            status=http.HTTPStatus.METHOD_NOT_ALLOWED, reason="unknown method"
+        )
+
+    # -- submitting --------------------------------------------------------
+
+    def _submit(self, call: Call, environ: dict[str, Any]) -> Reply:
+        configuration = self._view.configuration
+        assert configuration is not None
+        body = _read_body(environ, configuration.body_limit)
+        if isinstance(body, Reply):
+            return body
+        try:
+            job = callers.read_job(body)
+        except errors.DocumentInvalidError as error:
+            return _reject(error.reason)
+        if self._is_leaving():
+            return _refuse("this process is to end")
+        return self._accept(call, job)
+
+    def _accept(self, call: Call, job: definition.Job) -> Reply:
+        key = records.write_key(
+            call.queue.name, call.identity, records.Part.DEFINITION
+        )
+        payload = records.write_definition(job, clocks.read_wall())
+        uncertain = False
+        reason = ""
+        while clocks.read_steady() < call.until:
+            outcome = self._store.commit(
+                [
+                    stores.Condition(key=key, revision=0),
+                    stores.Condition(
+                        key=documents.CONFIGURATION_KEY,
+                        revision=self._view.revision,
+                    ),
+                ],
+                [stores.Put(key=key, payload=payload)],
+            )
+            if isinstance(outcome, stores.Committed):
+                return self._accepted(call, outcome.revision)
+            if isinstance(outcome, stores.Conflict):
+                if key in outcome.items:
+                    return self._accepted(call, outcome.items[key].revision)
+                reply = self._take_newer(call, outcome)
+                if reply is not None:
+                    return reply
+                continue
+            if isinstance(outcome, stores.Unknown):
+                uncertain = True
+            reason = getattr(outcome, "reason", "lease over")
+            gevent.sleep(timing.STORE_PAUSE_S)
+        if uncertain:
+            return Reply(
+                status=http.HTTPStatus.GATEWAY_TIMEOUT,
+                reason=f"it is not known whether the job was kept: {reason}",
+            )
+        return _refuse(f"the job was not kept: {reason}")
+
+    def _accepted(self, call: Call, revision: int) -> Reply:
+        logs.write_event(
+            "job.accepted",
+            job=call.identity,
+            queue=call.queue.name,
+            revision=revision,
+            version=_version(self._view),
+        )
+        return Reply(status=http.HTTPStatus.OK)
+
+    def _take_newer(
+        self, call: Call, conflict: stores.Conflict
+    ) -> Reply | None:
+        """Take the configuration that came between.
+
+        :return: The answer if the queue is gone, else ``None``.
+        """
+        item = conflict.items.get(documents.CONFIGURATION_KEY)
+        if item is not None:
+            self._view.take_item(item)
+        configuration = self._view.configuration
+        assert configuration is not None
+        if configuration.queue_by_name(call.queue.name) is None:
+            return Reply(
+                status=http.HTTPStatus.NOT_FOUND,
+                reason="the queue was just removed",
+            )
+        return None
+
+    # -- asking and cancelling ---------------------------------------------
+
+    def _tell_state(self, call: Call) -> Reply:
+        found = self._read_job(call)
+        if isinstance(found, Reply):
+            return found
+        phase = _read_phase(found)
+        if phase is None:
+            return Reply(status=http.HTTPStatus.GONE, reason="no such job")
+        return Reply(
+            status=http.HTTPStatus.OK,
+            body=callers.write_state(_STATES[phase]),
+        )
+
+    def _read_job(self, call: Call) -> dict[records.Part, stores.Item] | Reply:
+        prefix = records.job_prefix(call.queue.name, call.identity)
+        reason = ""
+        while clocks.read_steady() < call.until:
+            found = self._store.read_range(prefix)
+            if isinstance(found, stores.Range):
+                parts = {}
+                for item in found.items:
+                    key = records.read_key(item.key)
+                    if key is not None:
+                        parts[key.part] = item
+                return parts
+            reason = found.reason
+            gevent.sleep(timing.STORE_PAUSE_S)
+        return _refuse(f"the store does not answer: {reason}")
+
+    def _cancel(self, call: Call) -> Reply:
+        found = self._read_job(call)
+        if isinstance(found, Reply):
+            return found
+        defined = found.get(records.Part.DEFINITION)
+        if defined is None:
+            return Reply(status=http.HTTPStatus.GONE, reason="no such job")
+        phase = _read_phase(found)
+        if records.Part.CANCEL in found or phase in progress.FINAL:
+            return Reply(status=http.HTTPStatus.OK)
+        return self._record_cancel(call, defined)
+
+    def _record_cancel(self, call: Call, defined: stores.Item) -> Reply:
+        key = records.write_key(
+            call.queue.name, call.identity, records.Part.CANCEL
+        )
+        reason = ""
+        while clocks.read_steady() < call.until:
+            outcome = self._store.commit(
+                [
+                    stores.Condition(
+                        key=defined.key, revision=defined.revision
+                    ),
+                    stores.Condition(key=key, revision=0),
+                ],
+                [stores.Put(key=key, payload=b"{}")],
+            )
+            if isinstance(outcome, (stores.Committed, stores.Conflict)):
+                logs.write_event(
+                    "job.cancel_recorded",
+                    job=call.identity,
+                    outcome=type(outcome).__name__,
+                )
+                return Reply(status=http.HTTPStatus.OK)
+            reason = getattr(outcome, "reason", "lease over")
+            gevent.sleep(timing.STORE_PAUSE_S)
+        return Reply(
+            status=http.HTTPStatus.GATEWAY_TIMEOUT,
+            reason=f"the cancelling is not recorded: {reason}",
+        )
+
+    # -- counting ----------------------------------------------------------
+
+    def _count(self, call: Call) -> Reply:
+        found = self._store.read(owners.WAITING_KEY)
+        if isinstance(found, stores.Unavailable):
+            return _refuse(f"the store does not answer: {found.reason}")
+        counts: dict[str, int] = {}
+        if isinstance(found, stores.Item):
+            counts = msgspec.json.decode(found.payload, type=dict[str, int])
+        return Reply(
+            status=http.HTTPStatus.OK,
+            body=callers.write_waiting(counts.get(call.queue.name, 0)),
+        )
+
+
+def _read_phase(
+    parts: dict[records.Part, stores.Item],
+) -> progress.Phase | None:
+    if records.Part.DEFINITION not in parts:
+        return None
+    stored = parts.get(records.Part.PROGRESS)
+    if stored is None:
+        return progress.Phase.QUEUED
+    return records.read_summary(stored.payload).phase
+
+
+def _read_budget(environ: dict[str, Any]) -> float:
+    """Return how long a request may take, in seconds."""
+    text = environ.get(callers.DEADLINE_HEADER, "")
+    if not text.isdigit() or len(text) > 9:
+        return timing.REQUEST_BUDGET_S
+    wanted = int(text) / 1000 * timing.DEADLINE_SHARE
+    return min(timing.REQUEST_BUDGET_S, wanted)
+
+
+def _read_body(environ: dict[str, Any], limit: int) -> bytes | Reply:
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length and not length.isdigit():
+        return _reject("Content-Length is no number")
+    if length and int(length) > limit:
+        environ[servers.ABANDON_KEY]()
+        return Reply(
+            status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            reason=f"the body has more than {limit} bytes",
+        )
+    body: bytes = environ["wsgi.input"].read(limit + 1)
+    if len(body) > limit:
+        environ[servers.ABANDON_KEY]()
+        return Reply(
+            status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            reason=f"the body has more than {limit} bytes",
+        )
+    return body
+
+
+def _refuse(reason: str) -> Reply:
+    return Reply(status=http.HTTPStatus.SERVICE_UNAVAILABLE, reason=reason)
+
+
+def _reject(reason: str) -> Reply:
+    return Reply(
+        status=http.HTTPStatus.BAD_REQUEST,
+        body=msgspec.json.encode({"error": reason}),
+        reason=reason,
+    )
+
+
+def _version(view: views.View) -> int:
+    configuration = view.configuration
+    return configuration.version if configuration is not None else 0
--- /dev/null
+++ b/src/rackvalve/manager/program.py
@@ -0,0 +1,207 @@
+"""The composition root of ``rackvalve-manager``."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sys
+
+import gevent
+from gevent import event
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve import logs
+from rackvalve.manager import election
+from rackvalve.manager import front as fronts
+from rackvalve.manager import owner as owners
+from rackvalve.manager import timing
+from rackvalve.manager import view as views
+from rackvalve.manager import watcher as watchers
+from rackvalve.platform import connections
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+from rackvalve import servers
+from rackvalve.settings import catalog
+from rackvalve.settings import kinds
+from rackvalve.settings import reader
+
+PROGRAM = "rackvalve-manager"
+SETTINGS_VARIABLE = "RACKVALVE_CONFIG"
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+# How often the settings file is looked at for changes, in seconds.
+SETTINGS_INTERVAL_S = 2.0
+
+
+class Program:
+    """One running manager.
+
+    :param path: Path of the settings file.
+    :param settings: Its checked contents.
+    """
+
+    def __init__(self, path: str, settings: reader.Settings) -> None:
+        self._path = path
+        self._settings = settings
+        self._leaving = False
+        self._ended = event.Event()
+        vm = settings.get("instance", "vm", str)
+        self._name = f"{vm} {random.getrandbits(32):08x}"
+        address = settings.get("manager", "store", kinds.Address)
+        self._clients = [
+            connections.HttpClient(address.host, address.port)
+            for _ in range(2)
+        ]
+        self._store = stores.Store(
+            self._clients[0], self._clients[1], timeout=timing.STORE_TIMEOUT_S
+        )
+        self._view = views.View()
+        self._front = fronts.Front(
+            self._store, self._view, is_leaving=lambda: self._leaving
+        )
+        self._election = election.Election(
+            self._store,
+            self._name,
+            make_owner=self._make_owner,
+            on_contact=self._view.note_contact,
+        )
+
+    def run(self) -> int:
+        """Serve until told to end.
+
+        :return: Exit code.
+        """
+        gevent.signal_handler(signal.SIGTERM, self._leave)
+        gevent.signal_handler(signal.SIGINT, self._leave)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        listeners = [
+            self._listen("front_listen", self._front),
+            self._listen("ready_listen", self._tell_ready),
+        ]
+        operator = watchers.Watcher(
+            self._store,
+            documents.OPERATOR_PREFIX,
+            on_range=self._view.take_range,
+            on_changes=self._view.take_changes,
+            on_contact=self._view.note_contact,
+        )
+        gevent.spawn(operator.run)
+        gevent.spawn(self._election.run)
+        gevent.spawn(self._follow_settings)
+        logs.write_event("program.started")
+        self._ended.wait()
+        for listener in listeners:
+            listener.stop(timeout=0)
+        logs.write_event("program.stopped", unanswered=self._front.active)
+        return EXIT_OK
+
+    def _listen(self, key: str, application: object) -> servers.Server:
+        address = self._settings.get("manager", key, kinds.Address)
+        server = servers.make_server(address.host, address.port, application)
+        server.start()
+        return server
+
+    def _make_owner(self, fence: int) -> owners.Owner:
+        return owners.Owner(
+            self._store,
+            self._view,
+            fence,
+            name=self._name,
+            keep=self._settings.get("manager", "keep_time", float),
+            on_contact=self._view.note_contact,
+        )
+
+    def _tell_ready(
+        self, environ: dict[str, str], start_response: fronts.StartResponse
+    ) -> list[bytes]:
+        silence = self._view.silence(clocks.read_steady())
+        ready = (
+            not self._leaving
+            and self._view.configuration is not None
+            and silence <= timing.READY_SILENCE_S
+        )
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Type", "application/json")])
+        return [b"{}"]
+
+    def _leave(self) -> None:
+        if self._leaving:
+            return
+        self._leaving = True
+        logs.write_event("program.stopping", requests=self._front.active)
+        gevent.spawn(self._finish)
+
+    def _finish(self) -> None:
+        self._election.resign()
+        grace = self._settings.get("manager", "grace_time", float)
+        began = clocks.read_steady()
+        gevent.sleep(min(timing.LEAVE_S, grace / 2))
+        while self._front.active:
+            if clocks.read_steady() - began > grace - timing.END_MARGIN_S:
+                break
+            gevent.sleep(0.05)
+        self._ended.set()
+
+    def _reload(self) -> None:
+        settings, faults = reader.check_file(self._path, catalog.MANAGER_KEYS)
+        if settings is None:
+            logs.write_warning(
+                "settings.rejected", faults=[str(fault) for fault in faults]
+            )
+            return
+        self._settings = settings
+        address = settings.get("manager", "store", kinds.Address)
+        for client in self._clients:
+            client.set_address(address.host, address.port)
+        logs.write_event("settings.reloaded", store=str(address))
+
+    def _follow_settings(self) -> None:
+        """Reload the settings when their file changes without a signal."""
+        known = _read_stamp(self._path)
+        while True:
+            gevent.sleep(SETTINGS_INTERVAL_S)
+            stamp = _read_stamp(self._path)
+            if stamp is not None and stamp != known:
+                known = stamp
+                self._reload()
+
+
+def _read_stamp(path: str) -> tuple[int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError as error:
+        logs.write_warning("settings.rejected", faults=[repr(error)])
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
+def run(arguments: list[str]) -> int:
+    """Read the settings, set up logs, and serve.
+
+    :param arguments: Path of the settings file, if the environment does not
+        name it.
+    :return: Exit code: 0 ended as told, 2 wrong settings.
+    """
+    path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(
+            f"give the settings file, or set {SETTINGS_VARIABLE}",
+            file=sys.stderr,
+        )
+        return EXIT_SETTINGS
+    try:
+        settings = reader.read_file(path, catalog.MANAGER_KEYS)
+    except errors.SettingsInvalidError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.set_up(
+        settings.get("logs", "level", str),
+        PROGRAM,
+        settings.get("instance", "vm", str),
+        settings.get("instance", "hall", str),
+        stream=sys.stdout,
+    )
+    return Program(path, settings).run()
--- /dev/null
+++ b/src/rackvalve/manager/timing.py
@@ -0,0 +1,73 @@
+"""Times, limits and weights of the manager, each with its origin."""
+
+from __future__ import annotations
+
+# -- the store -------------------------------------------------------------
+# Longest wait for an answer.  A slow store takes 50 times 4 ms; beyond this
+# it is better asked anew on another connection.
+STORE_TIMEOUT_S = 0.8
+# Length of one waiting watch.  Each one is a call that is paid for; a watch
+# whose answer is lost is noticed only after this and the slack, which must be
+# less than the 2 s within which a configuration has to be in force.
+WATCH_WAIT_S = 1.0
+# Pause before a failed call to the store is made again.
+STORE_PAUSE_S = 0.1
+
+# -- ownership -------------------------------------------------------------
+# Length of the owner's lease: the store gives one second at the least; half
+# a second more bears two lost renewals.
+OWNER_LEASE_S = 1.5
+OWNER_RENEWAL_S = 0.4
+# An owner that hears nothing from the store goes on extending the leases of
+# what runs for this long.  Longer bears longer outages of the store, and
+# lengthens the wait for proof after a change of owner.
+EXTENSION_LIMIT_S = 8.0
+
+# -- workers ---------------------------------------------------------------
+# Lease on what runs on a worker: bears a change of owner (2 s) and two lost
+# holds; work on a worker that is lost waits for its end.
+WORKER_LEASE_S = 4.0
+# Longest wait of a hold for an end: decides how soon a silent worker is
+# noticed.
+HOLD_WAIT_S = 0.5
+# Longest wait for a worker's answer to an order.
+ORDER_TIMEOUT_S = 0.5
+# Pause before a failed order or hold is made again.
+ORDER_PAUSE_S = 0.1
+# A worker that has not answered for this long gets no new work.
+FRESHNESS_S = 0.9
+# A worker's entry that is missing for longer than this is taken as gone; the
+# platform brings entries back within two seconds of an outage's end.
+ENTRY_GRACE_S = 2.0
+# Orders to one worker that may be under way at the same time.
+ORDER_SENDERS = 3
+
+# -- planning --------------------------------------------------------------
+# Longest time between two looks for stuck runs and due repetitions.
+CHECK_INTERVAL_S = 0.1
+# How much before its time a repetition may start.
+EARLY_S = 0.0
+
+# -- callers ---------------------------------------------------------------
+# Longest time spent on a caller's request when it names no deadline.
+REQUEST_BUDGET_S = 2.0
+# Part of the caller's deadline that may be spent on its request.
+DEADLINE_SHARE = 0.6
+# When to come back after a refusal.
+RETRY_AFTER_S = 1
+# A process that has not heard from the store for this long takes no jobs.
+READY_SILENCE_S = 2.2
+
+# -- end -------------------------------------------------------------------
+# After SIGTERM new connections are taken for this long: the balancer needs
+# two missed looks, a second apart.
+LEAVE_S = 2.6
+# The process ends this long before it would be killed.
+END_MARGIN_S = 0.5
+
+# -- records ---------------------------------------------------------------
+# Ended jobs are kept this much longer than the users ask.
+KEEP_MARGIN_S = 30.0
+COLLECT_INTERVAL_S = 5.0
+# How often the numbers of waiting jobs are published, if they changed.
+WAITING_INTERVAL_S = 0.7
--- /dev/null
+++ b/src/rackvalve/manager/view.py
@@ -0,0 +1,94 @@
+"""The operator's orders as this process knows them, and how fresh they are."""
+
+from __future__ import annotations
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve import logs
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import queues
+
+
+class View:
+    """The newest configuration and waves that were seen."""
+
+    __slots__ = ("configuration", "revision", "waves", "_heard")
+
+    def __init__(self) -> None:
+        self.configuration: queues.Configuration | None = None
+        # Store revision of the configuration.
+        self.revision = 0
+        self.waves: dict[int, fleet.Wave] = {}
+        self._heard = float("-inf")
+
+    def note_contact(self) -> None:
+        """Note that the store has just answered."""
+        self._heard = clocks.read_steady()
+
+    def silence(self, now: float) -> float:
+        """Return for how long the store has not answered, in seconds.
+
+        :param now: Present time, in seconds.
+        """
+        return now - self._heard
+
+    def take_range(self, items: tuple[stores.Item, ...]) -> None:
+        """Take all that the operator has written.
+
+        :param items: All items under the operator's prefix.
+        """
+        for item in items:
+            self.take_item(item)
+
+    def take_changes(self, changes: stores.Changes) -> None:
+        """Take what the operator has just written.
+
+        :param changes: The changes.
+        """
+        for item in changes.written:
+            self.take_item(item)
+
+    def take_item(self, item: stores.Item) -> None:
+        """Take one document.
+
+        :param item: The document.
+        """
+        try:
+            if item.key == documents.CONFIGURATION_KEY:
+                self._take_configuration(item)
+            elif item.key.startswith(documents.WAVE_PREFIX):
+                wave = documents.read_wave(item.payload)
+                self.waves[wave.number] = wave
+        except errors.DocumentInvalidError as error:
+            logs.write_warning(
+                "document.rejected",
+                key=item.key,
+                revision=item.revision,
+                reason=error.reason,
+            )
+
+    def _take_configuration(self, item: stores.Item) -> None:
+        if item.revision <= self.revision:
+            return
+        newer = documents.read_configuration(item.payload)
+        if (
+            self.configuration is not None
+            and newer.version < self.configuration.version
+        ):
+            logs.write_warning(
+                "document.rejected",
+                key=item.key,
+                revision=item.revision,
+                reason=f"version {newer.version} is older than the one held",
+            )
+            return
+        self.configuration = newer
+        self.revision = item.revision
+        logs.write_event(
+            "configuration.applied",
+            version=newer.version,
+            revision=item.revision,
+            queues=len(newer.queues),
+        )
--- /dev/null
+++ b/src/rackvalve/platform/callers.py
@@ -0,0 +1,120 @@
+"""The bodies that callers send and get: jobs, their states, counts."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from rackvalve import errors
+from rackvalve.jobs import definition
+
+DEADLINE_HEADER = "HTTP_DEADLINE_MS"
+SPEC_BYTES = 4000
+
+
+class State(enum.Enum):
+    """What a caller is told of a job, in the platform's words."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class _WireStep(msgspec.Struct, rename="kebab"):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    # Numbers of the steps that must be done beforehand.
+    after_rev: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str | list[str] = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = msgspec.field(default=0.0, name="target_ms")
+    fills: bool = False
+    may_miss: int = msgspec.field(default=0, name="may_miss")
+
+
+class _WireJob(msgspec.Struct, rename="kebab"):
+    spec: str
+    steps: list[_WireStep]
+    first_run_ms: float = 0.0
+    interval_ms: float = 0.0
+    repetitions: int = 0
+
+
+def read_job(body: bytes) -> definition.Job:
+    """Decode a job that a caller submits.
+
+    :param body: Body of the request.
+    :raises DocumentInvalidError: Says which field is wrong.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireJob)
+    except msgspec.DecodeError as error:
+        raise errors.DocumentInvalidError(str(error)) from error
+    if len(wire.spec.encode()) > SPEC_BYTES:
+        raise errors.DocumentInvalidError(
+            f"spec is longer than {SPEC_BYTES} bytes; make it shorter"
+        )
+    job = definition.Job(
+        spec=wire.spec,
+        steps=tuple(_read_step(step) for step in wire.steps),
+        first_run=wire.first_run_ms / 1000,
+        interval=wire.interval_ms / 1000,
+        repetitions=wire.repetitions,
+    )
+    definition.check(job)
+    return job
+
+
+def write_state(state: State) -> bytes:
+    """Encode a job's state.
+
+    :param state: The state.
+    """
+    return msgspec.json.encode({"state": state.value})
+
+
+def write_waiting(number: int) -> bytes:
+    """Encode how many jobs of a queue wait.
+
+    :param number: Accepted jobs none of whose tasks has begun.
+    """
+    return msgspec.json.encode({"waiting": number})
+
+
+def _read_step(wire: _WireStep) -> definition.Step:
+    labels = wire.requirements
+    if isinstance(labels, str):
+        labels = [labels] if labels else []
+    return definition.Step(
+        tasks=wire.count,
+        cpu=wire.cpu,
+        memory=wire.mem_mb,
+        gpu=wire.gpu,
+        estimate=wire.estimate_ms / 1000,
+        after=tuple(wire.after_rev),
+        checkpoints=wire.checkpoints,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        labels=tuple(labels),
+        data_rack=wire.affinity,
+        most_per_worker=wire.anti_affinity,
+        copies_allowed=wire.speculative,
+        lasting=wire.long_running,
+        image=wire.image,
+        tail_limit=wire.target_ms / 1000,
+        uses_leftover=wire.fills,
+        most_away=wire.may_miss,
+    )
--- /dev/null
+++ b/src/rackvalve/platform/documents.py
@@ -0,0 +1,198 @@
+"""The documents that the platform keeps in its store.
+
+The operator's configuration and maintenance waves, and the entry that each
+worker writes about itself, are decoded here into the product's types.
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from rackvalve import errors
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import queues
+
+T = TypeVar("T")
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+WAVE_PREFIX = "op/wave/"
+WAVE_STATUS_PREFIX = "status/wave/"
+WORKER_PREFIX = "servers/"
+# The first label of a worker is its kind, the second its rack.
+RACK_LABEL = 1
+STATE_DRAINING = "draining"
+
+
+class _WireAdvice(msgspec.Struct):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _WireRoute(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str = ""
+    path_prefix: str = "/"
+    service: str = ""
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0.0
+    timeout_ms: float = 0.0
+    advice: _WireAdvice | None = None
+
+
+class _WireService(msgspec.Struct, rename="kebab"):
+    name: str
+    admission_check: bool = False
+    spare: bool = False
+
+
+class _WireLimits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    services: list[_WireService] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+class _WireCapacity(msgspec.Struct, rename="kebab"):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _WireServer(msgspec.Struct, rename="kebab"):
+    addr: str
+    # The platform calls a pool of workers a service.
+    service: str = ""
+    zone: str = ""
+    state: str = ""
+    capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
+    labels: list[str] = []
+    machine: str = ""
+    remaining_ms: float | None = None
+    clock_ms: float = 0.0
+
+
+class _WireWave(msgspec.Struct, rename="kebab"):
+    wave: int
+    machines: list[str] = []
+    duration_s: float = 0.0
+    # How many VMs may be away at once.
+    upper_bound: int = 1
+
+
+def read_configuration(payload: bytes) -> queues.Configuration:
+    """Decode the operator's configuration.
+
+    :param payload: The stored value.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    wire = _decode(payload, _WireConfiguration)
+    return queues.Configuration(
+        version=wire.version,
+        queues=tuple(_read_queue(route) for route in wire.routes),
+        pools={
+            service.name: queues.Pool(
+                name=service.name,
+                guarded=service.admission_check,
+                spare=service.spare,
+            )
+            for service in wire.services
+        },
+        body_limit=wire.limits.max_body_bytes,
+    )
+
+
+def read_worker(key: str, payload: bytes) -> fleet.Entry:
+    """Decode what a worker says of itself.
+
+    :param key: Its key in the store, which ends with its identity.
+    :param payload: The stored value.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    wire = _decode(payload, _WireServer)
+    host, _, port = wire.addr.rpartition(":")
+    if not host or not port.isdigit():
+        raise errors.DocumentInvalidError(f"address {wire.addr!r}")
+    rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
+    remaining = wire.remaining_ms
+    return fleet.Entry(
+        identity=key.removeprefix(WORKER_PREFIX),
+        pool=wire.service,
+        host=host,
+        port=int(port),
+        hall=wire.zone,
+        vm=wire.machine,
+        rack=rack,
+        labels=frozenset(wire.labels),
+        capacity=fleet.Room(
+            cpu=wire.capacity.cpu,
+            memory=wire.capacity.mem_mb,
+            gpu=wire.capacity.gpu,
+        ),
+        draining=wire.state == STATE_DRAINING,
+        remaining=None if remaining is None else remaining / 1000,
+    )
+
+
+def read_wave(payload: bytes) -> fleet.Wave:
+    """Decode the operator's order of a maintenance wave.
+
+    :param payload: The stored value.
+    :raises DocumentInvalidError: It does not decode.
+    """
+    wire = _decode(payload, _WireWave)
+    return fleet.Wave(
+        number=wire.wave,
+        vms=tuple(wire.machines),
+        duration=wire.duration_s,
+        most_away=wire.upper_bound,
+    )
+
+
+def write_wave_status(completed: bool) -> bytes:
+    """Encode how far a wave is.
+
+    :param completed: Whether all its VMs have begun their maintenance.
+    """
+    state = "completed" if completed else "running"
+    return msgspec.json.encode({"state": state})
+
+
+def _read_queue(route: _WireRoute) -> queues.Queue:
+    advice = None
+    if route.advice is not None:
+        advice = queues.Advice(
+            decide_time=route.advice.decide_ms / 1000,
+            worker_time=route.advice.each_ms / 1000,
+            valid=route.advice.valid_ms / 1000,
+        )
+    return queues.Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        pool=route.service,
+        priority=route.priority,
+        attempts=route.max_attempts,
+        stretch=route.stretch,
+        allowance=route.target_latency_ms / 1000,
+        advice=advice,
+    )
+
+
+def _decode(payload: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.DocumentInvalidError(str(error)) from error
--- /dev/null
+++ b/src/rackvalve/platform/machines.py
@@ -0,0 +1,207 @@
+"""The client of the platform's interface to its machines."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import urllib.parse
+
+import msgspec
+
+from rackvalve.platform import connections
+
+STATUS_OK = 200
+STATUS_UNKNOWN_VM = 400
+STATUS_REJECTED = 409
+
+
+class Condition(enum.Enum):
+    """What state a VM is in, in the platform's words."""
+
+    UP = "up"
+    # On its way to another pool.
+    MOVING = "moving"
+    # Being maintained.
+    MAINTAINED = "upkeep"
+    # Off or failed.
+    DOWN = "down"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Vm:
+    """A VM as the platform lists it.
+
+    :param identity: Its name, which stays with it.
+    :param pool: Its pool.
+    :param condition: What state it is in.
+    :param hall: Its data hall.
+    :param labels: Its kind and its rack.
+    :param worker: Identity of the worker that lives on it, empty for none.
+    """
+
+    identity: str
+    pool: str
+    condition: Condition
+    hall: str
+    labels: tuple[str, ...]
+    worker: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Ordered:
+    """The platform has taken the order, now or before."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Rejected:
+    """The platform did not take the order.
+
+    :param reason: Its word for the reason, for logs.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Unavailable:
+    """A call without a usable answer; an order may have been taken.
+
+    :param reason: What happened, for logs.
+    """
+
+    reason: str
+
+
+class _WireVm(msgspec.Struct):
+    machine: str
+    pool: str = ""
+    state: str = "down"
+    zone: str = ""
+    labels: list[str] = []
+    id: str | None = None
+
+
+class _WireList(msgspec.Struct):
+    machines: list[_WireVm] = []
+    next: str | int | None = msgspec.field(default=None, name="next-token")
+
+
+class _WireReason(msgspec.Struct):
+    reason: str = ""
+
+
+class Machines:
+    """Calls the platform's interface to its machines.
+
+    :param client: Connections to it.
+    :param holder: Name of this process, given with each order.
+    :param timeout: Longest wait for an answer, in seconds.
+    """
+
+    __slots__ = ("_client", "_holder", "_timeout")
+
+    def __init__(
+        self,
+        client: connections.HttpClient,
+        holder: str,
+        *,
+        timeout: float,
+    ) -> None:
+        self._client = client
+        self._holder = holder
+        self._timeout = timeout
+
+    def list_vms(self) -> list[Vm] | Unavailable:
+        """List all VMs, page by page."""
+        vms: list[Vm] = []
+        path = "/machines"
+        while True:
+            raw = self._client.exchange("GET", path, timeout=self._timeout)
+            page = _read(raw, _WireList)
+            if isinstance(page, Unavailable):
+                return page
+            for wire in page.machines:
+                try:
+                    condition = Condition(wire.state)
+                except ValueError:
+                    return Unavailable(reason=f"unknown state {wire.state!r}")
+                vms.append(
+                    Vm(
+                        identity=wire.machine,
+                        pool=wire.pool,
+                        condition=condition,
+                        hall=wire.zone,
+                        labels=tuple(wire.labels),
+                        worker=wire.id or "",
+                    )
+                )
+            if not page.next:
+                return vms
+            token = urllib.parse.quote(str(page.next), safe="")
+            path = f"/machines?page-token={token}"
+
+    def move(
+        self, vm: str, pool: str, fence: int
+    ) -> Ordered | Rejected | Unavailable:
+        """Move a VM to another pool; all that runs on it dies.
+
+        :param vm: The VM.
+        :param pool: Its new pool.
+        :param fence: Fencing token of the sender.
+        """
+        return self._order(
+            "/machine-move", {"machine": vm, "pool": pool}, fence
+        )
+
+    def maintain(
+        self, vm: str, wave: int, fence: int
+    ) -> Ordered | Rejected | Unavailable:
+        """Have a VM maintained; all that runs on it dies.
+
+        :param vm: The VM.
+        :param wave: Number of the wave that asks for it.
+        :param fence: Fencing token of the sender.
+        """
+        return self._order(
+            "/machine-upkeep", {"machine": vm, "wave": wave}, fence
+        )
+
+    def _order(
+        self, path: str, order: dict[str, str | int], fence: int
+    ) -> Ordered | Rejected | Unavailable:
+        raw = self._client.exchange(
+            "POST",
+            path,
+            msgspec.json.encode(order),
+            headers=(
+                ("Lease-Holder", self._holder),
+                ("Fencing-Token", str(fence)),
+            ),
+            timeout=self._timeout,
+        )
+        if isinstance(raw, connections.NoAnswer):
+            return Unavailable(reason=raw.reason)
+        if raw.status == STATUS_OK:
+            return Ordered()
+        if raw.status == STATUS_UNKNOWN_VM:
+            return Rejected(reason="no such VM or pool")
+        if raw.status != STATUS_REJECTED:
+            return Unavailable(reason=f"status {raw.status}")
+        try:
+            wire = msgspec.json.decode(raw.body, type=_WireReason)
+        except msgspec.DecodeError as error:
+            return Unavailable(reason=repr(error))
+        return Rejected(reason=wire.reason)
+
+
+def _read(
+    raw: connections.Answer | connections.NoAnswer, kind: type[_WireList]
+) -> _WireList | Unavailable:
+    if isinstance(raw, connections.NoAnswer):
+        return Unavailable(reason=raw.reason)
+    if raw.status != STATUS_OK:
+        return Unavailable(reason=f"status {raw.status}")
+    try:
+        return msgspec.json.decode(raw.body, type=kind)
+    except msgspec.DecodeError as error:
+        return Unavailable(reason=repr(error))
--- /dev/null
+++ b/src/rackvalve/platform/store.py
@@ -0,0 +1,394 @@
+"""The client of the platform's key-value store."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+
+from rackvalve.platform import connections
+
+T = TypeVar("T")
+
+STATUS_OK = 200
+STATUS_MISSING = 404
+STATUS_GONE = 410
+STATUS_CONFLICT = 412
+STATUS_BUSY = frozenset({429, 503})
+
+# The store's own limit of conditions, writes and removals in one commit.
+COMMIT_ENTRIES = 32
+# The answer to a waiting watch may be this late (seconds); a slow store takes
+# a fifth of a second.
+WATCH_SLACK_S = 0.6
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Item:
+    """A stored value.
+
+    :param key: Its key.
+    :param payload: The value.
+    :param revision: Store revision of its last change.
+    :param created: Store revision of its creation.
+    """
+
+    key: str
+    payload: bytes
+    revision: int
+    created: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Missing:
+    """There is no such key."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Unavailable:
+    """A call that has no usable answer; for a write nothing was done.
+
+    :param reason: What happened, for logs.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Range:
+    """All items below a prefix.
+
+    :param items: The items, by key.
+    :param revision: Store revision from which a watch misses nothing.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Changes:
+    """What a watch saw.
+
+    :param written: Items as they were written, oldest first.
+    :param removed: Keys that were removed, with the revision.
+    :param revision: Store revision to go on from.
+    """
+
+    written: tuple[Item, ...]
+    removed: tuple[tuple[str, int], ...]
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class HistoryLost:
+    """The store no longer has the changes after the given revision."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Condition:
+    """A key that must have a revision for a commit to take place.
+
+    :param key: The key.
+    :param revision: Its revision; 0 if it must be absent.
+    """
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Put:
+    """One value to write.
+
+    :param key: The key.
+    :param payload: The value.
+    :param lease: The lease that the key ends with; 0 for none.
+    """
+
+    key: str
+    payload: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Committed:
+    """The commit took place.
+
+    :param revision: Store revision of all its writes.
+    """
+
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Conflict:
+    """A condition did not hold; nothing was done.
+
+    :param items: The present items of the conditions, by key; an absent key
+        has none.
+    """
+
+    items: dict[str, Item]
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class LeaseOver:
+    """The lease has ended."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Unknown:
+    """A write without an answer: done, not done, or yet to be done.
+
+    :param reason: What happened, for logs.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Lease:
+    """A lease that runs.
+
+    :param identity: Its number.
+    :param duration: Its length from the arrival of the last call, in seconds.
+    """
+
+    identity: int
+    duration: float
+
+
+class _WireItem(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    rev: int = 0
+    made: int = 0
+    gone: bool = False
+
+
+class _WireAnswer(msgspec.Struct):
+    items: list[_WireItem] = []
+    events: list[_WireItem] = []
+    more: bool = False
+    at: int = 0
+    rev: int = 0
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+class Store:
+    """Calls the store.
+
+    :param client: Connections to it.
+    :param timeout: Longest wait for an answer, in seconds.
+    """
+
+    __slots__ = ("_client", "_watches", "timeout")
+
+    def __init__(
+        self,
+        client: connections.HttpClient,
+        watches: connections.HttpClient,
+        *,
+        timeout: float,
+    ) -> None:
+        self._client = client
+        self._watches = watches
+        self.timeout = timeout
+
+    def read(self, key: str) -> Item | Missing | Unavailable:
+        """Read one key.
+
+        :param key: The key.
+        """
+        path = "/kv-key?key=" + _quote(key)
+        answer = self._call("GET", path)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == STATUS_MISSING:
+            return Missing()
+        item = _decode(answer.body, _WireItem)
+        if isinstance(item, Unavailable):
+            return item
+        return _to_item(item)
+
+    def read_range(self, prefix: str) -> Range | Unavailable:
+        """Read all items below a prefix, page by page.
+
+        :param prefix: The prefix.
+        """
+        items: list[Item] = []
+        first = -1
+        query = "/kv-range?path-prefix=" + _quote(prefix)
+        path = query
+        while True:
+            answer = self._call("GET", path)
+            if isinstance(answer, Unavailable):
+                return answer
+            page = _decode(answer.body, _WireAnswer)
+            if isinstance(page, Unavailable):
+                return page
+            items.extend(_to_item(item) for item in page.items)
+            # Pages are read one after the other: only a watch from the first
+            # one's revision misses nothing.
+            first = page.at if first < 0 else first
+            if not page.more or not page.items:
+                return Range(items=tuple(items), revision=first)
+            path = f"{query}&after-rev={_quote(page.items[-1].key)}"
+
+    def watch(
+        self, prefix: str, after: int, wait: float
+    ) -> Changes | HistoryLost | Unavailable:
+        """Wait for changes below a prefix.
+
+        :param prefix: The prefix.
+        :param after: Store revision after which changes are wanted.
+        :param wait: Longest wait for a change, in seconds.
+        """
+        path = (
+            f"/kv-watch?path-prefix={_quote(prefix)}&after-rev={after}"
+            f"&wait-ms={int(wait * 1000)}"
+        )
+        raw = self._watches.exchange("GET", path, timeout=wait + WATCH_SLACK_S)
+        if isinstance(raw, connections.NoAnswer):
+            return Unavailable(reason=raw.reason)
+        if raw.status == STATUS_GONE:
+            return HistoryLost()
+        if raw.status != STATUS_OK:
+            return Unavailable(reason=f"status {raw.status}")
+        answer = _decode(raw.body, _WireAnswer)
+        if isinstance(answer, Unavailable):
+            return answer
+        return Changes(
+            written=tuple(
+                _to_item(item) for item in answer.events if not item.gone
+            ),
+            removed=tuple(
+                (item.key, item.rev) for item in answer.events if item.gone
+            ),
+            revision=answer.at,
+        )
+
+    def commit(
+        self,
+        conditions: list[Condition],
+        puts: list[Put],
+        removals: list[str] | None = None,
+    ) -> Committed | Conflict | LeaseOver | Unavailable | Unknown:
+        """Write several keys at once if all conditions hold.
+
+        :param conditions: Revisions that keys must have.
+        :param puts: What to write.
+        :param removals: Keys to remove.
+        """
+        body = msgspec.json.encode(
+            {
+                "expected-rev": [
+                    {"key": item.key, "rev": item.revision}
+                    for item in conditions
+                ],
+                "put": [_to_wire(put) for put in puts],
+                "remove": removals or [],
+            }
+        )
+        raw = self._client.exchange(
+            "POST", "/kv-txn", body, timeout=self.timeout
+        )
+        if isinstance(raw, connections.NoAnswer):
+            if raw.sent:
+                return Unknown(reason=raw.reason)
+            return Unavailable(reason=raw.reason)
+        if raw.status in STATUS_BUSY:
+            return Unavailable(reason=f"status {raw.status}")
+        if raw.status == STATUS_MISSING:
+            return LeaseOver()
+        answer = _decode(raw.body, _WireAnswer)
+        if isinstance(answer, Unavailable):
+            return Unknown(reason=answer.reason)
+        if raw.status == STATUS_CONFLICT:
+            return Conflict(
+                items={item.key: _to_item(item) for item in answer.items}
+            )
+        if raw.status != STATUS_OK:
+            return Unavailable(reason=f"status {raw.status}")
+        return Committed(revision=answer.rev)
+
+    def open_lease(self, duration: float) -> Lease | Unavailable:
+        """Open a lease.
+
+        :param duration: Wanted length, in seconds.
+        """
+        body = msgspec.json.encode({"ttl_ms": int(duration * 1000)})
+        answer = self._call("POST", "/kv-lease", body)
+        if isinstance(answer, Unavailable):
+            return answer
+        lease = _decode(answer.body, _WireAnswer)
+        if isinstance(lease, Unavailable):
+            return lease
+        return Lease(identity=lease.lease, duration=lease.ttl_ms / 1000)
+
+    def renew_lease(self, identity: int) -> bool | Unavailable:
+        """Renew a lease.
+
+        :param identity: Its number.
+        :return: Whether it still runs.
+        """
+        answer = self._call("POST", f"/kv-keep/{identity}")
+        if isinstance(answer, Unavailable):
+            return answer
+        return answer.status == STATUS_OK
+
+    def end_lease(self, identity: int) -> bool | Unavailable:
+        """End a lease and remove its keys.
+
+        :param identity: Its number.
+        :return: Whether it ran until now.
+        """
+        answer = self._call("DELETE", f"/kv-lease-end/{identity}")
+        if isinstance(answer, Unavailable):
+            return answer
+        return answer.status == STATUS_OK
+
+    def _call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> connections.Answer | Unavailable:
+        raw = self._client.exchange(method, path, body, timeout=self.timeout)
+        if isinstance(raw, connections.NoAnswer):
+            return Unavailable(reason=raw.reason)
+        if raw.status not in (STATUS_OK, STATUS_MISSING):
+            return Unavailable(reason=f"status {raw.status}")
+        return raw
+
+
+def _decode(body: bytes, kind: type[T]) -> T | Unavailable:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        return Unavailable(reason=repr(error))
+
+
+def _to_item(wire: _WireItem) -> Item:
+    return Item(
+        key=wire.key,
+        payload=base64.b64decode(wire.value),
+        revision=wire.rev,
+        created=wire.made,
+    )
+
+
+def _to_wire(put: Put) -> dict[str, str | int]:
+    wire: dict[str, str | int] = {
+        "key": put.key,
+        "value": base64.b64encode(put.payload).decode("ascii"),
+    }
+    if put.lease:
+        wire["lease"] = put.lease
+    return wire
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="/")
--- /dev/null
+++ b/src/rackvalve/scheduling/fleet.py
@@ -0,0 +1,112 @@
+"""Workers, their room, and orders of maintenance, as plain values."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from rackvalve.jobs import definition
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Room:
+    """What a worker has or a task needs.
+
+    :param cpu: Thousandths of a core.
+    :param memory: Memory, in MB.
+    :param gpu: Accelerators.
+    """
+
+    cpu: int
+    memory: int
+    gpu: int
+
+    def fits(self, need: Room) -> bool:
+        """Return whether a need fits into this room.
+
+        :param need: What is needed.
+        """
+        return (
+            need.cpu <= self.cpu
+            and need.memory <= self.memory
+            and need.gpu <= self.gpu
+        )
+
+    def plus(self, other: Room) -> Room:
+        """Return the sum of two rooms.
+
+        :param other: The other one.
+        """
+        return Room(
+            cpu=self.cpu + other.cpu,
+            memory=self.memory + other.memory,
+            gpu=self.gpu + other.gpu,
+        )
+
+    def minus(self, other: Room) -> Room:
+        """Return what is left without another room.
+
+        :param other: The other one.
+        """
+        return Room(
+            cpu=self.cpu - other.cpu,
+            memory=self.memory - other.memory,
+            gpu=self.gpu - other.gpu,
+        )
+
+
+EMPTY = Room(cpu=0, memory=0, gpu=0)
+
+
+def need_of(step: definition.Step) -> Room:
+    """Return the room that one task of a step takes.
+
+    :param step: The step.
+    """
+    cpu = 0 if step.uses_leftover else step.cpu
+    return Room(cpu=cpu, memory=step.memory, gpu=step.gpu)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Entry:
+    """What one life of a worker says of itself.
+
+    :param identity: Its identity, which appears nowhere else.
+    :param pool: The pool that it works for.
+    :param host: IP number.
+    :param port: Port.
+    :param hall: Its data hall.
+    :param vm: The VM that it lives on.
+    :param rack: The VM's rack.
+    :param labels: All labels.
+    :param capacity: What it has.
+    :param draining: Whether it will leave.
+    :param remaining: How long it stays at least while it drains, in seconds.
+    """
+
+    identity: str
+    pool: str
+    host: str
+    port: int
+    hall: str
+    vm: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Room
+    draining: bool
+    remaining: float | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Wave:
+    """An operator's order to maintain VMs.
+
+    :param number: Number of the wave.
+    :param vms: The VMs.
+    :param duration: Time within which all are to be maintained, in seconds.
+    :param most_away: Most of them that may be away at once.
+    """
+
+    number: int
+    vms: tuple[str, ...]
+    duration: float
+    most_away: int
--- /dev/null
+++ b/src/rackvalve/scheduling/messages.py
@@ -0,0 +1,75 @@
+"""What the scheduler wants done and what it is told, as values."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from rackvalve.jobs import definition
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class StartRun:
+    """Start a run on a worker, once its job's record is in the store.
+
+    :param worker: Identity of the worker.
+    :param job: The job's identifier.
+    :param task: The task's name within the job.
+    :param run: Number of the run.
+    """
+
+    worker: str
+    job: str
+    task: definition.TaskName
+    run: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class StopRun:
+    """Stop a run on a worker, or reject it there if it comes later.
+
+    :param worker: Identity of the worker.
+    :param task: Full name of the task.
+    :param run: Number of the run.
+    :param reason: Why, for logs.
+    """
+
+    worker: str
+    task: str
+    run: int
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class SetPace:
+    """Let a run work at a share of its speed.
+
+    :param worker: Identity of the worker.
+    :param task: Full name of the task.
+    :param run: Number of the run.
+    :param percent: The share, 0 to 100.
+    """
+
+    worker: str
+    task: str
+    run: int
+    percent: int
+
+
+class StartResult(enum.Enum):
+    """What became of an order to start a run."""
+
+    STARTED = "started"
+    # The worker has no room; its own count differs from ours.
+    NO_ROOM = "no room"
+    # The run was stopped or has ended there; its end is, or was, listed.
+    OUTDATED = "outdated"
+    UNWELL = "unwell"
+    TICKET = "ticket"
+    # The worker does not understand the order.
+    MALFORMED = "malformed"
+    # No byte of the order was sent.
+    NOT_SENT = "not sent"
+
+
+Order = StartRun | StopRun | SetPace
--- /dev/null
+++ b/src/rackvalve/scheduling/planner.py
@@ -0,0 +1,309 @@
+"""What starts next, and what is stopped because it gets nowhere.
+
+Order of work within a pool: priority, then jobs that last, then the job whose
+objective ends first; jobs that can no longer earn anything come last.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import placement
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import workers
+
+# A task whose progress has not moved for this long is stopped and started
+# elsewhere (seconds).  Progress is told in whole percent: a task of 10 s at a
+# tenth of its speed still moves each second.
+STALL_S = 1.2
+# A job past this many times its objective earns nothing more (the users'
+# rules).
+WORTHLESS_AFTER = 3.0
+# A lasting task that is not at work this long after its start is started
+# elsewhere (seconds); the sheets' tasks take up to 1.8 s to be at work.
+LASTING_START_S = 5.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Limits:
+    """Times that the planner goes by.
+
+    :param freshness: Longest time since a worker's last answer for new work
+        to be placed on it, in seconds.
+    :param early: How much before its time a repetition may start, seconds.
+    """
+
+    freshness: float
+    early: float
+
+
+class Planner:
+    """Decides over a book.
+
+    :param book: The book.
+    :param limits: Times to go by.
+    """
+
+    __slots__ = ("_book", "_limits", "_views", "tickets")
+
+    def __init__(self, book: books.Book, limits: Limits) -> None:
+        self._book = book
+        self._limits = limits
+        self._views: dict[str, placement.PoolView] = {}
+        # Admitted workers by step, for queues with an admission service.
+        self.tickets: dict[str, dict[str, str]] = {}
+
+    def plan(self, now: float, wall: float) -> int:
+        """Plan runs for tasks whose turn has come.
+
+        :param now: Present time, in seconds.
+        :param wall: Present time, seconds since 1970.
+        :return: How many runs were planned.
+        """
+        waiting: dict[str, list[progress.JobState]] = {}
+        for state in self._book.jobs.values():
+            if state.job.repetitions:
+                state.open_steps(wall, self._limits.early)
+            queue = self._book.queues.get(state.queue)
+            if state.waiting and queue is not None:
+                waiting.setdefault(queue.pool, []).append(state)
+        planned = 0
+        for pool, states in waiting.items():
+            view = self._view(pool, now)
+            if not view.members:
+                continue
+            states.sort(key=lambda state: self._urgency(state, now))
+            planned += self._plan_pool(view, states, now)
+        return planned
+
+    def find_stuck(self, now: float) -> None:
+        """Stop runs that get nowhere and free what is proved over.
+
+        :param now: Present time, in seconds.
+        """
+        for worker in list(self._book.workers.values()):
+            if worker.runs and worker.is_over(now):
+                for placed in list(worker.runs.values()):
+                    self._book.release(placed, now)
+                continue
+            for placed in list(worker.runs.values()):
+                self._check_run(worker, placed, now)
+
+    def _check_run(
+        self, worker: workers.WorkerState, placed: workers.Placed, now: float
+    ) -> None:
+        run = placed.run
+        if run.stop_wanted:
+            return
+        if placed.state.is_final or placed.task.done:
+            reason = "its job has ended"
+        elif self._is_stalled(worker, placed, now):
+            placed.task.avoid.add(worker.identity)
+            worker.suspect_until = max(worker.suspect_until, now + STALL_S)
+            reason = "it makes no progress"
+        elif _must_leave(worker, placed):
+            reason = "its worker leaves"
+        else:
+            return
+        self._book.stop(placed.state, placed.task, run, reason)
+
+    def _is_stalled(
+        self, worker: workers.WorkerState, placed: workers.Placed, now: float
+    ) -> bool:
+        run = placed.run
+        fresh = now - worker.answered <= self._limits.freshness
+        if run.stage is not progress.Stage.CONFIRMED or not fresh:
+            return False
+        if run.confirmed_at is None or placed.step.gang:
+            return False
+        if placed.step.lasting:
+            return (
+                run.percent < 100 and now - run.percent_since > LASTING_START_S
+            )
+        since = max(run.percent_since, run.confirmed_at)
+        return now - since > STALL_S
+
+    def _view(self, pool: str, now: float) -> placement.PoolView:
+        members = [
+            worker
+            for worker in self._book.workers.values()
+            if worker.entry is not None
+            and worker.entry.pool == pool
+            and worker.takes_work(now, self._limits.freshness)
+        ]
+        view = self._views.setdefault(pool, placement.PoolView([]))
+        view.members = members
+        return view
+
+    def _plan_pool(
+        self,
+        view: placement.PoolView,
+        states: list[progress.JobState],
+        now: float,
+    ) -> int:
+        planned = 0
+        # Needs that found no room in this round; greater ones find none
+        # either.
+        full: list[fleet.Room] = []
+        for state in states:
+            by_step: dict[tuple[int, int], list[progress.Task]] = (
+                collections.defaultdict(list)
+            )
+            for name in state.waiting:
+                task = state.tasks[name]
+                if task.not_before <= now:
+                    by_step[name.repetition, name.step].append(task)
+            for (repetition, number), tasks in by_step.items():
+                step = state.job.steps[number]
+                need = fleet.need_of(step)
+                if any(_covers(need, other) for other in full):
+                    continue
+                count = self._plan_step(
+                    view, state, step, repetition, number, tasks, need, now
+                )
+                planned += count
+                if count < len(tasks) and _is_plain(step):
+                    full.append(need)
+        return planned
+
+    def _plan_step(
+        self,
+        view: placement.PoolView,
+        state: progress.JobState,
+        step: definition.Step,
+        repetition: int,
+        number: int,
+        tasks: list[progress.Task],
+        need: fleet.Room,
+        now: float,
+    ) -> int:
+        used = _count_used(state, repetition, number, step)
+        tickets = None
+        queue = self._book.queues[state.queue]
+        if queue.advice is not None:
+            step_name = f"{state.identity}.{repetition}.{number}"
+            tickets = self.tickets.get(step_name, {})
+        if step.gang:
+            return self._plan_gang(
+                view, state, step, tasks, need, used, tickets, now
+            )
+        planned = 0
+        for task in tasks:
+            worker = view.choose(
+                step, task, need, used, now=now, tickets=tickets
+            )
+            if worker is None:
+                break
+            run = self._book.place(
+                state, task, worker, state.take_run_number(), now
+            )
+            if tickets is not None:
+                run.ticket = tickets[worker.identity]
+            used[worker.identity] += 1
+            planned += 1
+        return planned
+
+    def _plan_gang(
+        self,
+        view: placement.PoolView,
+        state: progress.JobState,
+        step: definition.Step,
+        tasks: list[progress.Task],
+        need: fleet.Room,
+        used: collections.Counter[str],
+        tickets: dict[str, str] | None,
+        now: float,
+    ) -> int:
+        """Place all members of a gang, or none."""
+        if len(tasks) < step.tasks:
+            # Others still run or are being stopped.
+            return 0
+        chosen: list[workers.WorkerState] = []
+        for task in tasks:
+            worker = view.choose(
+                step, task, need, used, now=now, tickets=tickets
+            )
+            if worker is None:
+                break
+            worker.free = worker.free.minus(need)
+            used[worker.identity] += 1
+            chosen.append(worker)
+        for worker in chosen:
+            worker.free = worker.free.plus(need)
+        if len(chosen) < len(tasks):
+            return 0
+        number = state.take_run_number()
+        for task, worker in zip(tasks, chosen, strict=True):
+            run = self._book.place(state, task, worker, number, now)
+            if tickets is not None:
+                run.ticket = tickets[worker.identity]
+        return len(tasks)
+
+    def _urgency(
+        self, state: progress.JobState, now: float
+    ) -> tuple[float, ...]:
+        queue = self._book.queues[state.queue]
+        lasting = state.job.steps[0].lasting
+        objective = self.objective(state, queue)
+        age = now - state.arrived
+        worthless = not lasting and age > WORTHLESS_AFTER * objective
+        return (
+            float(queue.priority),
+            float(not lasting),
+            float(worthless),
+            state.arrived + objective,
+        )
+
+    def objective(
+        self, state: progress.JobState, queue: queues.Queue
+    ) -> float:
+        """Return the time within which a job should end, in seconds.
+
+        :param state: The job.
+        :param queue: Its queue.
+        """
+        typical = self._book.durations.get(state.queue, 0.0)
+        longest: list[float] = []
+        for step in state.job.steps:
+            before = max((longest[n] for n in step.after), default=0.0)
+            longest.append(before + (typical or step.estimate))
+        return queue.allowance + queue.stretch * max(longest)
+
+
+def _is_plain(step: definition.Step) -> bool:
+    """Return whether only room decides where a step's tasks may go."""
+    return not (step.most_per_worker or step.labels or step.gang)
+
+
+def _covers(need: fleet.Room, other: fleet.Room) -> bool:
+    """Return whether a need is in all ways at least another one."""
+    return need.fits(other)
+
+
+def _count_used(
+    state: progress.JobState,
+    repetition: int,
+    number: int,
+    step: definition.Step,
+) -> collections.Counter[str]:
+    used: collections.Counter[str] = collections.Counter()
+    if not (step.most_per_worker or step.lasting):
+        return used
+    for name, task in state.tasks.items():
+        if (name.repetition, name.step) == (repetition, number):
+            for run in task.runs.values():
+                used[run.worker] += 1
+    return used
+
+
+def _must_leave(worker: workers.WorkerState, placed: workers.Placed) -> bool:
+    """Return whether a run is better moved off a worker that drains."""
+    entry = worker.entry
+    if entry is None or not entry.draining:
+        return False
+    return placed.step.lasting
--- /dev/null
+++ b/src/rackvalve/scheduling/queues.py
@@ -0,0 +1,100 @@
+"""Queues and pools as the operator's configuration defines them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Advice:
+    """Bounds of the service that admits workers to a queue's steps.
+
+    :param decide_time: Time that one call takes, in seconds.
+    :param worker_time: Time that each named worker adds, in seconds.
+    :param valid: How long an admission holds, in seconds.
+    """
+
+    decide_time: float
+    worker_time: float
+    valid: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Queue:
+    """Jobs of one kind.
+
+    :param name: Its name.
+    :param host: Host name by which callers reach it.
+    :param prefix: Path by which callers reach it.
+    :param pool: Pool whose workers run its tasks.
+    :param priority: Importance; 0 comes first.
+    :param attempts: Failed runs of a task after which its job has failed.
+    :param stretch: Longest time to the end that callers accept, in times of
+        the longest chain of work.
+    :param allowance: Time that is accepted on top, in seconds.
+    :param advice: Bounds of the admission service, ``None`` without one.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int
+    attempts: int
+    stretch: float
+    allowance: float
+    advice: Advice | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Pool:
+    """VMs that run the same queues.
+
+    :param name: Its name.
+    :param guarded: Whether its workers refuse what does not fit.
+    :param spare: Whether its VMs are off and wait for another pool.
+    """
+
+    name: str
+    guarded: bool
+    spare: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Configuration:
+    """Everything that the operator decides.
+
+    :param version: Rises with each change.
+    :param queues: All queues.
+    :param pools: All pools, by name.
+    :param body_limit: Largest body of a caller's request, in bytes.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    pools: dict[str, Pool]
+    body_limit: int
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path.
+
+        :param host: Host name that the caller gave.
+        :param path: Path of the request.
+        """
+        best = None
+        for queue in self.queues:
+            if queue.host != host or not path.startswith(queue.prefix):
+                continue
+            if best is None or len(queue.prefix) > len(best.prefix):
+                best = queue
+        return best
+
+    def queue_by_name(self, name: str) -> Queue | None:
+        """Return a queue.
+
+        :param name: Its name.
+        """
+        for queue in self.queues:
+            if queue.name == name:
+                return queue
+        return None
--- /dev/null
+++ b/src/rackvalve/scheduling/workers.py
@@ -0,0 +1,181 @@
+"""One life of a worker as the owner sees it, and the lease on what runs."""
+
+from __future__ import annotations
+
+from rackvalve.jobs import progress
+from rackvalve.scheduling import fleet
+
+# How much slower than ours a worker's clock may run; the platform's pages
+# give 2 %, one more is margin.
+CLOCK_TOLERANCE = 0.03
+# Against late timers on both sides, in seconds.
+LEASE_MARGIN_S = 0.3
+
+RunKey = tuple[str, int]
+
+
+class Placed:
+    """A run together with its task and job.
+
+    :param state: The job.
+    :param task: The task.
+    :param run: The run.
+    :param need: The room that it takes.
+    """
+
+    __slots__ = ("state", "task", "run", "need", "step")
+
+    def __init__(
+        self,
+        state: progress.JobState,
+        task: progress.Task,
+        run: progress.Run,
+    ) -> None:
+        self.state = state
+        self.task = task
+        self.run = run
+        self.step = state.step_of(task.name)
+        self.need = fleet.need_of(self.step)
+
+    @property
+    def full_name(self) -> str:
+        """The task's name as workers know it."""
+        return f"{self.state.identity}.{self.task.name}"
+
+
+class WorkerState:
+    """One life of a worker.
+
+    :param identity: Its identity.
+    :param entry: What it says of itself; ``None`` if only a job's record
+        names it.
+    :param lease_over: When all that an earlier owner may have let run there
+        is over, on our steady clock.
+    """
+
+    __slots__ = (
+        "identity",
+        "entry",
+        "free",
+        "runs",
+        "established",
+        "answered",
+        "lease_over",
+        "handled",
+        "unrecorded",
+        "gone_since",
+        "suspect_until",
+        "failures",
+        "closing",
+        "drained_since",
+        "slowness",
+    )
+
+    def __init__(
+        self, identity: str, entry: fleet.Entry | None, lease_over: float
+    ) -> None:
+        self.identity = identity
+        self.entry = entry
+        self.free = entry.capacity if entry is not None else fleet.EMPTY
+        self.runs: dict[RunKey, Placed] = {}
+        # Whether it has taken our fencing token and told what runs.
+        self.established = False
+        # Time of its last answer to a hold.
+        self.answered = float("-inf")
+        self.lease_over = lease_over
+        # Number of the last end that was handled.
+        self.handled = 0
+        # Ends handled and not yet in the store, with the write that will hold
+        # what they changed; ``None`` until that write is marked.
+        self.unrecorded: list[tuple[int, int | None]] = []
+        # Since when its entry is missing in the store.
+        self.gone_since: float | None = None
+        self.suspect_until = 0.0
+        # Failed runs since the last good one.
+        self.failures = 0
+        # Why it takes no more work, empty while it does.
+        self.closing = ""
+        self.drained_since: float | None = None
+        # How much longer than elsewhere its tasks take.
+        self.slowness = 1.0
+
+    def set_entry(self, entry: fleet.Entry) -> None:
+        """Take what the worker says of itself now.
+
+        :param entry: Its newest entry.
+        """
+        known = self.entry.capacity if self.entry else fleet.EMPTY
+        self.free = self.free.plus(entry.capacity).minus(known)
+        self.entry = entry
+        self.gone_since = None
+
+    def add(self, placed: Placed) -> None:
+        """Count a run against the room.
+
+        :param placed: The run.
+        """
+        self.runs[placed.full_name, placed.run.number] = placed
+        self.free = self.free.minus(placed.need)
+
+    def drop(self, placed: Placed) -> None:
+        """Give a run's room back.
+
+        :param placed: The run.
+        """
+        if self.runs.pop((placed.full_name, placed.run.number), None):
+            self.free = self.free.plus(placed.need)
+
+    def note_extension(self, now: float, length: float) -> None:
+        """Note that the lease may last longer from a call that is sent now.
+
+        :param now: Present time, in seconds.
+        :param length: What the call asks for, in seconds.
+        """
+        over = now + length * (1 + CLOCK_TOLERANCE) + LEASE_MARGIN_S
+        self.lease_over = max(self.lease_over, over)
+
+    def is_over(self, now: float) -> bool:
+        """Return whether all leases given so far are over.
+
+        :param now: Present time, in seconds.
+        """
+        return now >= self.lease_over
+
+    def takes_work(self, now: float, freshness: float) -> bool:
+        """Return whether new runs may be placed on it.
+
+        :param now: Present time, in seconds.
+        :param freshness: Longest time since its last answer, in seconds.
+        """
+        return (
+            self.entry is not None
+            and not self.entry.draining
+            and not self.closing
+            and self.established
+            and now - self.answered <= freshness
+            and self.gone_since is None
+        )
+
+    def note_write(self, write: int) -> None:
+        """Note which write holds what the newest ends changed.
+
+        :param write: Number of the write.
+        """
+        self.unrecorded = [
+            (number, write if known is None else known)
+            for number, known in self.unrecorded
+        ]
+
+    def acknowledged(self, durable: int) -> int:
+        """Return the last end that the worker may forget.
+
+        :param durable: Number of the last write that is in the store.
+        """
+        while self.unrecorded:
+            write = self.unrecorded[0][1]
+            if write is None or write > durable:
+                break
+            self.unrecorded.pop(0)
+        if self.unrecorded:
+            return self.unrecorded[0][0] - 1
+        return self.handled
--- a/src/rackvalve/settings/catalog.py
+++ b/src/rackvalve/settings/catalog.py
@@ -113,3 +113,40 @@
     Key(section=section, name=name, kind=kind, default=default, meaning=text)
     for section, name, kind, default, text in _ROWS
 )
+
+_MANAGER_ROWS: tuple[tuple[str, str, kinds.Kind, str | None, str], ...] = (
+    ("instance", "vm", kinds.Text(), REQUIRED,
+     "Identity of this VM, as the platform lists it."),
+    ("instance", "hall", kinds.Text(), REQUIRED,
+     "Data hall in which this VM stands."),
+    ("manager", "front_listen", kinds.Endpoint(), REQUIRED,
+     "Address on which callers hand in jobs."),
+    ("manager", "ready_listen", kinds.Endpoint(), REQUIRED,
+     "Address on which the balancer asks whether callers may come."),
+    ("manager", "store", kinds.Endpoint(), REQUIRED,
+     "Address of the platform's store."),
+    ("manager", "machines", kinds.Endpoint(), REQUIRED,
+     "Address of the platform's interface to its VMs."),
+    ("manager", "adviser", kinds.Endpoints(), "",
+     "Address of the service that admits workers to steps; empty for none."),
+    ("manager", "grace_time", _time(0.1, 3600), "6s",
+     "Time between SIGTERM and the kill."),
+    ("manager", "keep_time", _time(0, 7 * 24 * 3600), "120s",
+     "How long the state of an ended job can be asked for."),
+    ("manager", "order_pause", _time(0, 60), "3s",
+     "How long a new owner gives no orders to VMs, so that two holders do "
+     "not take turns."),
+    ("manager", "notice_time", _time(0, 600), "4500ms",
+     "A lasting task that is not at work for this long counts as away."),
+    ("manager", "harm_time", _time(0, 600), "4s",
+     "Longest time that a serving task may be over its tail limit."),
+    ("manager", "pace_interval", _time(0, 60), "100ms",
+     "Shortest time between two changes of a task's pace."),
+    ("logs", "level", _LEVELS, "info",
+     "Least level that is written."),
+)  # fmt: skip
+
+MANAGER_KEYS: tuple[Key, ...] = tuple(
+    Key(section=section, name=name, kind=kind, default=default, meaning=text)
+    for section, name, kind, default, text in _MANAGER_ROWS
+)
--- a/src/rackvalve/settings/reader.py
+++ b/src/rackvalve/settings/reader.py
@@ -63,23 +63,29 @@
         return value
 
 
-def read_file(path: str) -> Settings:
+def read_file(
+    path: str, keys: tuple[catalog.Key, ...] = catalog.KEYS
+) -> Settings:
     """Read and check a settings file.
 
     :param path: Path of the INI file.
+    :param keys: The settings that it may hold.
     :return: The settings.
     :raises SettingsInvalidError: Names every fault.
     """
-    settings, faults = check_file(path)
+    settings, faults = check_file(path, keys)
     if settings is None:
         raise errors.SettingsInvalidError([str(fault) for fault in faults])
     return settings
 
 
-def check_file(path: str) -> tuple[Settings | None, list[Fault]]:
+def check_file(
+    path: str, keys: tuple[catalog.Key, ...] = catalog.KEYS
+) -> tuple[Settings | None, list[Fault]]:
     """Check a settings file.
 
     :param path: Path of the INI file.
+    :param keys: The settings that it may hold.
     :return: The settings, ``None`` if there is a fault, and all faults.
     """
     parser = configparser.ConfigParser(
@@ -92,15 +98,17 @@
     except configparser.Error as error:
         text = " ".join(str(error).split())
         return None, [_fault(path, "", "", f"is no INI file: {text}")]
-    return _check(path, parser)
+    return _check(path, parser, keys)
 
 
 def _check(
-    path: str, parser: configparser.ConfigParser
+    path: str,
+    parser: configparser.ConfigParser,
+    keys: tuple[catalog.Key, ...],
 ) -> tuple[Settings | None, list[Fault]]:
-    faults = _find_unknown(path, parser)
+    faults = _find_unknown(path, parser, keys)
     values: dict[tuple[str, str], kinds.Value] = {}
-    for key in catalog.KEYS:
+    for key in keys:
         text = parser.get(key.section, key.name, fallback=key.default)
         if text is None:
             mend = f"is missing; give {key.kind.unit}"
@@ -116,9 +124,13 @@
     return (None if faults else Settings(values)), faults
 
 
-def _find_unknown(path: str, parser: configparser.ConfigParser) -> list[Fault]:
+def _find_unknown(
+    path: str,
+    parser: configparser.ConfigParser,
+    keys: tuple[catalog.Key, ...],
+) -> list[Fault]:
     known: dict[str, list[str]] = {}
-    for key in catalog.KEYS:
+    for key in keys:
         known.setdefault(key.section, []).append(key.name)
     faults = []
     for section in parser.sections():
