Serve maintenance waves: close, vacate, maintain, within the steps' bounds

Ruled out: maintaining VMs with work on them, which breaks the availability bound of lasting tasks; closing whole racks at once. Change: scheduling/upkeep.py decides which VM is closed, vacated and ordered, eviction.py moves lasting tasks within their bound, manager/caretaker.py carries it out; orders are in the store first, so that the next owner goes on.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -60,6 +60,11 @@
     "run.ended": "A run is over; says how.",
     "order.failed": "An order to a worker failed.",
     "order.undeliverable": "An order's worker is not known.",
+    "wave.taken": "The owner learned of a maintenance wave.",
+    "wave.status": "A wave's status is published.",
+    "vm.maintained": "The platform was told to maintain a VM; says how it "
+    "answered.",
+    "vms.failed": "A call to the platform's interface to VMs failed.",
     "call.answered": "A caller got another answer than success.",
     "task.failed": "A task met an unexpected error and goes on.",
 }
--- /dev/null
+++ b/src/rackvalve/manager/caretaker.py
@@ -0,0 +1,179 @@
+"""Carries out the orders to VMs: lists them, maintains and moves them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+
+import gevent
+import msgspec
+
+from rackvalve import clocks
+from rackvalve import logs
+from rackvalve.manager import timing
+from rackvalve.manager import view as views
+from rackvalve.manager import writer as writers
+from rackvalve.platform import documents
+from rackvalve.platform import machines as clients
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import upkeep as upkeeps
+
+PREFIX = "wave/"
+
+
+class _Record(msgspec.Struct):
+    ordered: list[str] = []
+    done: list[str] = []
+
+
+class Caretaker:
+    """Gives orders to VMs for one owner.
+
+    :param machines: The platform's interface to its VMs.
+    :param view: The operator's orders.
+    :param book: The owner's book.
+    :param writer: Writes records.
+    :param fence: Fencing token.
+    :param order_pause: Time without orders after the taking of the token, in
+        seconds.
+    :param on_change: Called when workers were closed or stops are wanted.
+    """
+
+    def __init__(
+        self,
+        machines: clients.Machines,
+        view: views.View,
+        book: books.Book,
+        writer: writers.Writer,
+        fence: int,
+        *,
+        order_pause: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._machines = machines
+        self._view = view
+        self._book = book
+        self._writer = writer
+        self._fence = fence
+        self._on_change = on_change
+        self._upkeep = upkeeps.Upkeep(book)
+        self._may_order = clocks.read_steady() + order_pause
+        self._listed = float("-inf")
+        self._recorded: dict[int, _Record] = {}
+
+    def load(self, items: tuple[stores.Item, ...]) -> None:
+        """Go on where an earlier owner has ended.
+
+        :param items: All items under :data:`PREFIX`.
+        """
+        self._take_waves()
+        for item in items:
+            number = item.key.removeprefix(PREFIX)
+            record = msgspec.json.decode(item.payload, type=_Record)
+            self._upkeep.restore(int(number), record.ordered, record.done)
+
+    def run(self) -> None:
+        """Look after the VMs, until the greenlet is killed."""
+        while True:
+            self._take_waves()
+            now = clocks.read_steady()
+            busy = self._upkeep.is_busy
+            interval = (
+                timing.LIST_BUSY_INTERVAL_S if busy else timing.LIST_INTERVAL_S
+            )
+            if now - self._listed >= interval:
+                self._list()
+            if busy and now >= self._may_order:
+                self._step()
+            gevent.sleep(timing.CARE_INTERVAL_S)
+
+    def _take_waves(self) -> None:
+        for wave in self._view.waves.values():
+            if self._upkeep.add_wave(wave, clocks.read_steady()):
+                logs.write_event(
+                    "wave.taken",
+                    wave=wave.number,
+                    vms=len(wave.vms),
+                    most_away=wave.most_away,
+                    seconds=wave.duration,
+                )
+
+    def _list(self) -> None:
+        self._listed = clocks.read_steady()
+        found = self._machines.list_vms()
+        if isinstance(found, clients.Unavailable):
+            logs.write_warning("vms.failed", call="list", reason=found.reason)
+            return
+        self._upkeep.take_list(
+            [
+                upkeeps.Vm(
+                    identity=vm.identity,
+                    pool=vm.pool,
+                    up=vm.condition is clients.Condition.UP,
+                    worker=vm.worker,
+                )
+                for vm in found
+            ],
+            self._listed,
+        )
+
+    def _step(self) -> None:
+        for order in self._upkeep.decide(clocks.read_steady()):
+            gevent.spawn(self._maintain, order)
+        self._record_waves()
+        self._on_change()
+
+    def _maintain(self, order: upkeeps.MaintainVm) -> None:
+        """Give one order, once the store knows of it."""
+        self._record_waves()
+        write = self._writer.number
+        while self._writer.durable < write:
+            gevent.sleep(timing.CARE_INTERVAL_S / 5)
+        outcome = self._machines.maintain(order.vm, order.wave, self._fence)
+        now = clocks.read_steady()
+        logs.write_event(
+            "vm.maintained",
+            vm=order.vm,
+            wave=order.wave,
+            fence=self._fence,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if isinstance(outcome, clients.Ordered):
+            self._upkeep.note_ordered(order, now)
+            return
+        for_good = (
+            isinstance(outcome, clients.Rejected)
+            and outcome.reason in clients.FINAL_REASONS
+        )
+        self._upkeep.note_refused(order, now, for_good=for_good)
+
+    def _record_waves(self) -> None:
+        for number, state in self._upkeep.waves.items():
+            record = _Record(
+                ordered=sorted(state.ordered), done=sorted(state.done)
+            )
+            if self._recorded.get(number) != record:
+                self._recorded[number] = record
+                self._writer.mark(
+                    f"{PREFIX}{number}",
+                    functools.partial(_make_record, record),
+                )
+            status = "completed" if state.complete else "running"
+            if state.published != status:
+                state.published = status
+                logs.write_event("wave.status", wave=number, status=status)
+                payload = documents.write_wave_status(state.complete)
+                self._writer.mark(
+                    f"{documents.WAVE_STATUS_PREFIX}{number}",
+                    functools.partial(_make_status, payload),
+                )
+
+
+def _make_record(record: _Record) -> writers.Record:
+    return writers.Record(payload=msgspec.json.encode(record))
+
+
+def _make_status(payload: bytes) -> writers.Record:
+    return writers.Record(payload=payload)
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -20,6 +20,7 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
+from rackvalve.manager import caretaker as caretakers
 from rackvalve.manager import contact as contacts
 from rackvalve.manager import election
 from rackvalve.manager import timing
@@ -28,6 +29,7 @@
 from rackvalve.manager import writer as writers
 from rackvalve.platform import connections
 from rackvalve.platform import documents
+from rackvalve.platform import machines as machine_clients
 from rackvalve.platform import store as stores
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import book as books
@@ -52,7 +54,10 @@
     :param view: The operator's orders.
     :param fence: Fencing token.
     :param name: Name of this process, unlike those of all others.
+    :param machines: The platform's interface to its VMs.
     :param keep: How long ended jobs are kept, in seconds.
+    :param order_pause: Time without orders to VMs after the taking of the
+        token, in seconds.
     :param on_contact: Called at each answer of the store.
     """
 
@@ -63,9 +68,13 @@
         fence: int,
         *,
         name: str,
+        machines: machine_clients.Machines,
         keep: float,
+        order_pause: float,
         on_contact: Callable[[], None],
     ) -> None:
+        self._machines = machines
+        self._order_pause = order_pause
         self._store = store
         self._view = view
         self.fence = fence
@@ -278,8 +287,30 @@
         self._spawn(jobs.run)
         self._spawn(fleet.run)
         self._spawn(self._writer.run)
+        self._spawn(self._look_after_vms)
         self._plan_forever()
 
+    def _look_after_vms(self) -> None:
+        assert self._book is not None and self._writer is not None
+        caretaker = caretakers.Caretaker(
+            self._machines,
+            self._view,
+            self._book,
+            self._writer,
+            self.fence,
+            order_pause=self._order_pause,
+            on_change=self._wanted.set,
+        )
+        caretaker.load(self._read_all(caretakers.PREFIX))
+        caretaker.run()
+
+    def _read_all(self, prefix: str) -> tuple[stores.Item, ...]:
+        while True:
+            found = self._store.read_range(prefix)
+            if isinstance(found, stores.Range):
+                return found.items
+            gevent.sleep(timing.STORE_PAUSE_S)
+
     def _watch(
         self,
         prefix: str,
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -21,6 +21,7 @@
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import connections
 from rackvalve.platform import documents
+from rackvalve.platform import machines as machine_clients
 from rackvalve.platform import store as stores
 from rackvalve import servers
 from rackvalve.settings import catalog
@@ -57,6 +58,13 @@
         self._store = stores.Store(
             self._clients[0], self._clients[1], timeout=timing.STORE_TIMEOUT_S
         )
+        machines = settings.get("manager", "machines", kinds.Address)
+        self._machine_client = connections.HttpClient(
+            machines.host, machines.port
+        )
+        self._machines = machine_clients.Machines(
+            self._machine_client, vm, timeout=timing.MACHINES_TIMEOUT_S
+        )
         self._view = views.View()
         self._front = fronts.Front(
             self._store, self._view, is_leaving=lambda: self._leaving
@@ -109,7 +117,9 @@
             self._view,
             fence,
             name=self._name,
+            machines=self._machines,
             keep=self._settings.get("manager", "keep_time", float),
+            order_pause=self._settings.get("manager", "order_pause", float),
             on_contact=self._view.note_contact,
         )
 
@@ -155,6 +165,8 @@
         address = settings.get("manager", "store", kinds.Address)
         for client in self._clients:
             client.set_address(address.host, address.port)
+        machines = settings.get("manager", "machines", kinds.Address)
+        self._machine_client.set_address(machines.host, machines.port)
         logs.write_event("settings.reloaded", store=str(address))
 
     def _follow_settings(self) -> None:
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -48,6 +48,15 @@
 # How much before its time a repetition may start.
 EARLY_S = 0.0
 
+# -- VMs -------------------------------------------------------------------
+# How often it is decided which VM is closed, vacated or maintained next.
+CARE_INTERVAL_S = 0.1
+# How often the platform's list of VMs is read, with a wave under way or not.
+LIST_BUSY_INTERVAL_S = 0.4
+LIST_INTERVAL_S = 2.0
+# Longest wait for an answer of the platform's interface to its VMs.
+MACHINES_TIMEOUT_S = 1.0
+
 # -- callers ---------------------------------------------------------------
 # Longest time spent on a caller's request when it names no deadline.
 REQUEST_BUDGET_S = 2.0
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -88,8 +88,8 @@
         :param make: Makes the record at the time of writing.
         """
         self._number += 1
-        if key not in self._marked:
-            self._marked[key] = (self._number, make)
+        first = self._marked[key][0] if key in self._marked else self._number
+        self._marked[key] = (first, make)
         self._wanted.set()
 
     def run(self) -> None:
--- a/src/rackvalve/platform/machines.py
+++ b/src/rackvalve/platform/machines.py
@@ -13,6 +13,9 @@
 STATUS_OK = 200
 STATUS_UNKNOWN_VM = 400
 STATUS_REJECTED = 409
+REASON_UNKNOWN_VM = "no such VM or pool"
+# Reasons that do not pass: the VM is not there, or not of this wave.
+FINAL_REASONS = frozenset({REASON_UNKNOWN_VM, "wave"})
 
 
 class Condition(enum.Enum):
@@ -184,7 +187,7 @@
         if raw.status == STATUS_OK:
             return Ordered()
         if raw.status == STATUS_UNKNOWN_VM:
-            return Rejected(reason="no such VM or pool")
+            return Rejected(reason=REASON_UNKNOWN_VM)
         if raw.status != STATUS_REJECTED:
             return Unavailable(reason=f"status {raw.status}")
         try:
--- /dev/null
+++ b/src/rackvalve/scheduling/eviction.py
@@ -0,0 +1,71 @@
+"""Moving lasting tasks off a worker without taking too many away at once.
+
+The availability budget of a step: while as many of its tasks as it bears are
+away for any cause, no order ends another one that is at work.
+"""
+
+from __future__ import annotations
+
+from rackvalve.jobs import progress
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import workers
+
+AT_WORK_PERCENT = 100
+
+
+def is_at_work(task: progress.Task) -> bool:
+    """Return whether a lasting task is at work, as far as is known.
+
+    :param task: The task.
+    """
+    return any(
+        run.stage is progress.Stage.CONFIRMED
+        and run.percent >= AT_WORK_PERCENT
+        and not run.stop_wanted
+        for run in task.runs.values()
+    )
+
+
+def may_evict(placed: workers.Placed) -> bool:
+    """Return whether a lasting task may be stopped and started elsewhere.
+
+    :param placed: The run.
+    """
+    if not is_at_work(placed.task):
+        return True
+    name = placed.task.name
+    away = sum(
+        1
+        for other in placed.state.tasks.values()
+        if other.name.step == name.step
+        and other.name.repetition == name.repetition
+        and other is not placed.task
+        and not is_at_work(other)
+    )
+    # A step that names no bound is moved one task at a time all the same.
+    return away < max(1, placed.step.most_away)
+
+
+def vacate(
+    book: books.Book, worker: workers.WorkerState, patience: float, now: float
+) -> bool:
+    """Stop what has to leave a worker that takes no more work.
+
+    :param book: The book.
+    :param worker: The worker.
+    :param patience: Tasks that end by themselves are given this long from
+        their start, in seconds.
+    :param now: Present time, in seconds.
+    :return: Whether nothing is left on the worker.
+    """
+    for placed in list(worker.runs.values()):
+        run = placed.run
+        if run.stop_wanted:
+            continue
+        if placed.step.lasting:
+            leave = may_evict(placed)
+        else:
+            leave = now - run.since > patience
+        if leave:
+            book.stop(placed.state, placed.task, run, "its VM is to leave")
+    return not worker.runs
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -108,6 +108,8 @@
         worker.free.memory / max(1, capacity.memory),
     )
     crowd = float(used[worker.identity]) if step.lasting else 0.0
+    # A lasting task would have to move once more.
+    leaves = float(step.lasting and worker.leaves_later)
     neighbours = _count_unfit_neighbours(worker, step)
     return (
         float(worker.identity in task.avoid),
@@ -115,6 +117,7 @@
         float(away_from_data),
         worker.slowness if worker.slowness > 1.5 else 1.0,
         crowd,
+        leaves,
         neighbours,
         load,
     )
--- /dev/null
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -0,0 +1,294 @@
+"""Maintenance waves: which VM is closed, vacated and maintained next.
+
+A VM of a wave goes through: open; closed (its worker takes no new work);
+ordered (its worker is empty and the platform was told to maintain it); back.
+An order is given only while fewer VMs than the wave bears are away, and only
+after the store knows of it, so that the next owner goes on where this one
+ends.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import eviction
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import workers
+
+# Time from the closing of a VM to its return: work that runs ends (2 s),
+# lasting tasks are stopped (1 s), the maintenance itself (2 s).  From the
+# users' sheets; only the number of VMs that are closed at once hangs on it.
+CYCLE_S = 5.0
+# Aim to be done after this part of the time that the operator gives.
+AIM = 0.75
+# Part of a pool that may be closed or away at once.
+POOL_PART = 0.34
+# Work that does not last is given this long to end by itself, in seconds.
+PATIENCE_S = 5.0
+# An order that was refused is given again after this pause, in seconds.
+REFUSED_PAUSE_S = 0.5
+CLOSED = "maintenance"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Vm:
+    """A VM as the platform lists it.
+
+    :param identity: Its name.
+    :param pool: Its pool.
+    :param up: Whether it is up.
+    :param worker: Identity of the worker that lives on it, empty for none.
+    """
+
+    identity: str
+    pool: str
+    up: bool
+    worker: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class MaintainVm:
+    """Order the platform to maintain a VM.
+
+    :param vm: The VM.
+    :param wave: Number of the wave that asks for it.
+    """
+
+    vm: str
+    wave: int
+
+
+class WaveState:
+    """How far a wave is.
+
+    :param wave: The operator's order.
+    :param now: Present time, in seconds.
+    """
+
+    __slots__ = (
+        "wave",
+        "began",
+        "closed",
+        "ordered",
+        "done",
+        "not_before",
+        "complete",
+        "published",
+    )
+
+    def __init__(self, wave: fleet.Wave, now: float) -> None:
+        self.wave = wave
+        self.began = now
+        self.closed: set[str] = set()
+        # VMs whose order may have reached the platform, with its time;
+        # ``None`` until the order was answered.
+        self.ordered: dict[str, float | None] = {}
+        # VMs that were maintained and are back.
+        self.done: set[str] = set()
+        self.not_before: dict[str, float] = {}
+        self.complete = False
+        self.published = ""
+
+    def left(self) -> list[str]:
+        """Return the VMs that were not ordered yet, in the wave's order."""
+        return [
+            vm
+            for vm in self.wave.vms
+            if vm not in self.ordered and vm not in self.done
+        ]
+
+
+class Upkeep:
+    """Decides over all waves.
+
+    :param book: The book whose workers are closed and vacated.
+    """
+
+    __slots__ = ("_book", "waves", "vms", "_listed")
+
+    def __init__(self, book: books.Book) -> None:
+        self._book = book
+        self.waves: dict[int, WaveState] = {}
+        self.vms: dict[str, Vm] = {}
+        self._listed = float("-inf")
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a wave is under way."""
+        return any(not state.complete for state in self.waves.values())
+
+    def add_wave(self, wave: fleet.Wave, now: float) -> bool:
+        """Take an operator's order.
+
+        :param wave: The order.
+        :param now: Present time, in seconds.
+        :return: Whether it is new.
+        """
+        if wave.number in self.waves:
+            return False
+        self.waves[wave.number] = WaveState(wave, now)
+        return True
+
+    def restore(
+        self, number: int, ordered: list[str], done: list[str]
+    ) -> None:
+        """Go on where an earlier owner has ended.
+
+        :param number: Number of the wave.
+        :param ordered: VMs whose order may have reached the platform.
+        :param done: VMs that are back.
+        """
+        state = self.waves.get(number)
+        if state is None:
+            return
+        state.done = set(done)
+        # An order is repeated once the VM is empty: the platform knows
+        # whether it was carried out.
+        state.closed = set(ordered) - state.done
+
+    def take_list(self, vms: list[Vm], read: float) -> None:
+        """Take the platform's list of VMs.
+
+        :param vms: All VMs.
+        :param read: When the reading began, in seconds.
+        """
+        self.vms = {vm.identity: vm for vm in vms}
+        self._listed = read
+        for state in self.waves.values():
+            for vm, time in list(state.ordered.items()):
+                if time is None or time > read:
+                    continue
+                listed = self.vms.get(vm)
+                if listed is None or listed.up:
+                    del state.ordered[vm]
+                    state.done.add(vm)
+                    state.closed.discard(vm)
+
+    def decide(self, now: float) -> list[MaintainVm]:
+        """Close, vacate, and choose what is to be maintained now.
+
+        :param now: Present time, in seconds.
+        """
+        chosen: list[MaintainVm] = []
+        for state in self.waves.values():
+            if not state.complete:
+                self._close(state, now)
+                chosen.extend(self._choose(state, now))
+                self._finish(state)
+        self._apply_closing()
+        return chosen
+
+    def note_ordered(self, order: MaintainVm, now: float) -> None:
+        """Note that the platform has taken an order.
+
+        :param order: The order.
+        :param now: Present time, in seconds.
+        """
+        self.waves[order.wave].ordered[order.vm] = now
+
+    def note_refused(
+        self, order: MaintainVm, now: float, *, for_good: bool
+    ) -> None:
+        """Note that the platform has not taken an order.
+
+        :param order: The order.
+        :param now: Present time, in seconds.
+        :param for_good: Whether it never will.
+        """
+        state = self.waves[order.wave]
+        state.ordered.pop(order.vm, None)
+        if for_good:
+            state.done.add(order.vm)
+            state.closed.discard(order.vm)
+        else:
+            state.not_before[order.vm] = now + REFUSED_PAUSE_S
+
+    def _close(self, state: WaveState, now: float) -> None:
+        """Close as many VMs as the time that is left asks for."""
+        left = state.left()
+        wanted = self._count_wanted(state, len(left), now)
+        open_vms = [vm for vm in left if vm not in state.closed]
+        open_vms.sort(key=self._cost)
+        for vm in open_vms:
+            busy = len(state.closed) + len(state.ordered.keys() - state.closed)
+            if busy >= wanted:
+                return
+            if self._may_close(vm):
+                state.closed.add(vm)
+
+    def _count_wanted(self, state: WaveState, left: int, now: float) -> int:
+        time = state.began + AIM * state.wave.duration - now
+        rounds = max(1.0, time / CYCLE_S)
+        # One more than can be away is vacated meanwhile.
+        return min(math.ceil(left / rounds) + 1, state.wave.most_away + 1)
+
+    def _cost(self, vm: str) -> tuple[int, int]:
+        worker = self._worker_on(vm)
+        if worker is None:
+            return 0, 0
+        lasting = sum(1 for run in worker.runs.values() if run.step.lasting)
+        return lasting, len(worker.runs)
+
+    def _may_close(self, vm: str) -> bool:
+        listed = self.vms.get(vm)
+        if listed is None:
+            return True
+        pool = self._book.configuration.pools.get(listed.pool)
+        if pool is not None and pool.spare:
+            return True
+        members = [
+            other for other in self.vms.values() if other.pool == listed.pool
+        ]
+        away = sum(
+            1
+            for other in members
+            if not other.up or self._is_leaving(other.identity)
+        )
+        return away < max(1, int(POOL_PART * len(members)))
+
+    def _is_leaving(self, vm: str) -> bool:
+        return any(
+            vm in state.closed or vm in state.ordered
+            for state in self.waves.values()
+            if not state.complete
+        )
+
+    def _choose(self, state: WaveState, now: float) -> list[MaintainVm]:
+        chosen = []
+        for vm in state.left():
+            if len(state.ordered) >= state.wave.most_away:
+                break
+            if vm not in state.closed or state.not_before.get(vm, 0.0) > now:
+                continue
+            worker = self._worker_on(vm)
+            if worker is not None:
+                worker.closing = CLOSED
+                if not eviction.vacate(self._book, worker, PATIENCE_S, now):
+                    continue
+            state.ordered[vm] = None
+            chosen.append(MaintainVm(vm=vm, wave=state.wave.number))
+        return chosen
+
+    def _finish(self, state: WaveState) -> None:
+        state.complete = not state.left() and not state.ordered
+
+    def _worker_on(self, vm: str) -> workers.WorkerState | None:
+        listed = self.vms.get(vm)
+        if listed is None:
+            return None
+        return self._book.workers.get(listed.worker)
+
+    def _apply_closing(self) -> None:
+        """Tell the workers whether their VMs leave now or later."""
+        leaving: set[str] = set()
+        later: set[str] = set()
+        for state in self.waves.values():
+            if not state.complete:
+                leaving |= state.closed | state.ordered.keys()
+                later.update(state.left())
+        for worker in self._book.workers.values():
+            vm = worker.entry.vm if worker.entry is not None else ""
+            worker.closing = CLOSED if vm in leaving else ""
+            worker.leaves_later = vm in later
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -67,7 +67,7 @@
         "suspect_until",
         "failures",
         "closing",
-        "drained_since",
+        "leaves_later",
         "slowness",
     )
 
@@ -95,7 +95,8 @@
         self.failures = 0
         # Why it takes no more work, empty while it does.
         self.closing = ""
-        self.drained_since: float | None = None
+        # Whether its VM is still to be maintained.
+        self.leaves_later = False
         # How much longer than elsewhere its tasks take.
         self.slowness = 1.0
 
