Size pools by their demand and move VMs to the pool that lacks room

Change: scheduling/sizing.py: a pool holds its peak of 3 s and a quarter, one in reserve and three at least; surplus VMs go straight to the pool that lacks most, else to the spare pool.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -64,6 +64,9 @@
     "wave.status": "A wave's status is published.",
     "vm.maintained": "The platform was told to maintain a VM; says how it "
     "answered.",
+    "vm.moved": "The platform was told to move a VM; says why and how it "
+    "answered.",
+    "pool.size": "Demand and size of a pool, in VMs.",
     "vms.failed": "A call to the platform's interface to VMs failed.",
     "call.answered": "A caller got another answer than success.",
     "task.failed": "A task met an unexpected error and goes on.",
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -17,9 +17,12 @@
 from rackvalve.platform import machines as clients
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import upkeep as upkeeps
 
 PREFIX = "wave/"
+# Written before each order to a VM, under the condition of the ownership.
+ORDERS_KEY = "orders"
 
 
 class _Record(msgspec.Struct):
@@ -58,8 +61,10 @@
         self._fence = fence
         self._on_change = on_change
         self._upkeep = upkeeps.Upkeep(book)
+        self._sizing = sizings.Sizing(book, self._upkeep)
         self._may_order = clocks.read_steady() + order_pause
         self._listed = float("-inf")
+        self._sizes_logged = float("-inf")
         self._recorded: dict[int, _Record] = {}
 
     def load(self, items: tuple[stores.Item, ...]) -> None:
@@ -84,8 +89,8 @@
             )
             if now - self._listed >= interval:
                 self._list()
-            if busy and now >= self._may_order:
-                self._step()
+            if now >= self._may_order:
+                self._step(now)
             gevent.sleep(timing.CARE_INTERVAL_S)
 
     def _take_waves(self) -> None:
@@ -118,18 +123,62 @@
             self._listed,
         )
 
-    def _step(self) -> None:
-        for order in self._upkeep.decide(clocks.read_steady()):
-            gevent.spawn(self._maintain, order)
+    def _step(self, now: float) -> None:
+        for maintain in self._upkeep.decide(now):
+            gevent.spawn(self._maintain, maintain)
+        for move in self._sizing.decide(now):
+            gevent.spawn(self._move, move)
+        self._apply_closing()
+        self._log_sizes(now)
         self._record_waves()
         self._on_change()
 
-    def _maintain(self, order: upkeeps.MaintainVm) -> None:
-        """Give one order, once the store knows of it."""
-        self._record_waves()
+    def _apply_closing(self) -> None:
+        """Tell the workers whether their VMs leave now or later."""
+        waves = self._upkeep.leaving()
+        surplus = self._sizing.leaving()
+        later = self._upkeep.later()
+        for worker in self._book.workers.values():
+            vm = worker.entry.vm if worker.entry is not None else ""
+            worker.closing = ""
+            if vm in waves:
+                worker.closing = upkeeps.CLOSED
+            elif vm in surplus:
+                worker.closing = sizings.SURPLUS
+            worker.leaves_later = vm in later
+
+    def _log_sizes(self, now: float) -> None:
+        if now - self._sizes_logged < timing.SIZES_LOG_INTERVAL_S:
+            return
+        self._sizes_logged = now
+        for name, size in self._sizing.pools.items():
+            logs.write_event(
+                "pool.size",
+                pool=name,
+                demand=round(size.samples[-1][1], 2),
+                peak=round(size.peak(), 2),
+                wanted=size.wanted,
+                have=size.have,
+                leaving=len(size.leaving),
+            )
+
+    def _confirm_ownership(self) -> None:
+        """Wait until the store has taken a write under our token.
+
+        An owner that was deposed and does not know it gets no further.
+        """
+        self._writer.mark(
+            ORDERS_KEY,
+            lambda: writers.Record(payload=str(self._fence).encode()),
+        )
         write = self._writer.number
         while self._writer.durable < write:
-            gevent.sleep(timing.CARE_INTERVAL_S / 5)
+            gevent.sleep(timing.CARE_INTERVAL_S / 10)
+
+    def _maintain(self, order: upkeeps.MaintainVm) -> None:
+        """Have a VM maintained, once the store knows of it."""
+        self._record_waves()
+        self._confirm_ownership()
         outcome = self._machines.maintain(order.vm, order.wave, self._fence)
         now = clocks.read_steady()
         logs.write_event(
@@ -149,6 +198,27 @@
         )
         self._upkeep.note_refused(order, now, for_good=for_good)
 
+    def _move(self, order: sizings.MoveVm) -> None:
+        """Move a VM to another pool."""
+        self._confirm_ownership()
+        outcome = self._machines.move(order.vm, order.pool, self._fence)
+        size = self._sizing.pools.get(order.pool)
+        logs.write_event(
+            "vm.moved",
+            vm=order.vm,
+            pool=order.pool,
+            fence=self._fence,
+            wanted=size.wanted if size is not None else 0,
+            have=size.have if size is not None else 0,
+            peak=round(size.peak(), 2) if size is not None else 0.0,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if isinstance(outcome, clients.Ordered):
+            self._sizing.note_ordered(order)
+        else:
+            self._sizing.note_refused(order)
+
     def _record_waves(self) -> None:
         for number, state in self._upkeep.waves.items():
             record = _Record(
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -54,6 +54,8 @@
 # How often the platform's list of VMs is read, with a wave under way or not.
 LIST_BUSY_INTERVAL_S = 0.4
 LIST_INTERVAL_S = 2.0
+# How often the sizes of pools are logged.
+SIZES_LOG_INTERVAL_S = 1.0
 # Longest wait for an answer of the platform's interface to its VMs.
 MACHINES_TIMEOUT_S = 1.0
 
--- /dev/null
+++ b/src/rackvalve/scheduling/sizing.py
@@ -0,0 +1,346 @@
+"""How many VMs each pool holds: enough for its work, the others are spare.
+
+A VM in a pool is paid for, one in the spare pool is not.  Moving one takes
+seconds, so a pool keeps what its recent peak asked for, and gives VMs back
+one at a time once it has not needed them for a while.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import eviction
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import upkeep as upkeeps
+from rackvalve.scheduling import workers
+
+# A pool keeps room for the greatest demand of this time, in seconds.  To hold
+# a VM for 2.3 s costs as much as to move it away and back (the users' prices).
+PEAK_WINDOW_S = 3.0
+# While another pool lacks room, only the demand of this time counts.
+SHORT_WINDOW_S = 1.0
+# Room beyond that demand: for uneven packing and work that comes meanwhile.
+HEADROOM = 1.25
+# Room beyond the demand of a pool that lacks room: demand that grows goes on
+# growing while VMs are on their way.
+GROWTH = 1.5
+# VMs beyond that: the loss of one is made good without waiting for a move.
+RESERVE = 1
+# Least VMs of a pool.
+LEAST = 3
+# Work that does not last is given this long to end on a VM that leaves.
+PATIENCE_S = 5.0
+# A VM that has just come to a pool stays for this long, in seconds.
+STAY_S = 3.0
+SURPLUS = "surplus"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class MoveVm:
+    """Order the platform to move a VM to another pool.
+
+    :param vm: The VM.
+    :param pool: Its new pool.
+    """
+
+    vm: str
+    pool: str
+
+
+class PoolSize:
+    """What is known of one pool's demand."""
+
+    __slots__ = ("samples", "leaving", "wanted", "have")
+
+    @property
+    def lacks(self) -> int:
+        """How many VMs the pool lacks."""
+        return max(0, self.wanted - self.have)
+
+    def __init__(self) -> None:
+        # Demand in VMs, with its time.
+        self.samples: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        # VMs that are vacated for the spare pool.
+        self.leaving: set[str] = set()
+        self.wanted = 0
+        self.have = 0
+
+    def note(self, demand: float, now: float) -> None:
+        """Take a sample.
+
+        :param demand: Demand, in VMs.
+        :param now: Present time, in seconds.
+        """
+        self.samples.append((now, demand))
+        while self.samples[0][0] < now - PEAK_WINDOW_S:
+            self.samples.popleft()
+
+    @property
+    def demand(self) -> float:
+        """The newest sample, in VMs."""
+        return self.samples[-1][1] if self.samples else 0.0
+
+    def peak(self, since: float = float("-inf")) -> float:
+        """Return the greatest demand of the window, in VMs.
+
+        :param since: Samples before this time do not count.
+        """
+        return max(
+            (demand for time, demand in self.samples if time >= since),
+            default=0.0,
+        )
+
+
+class Sizing:
+    """Decides over the sizes of all pools.
+
+    :param book: The book.
+    :param upkeep: The waves, whose VMs are left alone.
+    """
+
+    __slots__ = ("_book", "_upkeep", "pools", "moving", "arrived")
+
+    def __init__(self, book: books.Book, upkeep: upkeeps.Upkeep) -> None:
+        self._book = book
+        self._upkeep = upkeep
+        self.pools: dict[str, PoolSize] = {}
+        # Pool to which a VM was ordered, until the list shows it there.
+        self.moving: dict[str, str] = {}
+        self.arrived: dict[str, float] = {}
+
+    def leaving(self) -> set[str]:
+        """Return the VMs that are vacated for the spare pool."""
+        return set().union(*(pool.leaving for pool in self.pools.values()))
+
+    def decide(self, now: float) -> list[MoveVm]:
+        """Choose the VMs that move now.
+
+        :param now: Present time, in seconds.
+        """
+        spare = self._spare_pool()
+        if spare is None or not self._upkeep.vms:
+            return []
+        self._settle(now)
+        self._count(now)
+        orders = self._grow_all(spare)
+        lacking = any(size.lacks for size in self.pools.values())
+        for name, size in self.pools.items():
+            self._shrink(name, size, now, lacking=lacking)
+            orders.extend(self._vacate(size, spare, now))
+        return orders
+
+    def note_ordered(self, order: MoveVm) -> None:
+        """Note that the platform has taken an order.
+
+        :param order: The order.
+        """
+        for pool in self.pools.values():
+            pool.leaving.discard(order.vm)
+
+    def note_refused(self, order: MoveVm) -> None:
+        """Note that the platform has not taken an order.
+
+        :param order: The order.
+        """
+        self.moving.pop(order.vm, None)
+        for pool in self.pools.values():
+            pool.leaving.discard(order.vm)
+
+    def _spare_pool(self) -> str | None:
+        for name, pool in self._book.configuration.pools.items():
+            if pool.spare:
+                return name
+        return None
+
+    def _settle(self, now: float) -> None:
+        """Forget moves that the platform's list shows to be over."""
+        for vm, pool in list(self.moving.items()):
+            listed = self._upkeep.vms.get(vm)
+            if listed is None or (listed.pool == pool and listed.up):
+                del self.moving[vm]
+                self.arrived[vm] = now
+
+    def _measure(self) -> dict[str, float]:
+        """Return the demand of each pool, in VMs."""
+        needs: dict[str, fleet.Room] = {}
+        units: dict[str, fleet.Room] = {}
+        for worker in self._book.workers.values():
+            if worker.entry is None:
+                continue
+            pool = worker.entry.pool
+            units[pool] = worker.entry.capacity
+            used = worker.entry.capacity.minus(worker.free)
+            needs[pool] = needs.get(pool, fleet.EMPTY).plus(used)
+        for state in self._book.jobs.values():
+            queue = self._book.queues.get(state.queue)
+            if queue is None:
+                continue
+            for name in state.waiting:
+                need = fleet.need_of(state.job.steps[name.step])
+                known = needs.get(queue.pool, fleet.EMPTY)
+                needs[queue.pool] = known.plus(need)
+        return {
+            pool: _count_vms(need, units.get(pool))
+            for pool, need in needs.items()
+        }
+
+    def _count(self, now: float) -> None:
+        """Count what each pool has and wants."""
+        demands = self._measure()
+        for name, pool in self._book.configuration.pools.items():
+            if pool.spare:
+                self.pools.pop(name, None)
+                continue
+            size = self.pools.setdefault(name, PoolSize())
+            size.note(demands.get(name, 0.0), now)
+            size.have = self._count_have(name, size)
+            size.wanted = _count_wanted(size)
+        for name in self.pools.keys() - self._book.configuration.pools.keys():
+            del self.pools[name]
+
+    def _count_have(self, name: str, size: PoolSize) -> int:
+        """Count the VMs that work for a pool, or soon will."""
+        coming = sum(1 for pool in self.moving.values() if pool == name)
+        working = sum(
+            1
+            for vm in self._upkeep.vms.values()
+            if vm.pool == name
+            and vm.identity not in self.moving
+            and vm.identity not in size.leaving
+            and self._is_sound(vm)
+        )
+        return coming + working
+
+    def _is_sound(self, vm: upkeeps.Vm) -> bool:
+        """Return whether a VM works, or is away for a moment only."""
+        worker = self._book.workers.get(vm.worker)
+        if worker is None or worker.entry is None:
+            return not vm.up
+        return not worker.entry.draining
+
+    def _grow_all(self, spare: str) -> list[MoveVm]:
+        """Give spare VMs to the pools that lack most, one at a time."""
+        orders: list[MoveVm] = []
+        for size in self.pools.values():
+            while size.lacks and size.leaving:
+                size.leaving.pop()
+                size.have += 1
+        spares = self._spares(spare)
+        while spares:
+            name = self._most_lacking()
+            if name is None:
+                break
+            vm = spares.pop(0)
+            self.moving[vm] = name
+            self.pools[name].have += 1
+            orders.append(MoveVm(vm=vm, pool=name))
+        return orders
+
+    def _most_lacking(self) -> str | None:
+        best = max(
+            self.pools, key=lambda name: self.pools[name].lacks, default=None
+        )
+        if best is None or not self.pools[best].lacks:
+            return None
+        return best
+
+    def _spares(self, spare: str) -> list[str]:
+        """Return VMs that may come from the spare pool, best first."""
+        leaving = self._upkeep.leaving()
+        later = self._upkeep.later()
+        found = [
+            vm.identity
+            for vm in self._upkeep.vms.values()
+            if vm.pool == spare
+            and vm.identity not in self.moving
+            and vm.identity not in leaving
+        ]
+        found.sort(key=lambda vm: vm in later)
+        return found
+
+    def _shrink(
+        self, name: str, size: PoolSize, now: float, *, lacking: bool
+    ) -> None:
+        """Let VMs leave that the pool no longer needs."""
+        keep = size.wanted
+        if lacking and not size.lacks:
+            recent = size.peak(now - SHORT_WINDOW_S)
+            keep = max(LEAST, math.ceil(recent * HEADROOM))
+        surplus = size.have - keep
+        if surplus <= 0:
+            return
+        for vm in self._rank_surplus(name, size, now)[:surplus]:
+            size.leaving.add(vm)
+            size.have -= 1
+
+    def _rank_surplus(
+        self, name: str, size: PoolSize, now: float
+    ) -> list[str]:
+        """Return the VMs that may leave a pool, the cheapest first."""
+        away = self._upkeep.leaving() | self.moving.keys() | size.leaving
+        later = self._upkeep.later()
+        ranked: list[tuple[tuple[int, int, int], str]] = []
+        for vm in self._upkeep.vms.values():
+            worker = self._book.workers.get(vm.worker)
+            if vm.pool != name or not vm.up or vm.identity in away:
+                continue
+            if worker is None or worker.entry is None:
+                continue
+            if now - self.arrived.get(vm.identity, float("-inf")) < STAY_S:
+                continue
+            lasting, runs = _count_cost(worker)
+            rank = (lasting, runs, int(vm.identity not in later))
+            ranked.append((rank, vm.identity))
+        ranked.sort()
+        return [vm for _, vm in ranked]
+
+    def _vacate(self, size: PoolSize, spare: str, now: float) -> list[MoveVm]:
+        orders = []
+        for vm in list(size.leaving):
+            listed = self._upkeep.vms.get(vm)
+            worker = (
+                self._book.workers.get(listed.worker)
+                if listed is not None
+                else None
+            )
+            if listed is None or worker is None:
+                size.leaving.discard(vm)
+                continue
+            worker.closing = SURPLUS
+            if vm in self.moving:
+                continue
+            if eviction.vacate(self._book, worker, PATIENCE_S, now):
+                pool = self._most_lacking() or spare
+                if pool in self.pools:
+                    self.pools[pool].have += 1
+                self.moving[vm] = pool
+                orders.append(MoveVm(vm=vm, pool=pool))
+        return orders
+
+
+def _count_wanted(size: PoolSize) -> int:
+    """Return how many VMs a pool should have."""
+    wanted = math.ceil(size.peak() * HEADROOM) + RESERVE
+    if size.demand > size.have - RESERVE:
+        wanted = math.ceil(size.demand * GROWTH) + RESERVE
+    return max(LEAST, wanted)
+
+
+def _count_vms(need: fleet.Room, unit: fleet.Room | None) -> float:
+    if unit is None:
+        return 0.0
+    return max(
+        need.cpu / max(1, unit.cpu),
+        need.memory / max(1, unit.memory),
+        need.gpu / unit.gpu if unit.gpu else 0.0,
+    )
+
+
+def _count_cost(worker: workers.WorkerState) -> tuple[int, int]:
+    lasting = sum(1 for placed in worker.runs.values() if placed.step.lasting)
+    return lasting, len(worker.runs)
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -106,13 +106,12 @@
     :param book: The book whose workers are closed and vacated.
     """
 
-    __slots__ = ("_book", "waves", "vms", "_listed")
+    __slots__ = ("_book", "waves", "vms")
 
     def __init__(self, book: books.Book) -> None:
         self._book = book
         self.waves: dict[int, WaveState] = {}
         self.vms: dict[str, Vm] = {}
-        self._listed = float("-inf")
 
     @property
     def is_busy(self) -> bool:
@@ -155,7 +154,6 @@
         :param read: When the reading began, in seconds.
         """
         self.vms = {vm.identity: vm for vm in vms}
-        self._listed = read
         for state in self.waves.values():
             for vm, time in list(state.ordered.items()):
                 if time is None or time > read:
@@ -177,7 +175,6 @@
                 self._close(state, now)
                 chosen.extend(self._choose(state, now))
                 self._finish(state)
-        self._apply_closing()
         return chosen
 
     def note_ordered(self, order: MaintainVm, now: float) -> None:
@@ -280,15 +277,18 @@
             return None
         return self._book.workers.get(listed.worker)
 
-    def _apply_closing(self) -> None:
-        """Tell the workers whether their VMs leave now or later."""
+    def leaving(self) -> set[str]:
+        """Return the VMs that are closed or away for a wave."""
         leaving: set[str] = set()
-        later: set[str] = set()
         for state in self.waves.values():
             if not state.complete:
                 leaving |= state.closed | state.ordered.keys()
+        return leaving
+
+    def later(self) -> set[str]:
+        """Return the VMs that are still to be maintained."""
+        later: set[str] = set()
+        for state in self.waves.values():
+            if not state.complete:
                 later.update(state.left())
-        for worker in self._book.workers.values():
-            vm = worker.entry.vm if worker.entry is not None else ""
-            worker.closing = CLOSED if vm in leaving else ""
-            worker.leaves_later = vm in later
+        return later
