Keep progress under its own prefix; write ends together

Ruled out: polling, which sees jobs later. Change: the watch covers definitions and cancels only; a record that nothing waits for waits 60 ms for company; a state is asked for with one reading.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -137,7 +137,6 @@
         "waiting",
         "finished",
         "cancel_wanted",
-        "changed",
         "opened",
         "reason",
     )
@@ -163,7 +162,6 @@
         # When it ended, seconds since 1970; 0 while it is open.
         self.finished = 0.0
         self.cancel_wanted = False
-        self.changed = False
         # Steps whose turn has come, as (repetition, step).
         self.opened: set[tuple[int, int]] = set()
         self.reason = ""
@@ -255,7 +253,6 @@
         self.finished = wall
         self.reason = reason
         self.waiting.clear()
-        self.changed = True
 
     def step_is_done(self, repetition: int, number: int) -> bool:
         """Return whether all tasks of a step are done.
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -1,8 +1,9 @@
 """A job's records in the store: keys and encodings.
 
-Three keys a job lie under one prefix, so that one reading tells its state:
-what was handed in, written once by the entry that took it; that it is to be
-cancelled, written once; how far it is, written by the owner alone.
+Three keys a job: what was handed in, written once by the entry that took it;
+that it is to be cancelled, written once; how far it is, written by the owner
+alone.  The last lies under a prefix of its own, so that the owner's watch on
+the other two does not tell it what it has just written itself.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 T = TypeVar("T")
 
 PREFIX = "job/"
+PROGRESS_PREFIX = "progress/"
 
 
 class Part(enum.Enum):
@@ -83,16 +85,8 @@
     :param identity: The job's identifier.
     :param part: Which record.
     """
-    return f"{job_prefix(queue, identity)}{part.value}"
-
-
-def job_prefix(queue: str, identity: str) -> str:
-    """Return the prefix of all records of a job.
-
-    :param queue: Name of the job's queue.
-    :param identity: The job's identifier.
-    """
-    return f"{PREFIX}{queue}/{identity}/"
+    prefix = PROGRESS_PREFIX if part is Part.PROGRESS else PREFIX
+    return f"{prefix}{queue}/{identity}/{part.value}"
 
 
 def read_key(key: str) -> Key | None:
@@ -102,7 +96,7 @@
     :return: Its parts, or ``None`` for a key of another kind.
     """
     parts = key.split("/")
-    if len(parts) != 4 or parts[0] + "/" != PREFIX:
+    if len(parts) != 4 or parts[0] + "/" not in (PREFIX, PROGRESS_PREFIX):
         return None
     try:
         part = Part(parts[3])
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -150,12 +150,12 @@
 
     def _wait_for_record(self) -> None:
         """Let the ends of the last report come into the store first."""
-        for _ in range(10):
+        until = clocks.read_steady() + timing.RECORD_WAIT_S
+        while clocks.read_steady() < until:
             self._worker.acknowledged(self._owner.durable)
             if not self._worker.unrecorded:
                 return
-            gevent.sleep(0.005)
-        gevent.sleep(timing.ORDER_PAUSE_S)
+            gevent.sleep(timing.RECORD_LOOK_S)
 
     def _take_outcome(self, outcome: clients.Outcome) -> bool:
         """Act on an answer that is no report.
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -280,58 +280,55 @@
     # -- asking and cancelling ---------------------------------------------
 
     def _tell_state(self, call: Call) -> Reply:
-        found = self._read_job(call)
-        if isinstance(found, Reply):
-            return found
-        phase = _read_phase(found)
-        if phase is None:
-            return Reply(status=http.HTTPStatus.GONE, reason="no such job")
+        phase = self._read_phase(call)
+        if isinstance(phase, Reply):
+            return phase
         return Reply(
             status=http.HTTPStatus.OK,
             body=callers.write_state(_STATES[phase]),
         )
 
-    def _read_job(self, call: Call) -> dict[records.Part, stores.Item] | Reply:
-        prefix = records.job_prefix(call.queue.name, call.identity)
-        reason = ""
-        while clocks.read_steady() < call.until:
-            found = self._store.read_range(prefix)
-            if isinstance(found, stores.Range):
-                parts = {}
-                for item in found.items:
-                    key = records.read_key(item.key)
-                    if key is not None:
-                        parts[key.part] = item
-                return parts
-            reason = found.reason
+    def _read_phase(self, call: Call) -> progress.Phase | Reply:
+        """Read where a job is; a reply if it is not there or not known."""
+        found = self._read(call, records.Part.PROGRESS)
+        if isinstance(found, stores.Item):
+            return records.read_summary(found.payload).phase
+        if isinstance(found, stores.Missing):
+            found = self._read(call, records.Part.DEFINITION)
+        if isinstance(found, stores.Item):
+            return progress.Phase.QUEUED
+        if isinstance(found, stores.Missing):
+            return Reply(status=http.HTTPStatus.GONE, reason="no such job")
+        return _refuse(f"the store does not answer: {found.reason}")
+
+    def _read(
+        self, call: Call, part: records.Part
+    ) -> stores.Item | stores.Missing | stores.Unavailable:
+        key = records.write_key(call.queue.name, call.identity, part)
+        while True:
+            found = self._store.read(key)
+            if not isinstance(found, stores.Unavailable):
+                return found
+            if clocks.read_steady() >= call.until:
+                return found
             gevent.sleep(timing.STORE_PAUSE_S)
-        return _refuse(f"the store does not answer: {reason}")
 
     def _cancel(self, call: Call) -> Reply:
-        found = self._read_job(call)
-        if isinstance(found, Reply):
-            return found
-        defined = found.get(records.Part.DEFINITION)
-        if defined is None:
-            return Reply(status=http.HTTPStatus.GONE, reason="no such job")
-        phase = _read_phase(found)
-        if records.Part.CANCEL in found or phase in progress.FINAL:
+        phase = self._read_phase(call)
+        if isinstance(phase, Reply):
+            return phase
+        if phase in progress.FINAL:
             return Reply(status=http.HTTPStatus.OK)
-        return self._record_cancel(call, defined)
+        return self._record_cancel(call)
 
-    def _record_cancel(self, call: Call, defined: stores.Item) -> Reply:
+    def _record_cancel(self, call: Call) -> Reply:
         key = records.write_key(
             call.queue.name, call.identity, records.Part.CANCEL
         )
         reason = ""
         while clocks.read_steady() < call.until:
             outcome = self._store.commit(
-                [
-                    stores.Condition(
-                        key=defined.key, revision=defined.revision
-                    ),
-                    stores.Condition(key=key, revision=0),
-                ],
+                [stores.Condition(key=key, revision=0)],
                 [stores.Put(key=key, payload=b"{}")],
             )
             if isinstance(outcome, (stores.Committed, stores.Conflict)):
@@ -363,17 +360,6 @@
         )
 
 
-def _read_phase(
-    parts: dict[records.Part, stores.Item],
-) -> progress.Phase | None:
-    if records.Part.DEFINITION not in parts:
-        return None
-    stored = parts.get(records.Part.PROGRESS)
-    if stored is None:
-        return progress.Phase.QUEUED
-    return records.read_summary(stored.payload).phase
-
-
 def _read_budget(environ: dict[str, Any]) -> float:
     """Return how long a request may take, in seconds."""
     text = environ.get(callers.DEADLINE_HEADER, "")
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -88,6 +88,7 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._wanted = event.Event()
         self._heard = clocks.read_steady()
+        self._progress: tuple[stores.Item, ...] = ()
         self._waiting: dict[str, int] = {}
         self._waiting_at = 0.0
         self._collected_at = clocks.read_steady()
@@ -274,9 +275,13 @@
             self._take_workers,
             self._take_worker_changes,
         )
+        # Read before the definitions: a job may gain a definition between the
+        # two readings, but no progress, which only this owner writes.
+        self._progress = self._read_all(records.PROGRESS_PREFIX)
         for watcher in (jobs, fleet):
             while not watcher.read():
                 gevent.sleep(timing.STORE_PAUSE_S)
+        self._progress = ()
         logs.write_event(
             "owner.loaded",
             fence=self.fence,
@@ -341,6 +346,8 @@
     # -- jobs --------------------------------------------------------------
 
     def _take_jobs(self, items: tuple[stores.Item, ...]) -> None:
+        # After lost history all is read anew; what is known stays as it is.
+        items += self._progress
         by_job: dict[str, dict[records.Part, stores.Item]] = {}
         queues: dict[str, str] = {}
         for item in items:
@@ -402,7 +409,7 @@
     def _take_job_changes(self, changes: stores.Changes) -> None:
         for item in changes.written:
             key = records.read_key(item.key)
-            if key is None or key.part is records.Part.PROGRESS:
+            if key is None:
                 continue
             self._take_job(key.queue, key.identity, {key.part: item})
         self._finish_take()
@@ -520,7 +527,7 @@
 
     def _mark_changed(self) -> None:
         assert self._book is not None and self._writer is not None
-        for identity in list(self._book.changed):
+        for identity, urgent in list(self._book.changed.items()):
             state = self._book.jobs.get(identity)
             if state is not None:
                 self._writer.mark(
@@ -528,6 +535,7 @@
                         state.queue, identity, records.Part.PROGRESS
                     ),
                     functools.partial(self._make_record, state),
+                    urgent=urgent,
                 )
         self._book.changed.clear()
 
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -12,6 +12,9 @@
 WATCH_WAIT_S = 1.0
 # Pause before a failed call to the store is made again.
 STORE_PAUSE_S = 0.1
+# A record that nothing waits for is written this much later, together with
+# others.  The users' pages count an end as known 0.1 s after it was told.
+WRITE_DELAY_S = 0.06
 
 # -- ownership -------------------------------------------------------------
 # Length of the owner's lease: the store gives one second at the least; half
@@ -30,6 +33,10 @@
 # Longest wait of a hold for an end: decides how soon a silent worker is
 # noticed.
 HOLD_WAIT_S = 0.5
+# After a report with ends the next hold waits this long for their record:
+# before that, the worker would tell the same ends at once.
+RECORD_WAIT_S = 0.2
+RECORD_LOOK_S = 0.01
 # Longest wait for a worker's answer to an order.
 ORDER_TIMEOUT_S = 0.5
 # Pause before a failed order or hold is made again.
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -65,6 +65,7 @@
         self._marked: dict[str, tuple[int, Callable[[], Record]]] = {}
         self._in_flight: list[int] = []
         self._wanted = event.Event()
+        self._urgent = event.Event()
         self._number = 0
         self._commits = 0
         self.failing_since: float | None = None
@@ -81,22 +82,30 @@
         open_marks.extend(self._in_flight)
         return min(open_marks, default=self._number + 1) - 1
 
-    def mark(self, key: str, make: Callable[[], Record]) -> None:
+    def mark(
+        self, key: str, make: Callable[[], Record], *, urgent: bool = True
+    ) -> None:
         """Have a record written soon.
 
         :param key: Its key.
         :param make: Makes the record at the time of writing.
+        :param urgent: Whether something waits for it; if not, it goes with
+            the next that is, or after a short while.
         """
         self._number += 1
         first = self._marked[key][0] if key in self._marked else self._number
         self._marked[key] = (first, make)
         self._wanted.set()
+        if urgent:
+            self._urgent.set()
 
     def run(self) -> None:
         """Write what is marked, until the greenlet is killed."""
         while True:
             self._wanted.wait()
             self._wanted.clear()
+            self._urgent.wait(timing.WRITE_DELAY_S)
+            self._urgent.clear()
             while self._marked:
                 if not self._write_batch():
                     return
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -62,8 +62,9 @@
         self.workers: dict[str, workers.WorkerState] = {}
         # What is to be sent to workers, oldest first.
         self.orders: collections.deque[messages.Order] = collections.deque()
-        # Jobs whose record in the store is to be written, in order.
-        self.changed: dict[str, None] = {}
+        # Jobs whose record in the store is to be written, in order, and
+        # whether something waits for it.
+        self.changed: dict[str, bool] = {}
         self._inherited_until = now + inherited_lease
         # Mean time of a task that ended well, by queue, in seconds.
         self.durations: dict[str, float] = {}
@@ -173,7 +174,7 @@
         if state.phase is progress.Phase.QUEUED:
             state.phase = progress.Phase.RUNNING
         worker.add(workers.Placed(state, task, run))
-        self.mark(state)
+        self.mark(state, urgent=True)
         return run
 
     def release(
@@ -330,13 +331,14 @@
             if worker.runs and worker.is_over(now)
         ]
 
-    def mark(self, state: progress.JobState) -> None:
+    def mark(self, state: progress.JobState, *, urgent: bool = False) -> None:
         """Have a job's record written.
 
         :param state: The job.
+        :param urgent: Whether a worker or a caller waits for it.
         """
-        state.changed = True
-        self.changed[state.identity] = None
+        known = self.changed.get(state.identity, False)
+        self.changed[state.identity] = known or urgent or state.is_final
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not begun."""
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -214,6 +214,7 @@
             return
         state.open_steps(wall, self._early)
         state.finish_if_done(wall)
+        self._book.mark(state)
 
     def _finish_gang(
         self, state: progress.JobState, ended: progress.Task, number: int
