Close VMs that are on their way; pack work; let hopeless jobs wait

Found by reading: a VM whose move was ordered could be taken back into use and given work while the order was under way; a VM's worker was looked up by the platform's list alone, which is up to 0.4 s old. Also: work was spread over all VMs, so that none was empty when another pool lacked room; with too little room all jobs came late together. Ruled out: that two stops of one step overlapped: a run that is being stopped counts as away. Change: workers whose VM is ordered take no work until the move is over; workers are found by their own entries too; work that ends is packed; a job that cannot be in time comes after those that can.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -138,12 +138,13 @@
         waves = self._upkeep.leaving()
         surplus = self._sizing.leaving()
         later = self._upkeep.later()
+        departing = self._sizing.departing()
         for worker in self._book.workers.values():
             vm = worker.entry.vm if worker.entry is not None else ""
             worker.closing = ""
             if vm in waves:
                 worker.closing = upkeeps.CLOSED
-            elif vm in surplus:
+            elif vm in surplus or worker.identity in departing:
                 worker.closing = sizings.SURPLUS
             worker.leaves_later = vm in later
 
@@ -214,9 +215,7 @@
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
         )
-        if isinstance(outcome, clients.Ordered):
-            self._sizing.note_ordered(order)
-        else:
+        if not isinstance(outcome, clients.Ordered):
             self._sizing.note_refused(order)
 
     def _record_waves(self) -> None:
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -119,7 +119,9 @@
         crowd,
         leaves,
         neighbours,
-        load,
+        # Lasting tasks are spread; other work is packed, so that VMs that a
+        # pool does not need are empty and can leave at once.
+        load if step.lasting else -load,
     )
 
 
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -1,7 +1,8 @@
 """What starts next, and what is stopped because it gets nowhere.
 
-Order of work within a pool: priority, then jobs that last, then the job whose
-objective ends first; jobs that can no longer earn anything come last.
+Order of work within a pool: priority, then jobs that last, then jobs that can
+still be in time, the one whose objective ends first; those that are late
+anyway come after them, and those past any use to their callers last.
 """
 
 from __future__ import annotations
@@ -248,16 +249,17 @@
         self, state: progress.JobState, now: float
     ) -> tuple[float, ...]:
         queue = self._book.queues[state.queue]
-        lasting = state.job.steps[0].lasting
+        if state.job.steps[0].lasting:
+            return (float(queue.priority), 0.0, state.arrived)
         objective = self.objective(state, queue)
         age = now - state.arrived
-        worthless = not lasting and age > WORTHLESS_AFTER * objective
-        return (
-            float(queue.priority),
-            float(not lasting),
-            float(worthless),
-            state.arrived + objective,
-        )
+        left = self.chain(state, open_only=True)
+        grade = 1.0
+        if age + left > objective:
+            grade = 2.0
+        if age > WORTHLESS_AFTER * objective:
+            grade = 3.0
+        return (float(queue.priority), grade, state.arrived + objective)
 
     def objective(
         self, state: progress.JobState, queue: queues.Queue
@@ -267,12 +269,25 @@
         :param state: The job.
         :param queue: Its queue.
         """
+        return queue.allowance + queue.stretch * self.chain(state)
+
+    def chain(
+        self, state: progress.JobState, *, open_only: bool = False
+    ) -> float:
+        """Return the time that a job's longest chain of steps takes.
+
+        :param state: The job.
+        :param open_only: Whether steps that are done do not count.
+        """
         typical = self._book.durations.get(state.queue, 0.0)
         longest: list[float] = []
-        for step in state.job.steps:
+        for number, step in enumerate(state.job.steps):
             before = max((longest[n] for n in step.after), default=0.0)
-            longest.append(before + (typical or step.estimate))
-        return queue.allowance + queue.stretch * max(longest)
+            own = typical or step.estimate
+            if open_only and state.step_is_done(0, number):
+                own = 0.0
+            longest.append(before + own)
+        return max(longest)
 
 
 def _is_plain(step: definition.Step) -> bool:
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -12,7 +12,6 @@
 import math
 
 from rackvalve.scheduling import book as books
-from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import upkeep as upkeeps
 from rackvalve.scheduling import workers
@@ -50,6 +49,18 @@
     pool: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Move:
+    """A move that was chosen and is not over.
+
+    :param pool: The VM's new pool.
+    :param workers: Lives of workers that end with the move.
+    """
+
+    pool: str
+    workers: frozenset[str]
+
+
 class PoolSize:
     """What is known of one pool's demand."""
 
@@ -109,8 +120,8 @@
         self._book = book
         self._upkeep = upkeep
         self.pools: dict[str, PoolSize] = {}
-        # Pool to which a VM was ordered, until the list shows it there.
-        self.moving: dict[str, str] = {}
+        # Moves by VM, until the list shows the VM in its new pool.
+        self.moving: dict[str, Move] = {}
         self.arrived: dict[str, float] = {}
 
     def leaving(self) -> set[str]:
@@ -134,13 +145,9 @@
             orders.extend(self._vacate(size, spare, now))
         return orders
 
-    def note_ordered(self, order: MoveVm) -> None:
-        """Note that the platform has taken an order.
-
-        :param order: The order.
-        """
-        for pool in self.pools.values():
-            pool.leaving.discard(order.vm)
+    def departing(self) -> set[str]:
+        """Return the workers whose lives end with a move."""
+        return set().union(*(move.workers for move in self.moving.values()))
 
     def note_refused(self, order: MoveVm) -> None:
         """Note that the platform has not taken an order.
@@ -148,8 +155,18 @@
         :param order: The order.
         """
         self.moving.pop(order.vm, None)
-        for pool in self.pools.values():
-            pool.leaving.discard(order.vm)
+
+    def _begin(self, vm: str, pool: str) -> MoveVm:
+        """Choose a move; from now on the VM's workers take no work."""
+        lives = self._upkeep.workers_on(vm)
+        self.moving[vm] = Move(
+            pool=pool, workers=frozenset(worker.identity for worker in lives)
+        )
+        for worker in lives:
+            worker.closing = SURPLUS
+        if pool in self.pools:
+            self.pools[pool].have += 1
+        return MoveVm(vm=vm, pool=pool)
 
     def _spare_pool(self) -> str | None:
         for name, pool in self._book.configuration.pools.items():
@@ -159,9 +176,9 @@
 
     def _settle(self, now: float) -> None:
         """Forget moves that the platform's list shows to be over."""
-        for vm, pool in list(self.moving.items()):
+        for vm, move in list(self.moving.items()):
             listed = self._upkeep.vms.get(vm)
-            if listed is None or (listed.pool == pool and listed.up):
+            if listed is None or (listed.pool == move.pool and listed.up):
                 del self.moving[vm]
                 self.arrived[vm] = now
 
@@ -205,7 +222,7 @@
 
     def _count_have(self, name: str, size: PoolSize) -> int:
         """Count the VMs that work for a pool, or soon will."""
-        coming = sum(1 for pool in self.moving.values() if pool == name)
+        coming = sum(1 for move in self.moving.values() if move.pool == name)
         working = sum(
             1
             for vm in self._upkeep.vms.values()
@@ -235,10 +252,7 @@
             name = self._most_lacking()
             if name is None:
                 break
-            vm = spares.pop(0)
-            self.moving[vm] = name
-            self.pools[name].have += 1
-            orders.append(MoveVm(vm=vm, pool=name))
+            orders.append(self._begin(spares.pop(0), name))
         return orders
 
     def _most_lacking(self) -> str | None:
@@ -302,24 +316,12 @@
     def _vacate(self, size: PoolSize, spare: str, now: float) -> list[MoveVm]:
         orders = []
         for vm in list(size.leaving):
-            listed = self._upkeep.vms.get(vm)
-            worker = (
-                self._book.workers.get(listed.worker)
-                if listed is not None
-                else None
-            )
-            if listed is None or worker is None:
+            if vm not in self._upkeep.vms:
+                size.leaving.discard(vm)
+            elif self._upkeep.vacate(vm, SURPLUS, PATIENCE_S, now):
                 size.leaving.discard(vm)
-                continue
-            worker.closing = SURPLUS
-            if vm in self.moving:
-                continue
-            if eviction.vacate(self._book, worker, PATIENCE_S, now):
                 pool = self._most_lacking() or spare
-                if pool in self.pools:
-                    self.pools[pool].have += 1
-                self.moving[vm] = pool
-                orders.append(MoveVm(vm=vm, pool=pool))
+                orders.append(self._begin(vm, pool))
         return orders
 
 
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -222,11 +222,12 @@
         return min(math.ceil(left / rounds) + 1, state.wave.most_away + 1)
 
     def _cost(self, vm: str) -> tuple[int, int]:
-        worker = self._worker_on(vm)
-        if worker is None:
-            return 0, 0
-        lasting = sum(1 for run in worker.runs.values() if run.step.lasting)
-        return lasting, len(worker.runs)
+        placed = [
+            run
+            for worker in self.workers_on(vm)
+            for run in worker.runs.values()
+        ]
+        return sum(1 for run in placed if run.step.lasting), len(placed)
 
     def _may_close(self, vm: str) -> bool:
         listed = self.vms.get(vm)
@@ -259,11 +260,8 @@
                 break
             if vm not in state.closed or state.not_before.get(vm, 0.0) > now:
                 continue
-            worker = self._worker_on(vm)
-            if worker is not None:
-                worker.closing = CLOSED
-                if not eviction.vacate(self._book, worker, PATIENCE_S, now):
-                    continue
+            if not self.vacate(vm, CLOSED, PATIENCE_S, now):
+                continue
             state.ordered[vm] = None
             chosen.append(MaintainVm(vm=vm, wave=state.wave.number))
         return chosen
@@ -271,11 +269,40 @@
     def _finish(self, state: WaveState) -> None:
         state.complete = not state.left() and not state.ordered
 
-    def _worker_on(self, vm: str) -> workers.WorkerState | None:
+    def workers_on(self, vm: str) -> list[workers.WorkerState]:
+        """Return the lives of workers that may be on a VM.
+
+        The platform's list may be older than a worker's own entry, and the
+        other way round.
+
+        :param vm: The VM.
+        """
         listed = self.vms.get(vm)
-        if listed is None:
-            return None
-        return self._book.workers.get(listed.worker)
+        return [
+            worker
+            for worker in self._book.workers.values()
+            if (worker.entry is not None and worker.entry.vm == vm)
+            or (listed is not None and worker.identity == listed.worker)
+        ]
+
+    def vacate(
+        self, vm: str, reason: str, patience: float, now: float
+    ) -> bool:
+        """Close a VM and stop what has to leave it.
+
+        :param vm: The VM.
+        :param reason: Why it is closed.
+        :param patience: Tasks that end by themselves are given this long
+            from their start, in seconds.
+        :param now: Present time, in seconds.
+        :return: Whether nothing is left on it.
+        """
+        empty = True
+        for worker in self.workers_on(vm):
+            worker.closing = reason
+            left = eviction.vacate(self._book, worker, patience, now)
+            empty = empty and left
+        return empty
 
     def leaving(self) -> set[str]:
         """Return the VMs that are closed or away for a wave."""
