Count tasks on silent workers as away; bound the wait after a takeover

Change: a lasting task is at work only if its worker has answered within a second; once a worker has taken our token its lease counts from then.

--- a/features/job_history.py
+++ b/features/job_history.py
@@ -261,7 +261,9 @@
         self.book = books.Book(
             CONFIGURATION, inherited_lease=lease, now=world.now
         )
-        self.handler = reports.Handler(self.book, early=0.0)
+        self.handler = reports.Handler(
+            self.book, early=0.0, lease=timing.WORKER_LEASE_S
+        )
         self.planner = planners.Planner(
             self.book,
             planners.Limits(freshness=timing.FRESHNESS_S, early=0.0),
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -13,6 +13,7 @@
       | fence       | 300  |
       | proof       | 300  |
       | acknowledge | 300  |
+      | record      | 300  |
 
   Scenario: A step waits for the steps before it
     Given a job of 2 tasks and then 1 task
@@ -60,6 +61,25 @@
     Then a stop is ordered
     And the task does not wait until the stop is reported
 
+  Scenario: A new owner waits for a silent worker no longer than its lease
+    Given 2 workers and a job of 1 task and then 1 task
+    When a new owner's first word from a worker is also the last
+    Then the worker's runs are over after one lease, not after two
+
+  Scenario Outline: A lasting task leaves only while enough others are at work
+    Given a lasting job of 3 tasks of which <most> may be away
+    When <away> of the others are <cause>
+    Then the first task <may> be moved
+
+    Examples:
+      | most | away | cause               | may     |
+      | 1    | 0    | silent              | may     |
+      | 1    | 1    | silent              | may not |
+      | 1    | 1    | stopping            | may not |
+      | 1    | 1    | not at work yet     | may not |
+      | 2    | 1    | silent              | may     |
+      | 2    | 2    | silent              | may not |
+
   Scenario: A gang is placed whole or not at all
     Given workers with room for 3 tasks
     When a gang of 4 tasks is planned
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -10,6 +10,7 @@
 from rackvalve.jobs import records
 from rackvalve.manager import timing
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
@@ -28,7 +29,9 @@
         self.book = books.Book(
             histories.CONFIGURATION, inherited_lease=5.0, now=self.now
         )
-        self.handler = reports.Handler(self.book, early=0.0)
+        self.handler = reports.Handler(
+            self.book, early=0.0, lease=timing.WORKER_LEASE_S
+        )
         self.planner = planners.Planner(
             self.book,
             planners.Limits(freshness=timing.FRESHNESS_S, early=0.0),
@@ -406,6 +409,59 @@
     assert len(bench.starts()) == 1
 
 
+@behave.when("a new owner's first word from a worker is also the last")
+def hear_once(context):
+    (context.order,) = context.bench.start_all()
+    worker = context.bench.book.workers[context.order.worker]
+    worker.established = False
+    worker.lease_over = context.bench.now + 100.0
+    context.bench.report(worker.identity, context.bench.rows(worker.identity))
+    context.worker = worker
+
+
+@behave.then("the worker's runs are over after one lease, not after two")
+def check_one_lease(context):
+    now = context.bench.now
+    lease = timing.WORKER_LEASE_S
+    assert not context.worker.is_over(now + lease / histories.SLOWEST)
+    assert context.worker.is_over(now + 2 * lease)
+
+
+@behave.given("a lasting job of {count:d} tasks of which {most:d} may be away")
+def make_lasting(context, count, most):
+    names = [f"w{number}" for number in range(count)]
+    context.bench = Bench(names, capacity=fleet.Room(cpu=1, memory=0, gpu=0))
+    context.state = context.bench.add(
+        definition.Step(tasks=count, cpu=1, lasting=True, most_away=most)
+    )
+    context.orders = context.bench.start_all()
+    for order in context.orders:
+        placed = context.bench.placed(order)
+        placed.run.percent = eviction.AT_WORK_PERCENT
+
+
+@behave.when("{count:d} of the others are {cause}")
+def take_away(context, count, cause):
+    for order in context.orders[1 : count + 1]:
+        placed = context.bench.placed(order)
+        if cause == "silent":
+            worker = context.bench.book.workers[order.worker]
+            worker.answered = context.bench.now - eviction.SILENCE_S - 0.1
+        elif cause == "stopping":
+            context.bench.book.stop(
+                placed.state, placed.task, placed.run, "test"
+            )
+        else:
+            placed.run.percent = 0.0
+
+
+@behave.then("the first task {may} be moved")
+def check_evict(context, may):
+    placed = context.bench.placed(context.orders[0])
+    allowed = eviction.may_evict(context.bench.book, placed, context.bench.now)
+    assert allowed is (may == "may")
+
+
 @behave.given("workers with room for {count:d} tasks")
 def make_room(context, count):
     context.bench = Bench(
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -251,7 +251,9 @@
             inherited_lease=INHERITED_LEASE_S,
             now=clocks.read_steady(),
         )
-        self._handler = reports.Handler(self._book, early=timing.EARLY_S)
+        self._handler = reports.Handler(
+            self._book, early=timing.EARLY_S, lease=timing.WORKER_LEASE_S
+        )
         self._planner = planners.Planner(
             self._book,
             planners.Limits(
--- a/src/rackvalve/scheduling/eviction.py
+++ b/src/rackvalve/scheduling/eviction.py
@@ -11,27 +11,41 @@
 from rackvalve.scheduling import workers
 
 AT_WORK_PERCENT = 100
+# A worker that has not answered for longer is taken to be away, in seconds;
+# holds are answered after half a second at the latest.
+SILENCE_S = 1.0
 
 
-def is_at_work(task: progress.Task) -> bool:
+def is_at_work(book: books.Book, task: progress.Task, now: float) -> bool:
     """Return whether a lasting task is at work, as far as is known.
 
+    A task on a worker that is silent is taken to be away.
+
+    :param book: The book.
     :param task: The task.
+    :param now: Present time, in seconds.
     """
-    return any(
-        run.stage is progress.Stage.CONFIRMED
-        and run.percent >= AT_WORK_PERCENT
-        and not run.stop_wanted
-        for run in task.runs.values()
-    )
+    for run in task.runs.values():
+        worker = book.workers.get(run.worker)
+        if (
+            worker is not None
+            and now - worker.answered <= SILENCE_S
+            and run.stage is progress.Stage.CONFIRMED
+            and run.percent >= AT_WORK_PERCENT
+            and not run.stop_wanted
+        ):
+            return True
+    return False
 
 
-def may_evict(placed: workers.Placed) -> bool:
+def may_evict(book: books.Book, placed: workers.Placed, now: float) -> bool:
     """Return whether a lasting task may be stopped and started elsewhere.
 
+    :param book: The book.
     :param placed: The run.
+    :param now: Present time, in seconds.
     """
-    if not is_at_work(placed.task):
+    if not is_at_work(book, placed.task, now):
         return True
     name = placed.task.name
     away = sum(
@@ -40,7 +54,7 @@
         if other.name.step == name.step
         and other.name.repetition == name.repetition
         and other is not placed.task
-        and not is_at_work(other)
+        and not is_at_work(book, other, now)
     )
     # A step that names no bound is moved one task at a time all the same.
     return away < max(1, placed.step.most_away)
@@ -63,7 +77,7 @@
         if run.stop_wanted:
             continue
         if placed.step.lasting:
-            leave = may_evict(placed)
+            leave = may_evict(book, placed, now)
         else:
             leave = now - run.since > patience
         if leave:
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -111,13 +111,17 @@
 
     :param book: The book.
     :param early: How much before its time a repetition may start, seconds.
+    :param lease: Length of a lease on a worker, in seconds.
     """
 
-    __slots__ = ("_book", "_early", "ended")
+    __slots__ = ("_book", "_early", "_lease", "ended")
 
-    def __init__(self, book: books.Book, *, early: float) -> None:
+    def __init__(
+        self, book: books.Book, *, early: float, lease: float
+    ) -> None:
         self._book = book
         self._early = early
+        self._lease = lease
         # Ends that were handled and not yet logged.
         self.ended: list[RunEnded] = []
 
@@ -153,7 +157,8 @@
         for key in running:
             if key not in worker.runs:
                 self._stop_stray(worker, key)
-        worker.established = True
+        if not worker.established:
+            worker.note_established(now, self._lease)
 
     def _take_end(
         self,
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -135,6 +135,19 @@
         over = now + length * (1 + CLOCK_TOLERANCE) + LEASE_MARGIN_S
         self.lease_over = max(self.lease_over, over)
 
+    def note_established(self, now: float, length: float) -> None:
+        """Note that the worker has taken our fencing token.
+
+        From then on no earlier owner can extend its lease; what they asked
+        for lasts no longer than a lease that begins now.
+
+        :param now: Present time, in seconds.
+        :param length: Length of a lease, in seconds.
+        """
+        self.established = True
+        self.lease_over = float("-inf")
+        self.note_extension(now, length)
+
     def is_over(self, now: float) -> bool:
         """Return whether all leases given so far are over.
 
