Ask the admission service; lower the pace of filling tasks

Cause: a queue with an admission service would have waited for ever, and a serving task over its limit would have been left beside what fills. Ruled out: asking about all workers: each one makes the answer later. Change: manager/admission.py keeps tickets for the steps that wait; scheduling/sharing.py decides paces after each report.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -60,9 +60,8 @@
         "stop_wanted",
         "load",
         "pace",
-        "over_limit_since",
+        "paced",
         "ticket",
-        "evacuated",
     )
 
     def __init__(
@@ -80,10 +79,9 @@
         self.stop_wanted = False
         self.load = 0.0
         self.pace = 100
-        self.over_limit_since: float | None = None
+        # When its pace was changed last.
+        self.paced = 0.0
         self.ticket = ""
-        # Stopped by order while it was at work.
-        self.evacuated = False
 
 
 class Task:
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -60,6 +60,9 @@
     "run.ended": "A run is over; says how.",
     "order.failed": "An order to a worker failed.",
     "order.undeliverable": "An order's worker is not known.",
+    "admission.given": "The admission service answered for a step.",
+    "admission.failed": "The admission service gave no answer; says why.",
+    "run.paced": "A worker is told to let a run work at a share.",
     "wave.taken": "The owner learned of a maintenance wave.",
     "wave.status": "A wave's status is published.",
     "vm.maintained": "The platform was told to maintain a VM; says how it "
--- /dev/null
+++ b/src/rackvalve/manager/admission.py
@@ -0,0 +1,136 @@
+"""Asks the admission service which workers may run a step.
+
+The service answers one call of this process at a time, and slowly, so that
+calls are made one after the other, for the steps that wait, and only for
+workers that could take a task now.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from rackvalve import clocks
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve import logs
+from rackvalve.manager import timing
+from rackvalve.platform import advisers
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import planner as planners
+from rackvalve.scheduling import queues
+
+
+class Admission:
+    """Keeps the planner's tickets fresh.
+
+    :param adviser: The service; ``None`` where there is none.
+    :param book: The owner's book.
+    :param planner: The planner that uses the tickets.
+    :param on_change: Called when new tickets have come.
+    """
+
+    def __init__(
+        self,
+        adviser: advisers.Adviser | None,
+        book: books.Book,
+        planner: planners.Planner,
+        *,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._adviser = adviser
+        self._book = book
+        self._planner = planner
+        self._on_change = on_change
+        # Workers that were asked about and not admitted, by step.
+        self._denied: dict[str, set[str]] = {}
+        self._expiry: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Ask for what waits, until the greenlet is killed."""
+        while True:
+            if not self._ask_next():
+                gevent.sleep(timing.ADMISSION_INTERVAL_S)
+
+    def _ask_next(self) -> bool:
+        """Ask for the step that has waited longest.
+
+        :return: Whether there was one.
+        """
+        now = clocks.read_steady()
+        self._expire(now)
+        for state in self._book.jobs.values():
+            queue = self._book.queues.get(state.queue)
+            if queue is None or queue.advice is None or not state.waiting:
+                continue
+            name = next(iter(state.waiting))
+            step = f"{state.identity}.{name.repetition}.{name.step}"
+            if self._planner.tickets.get(step):
+                continue
+            names = self._candidates(state, name, queue, step, now)
+            if names:
+                self._ask(step, names, queue.advice)
+                return True
+        return False
+
+    def _expire(self, now: float) -> None:
+        for step, expiry in list(self._expiry.items()):
+            if now >= expiry:
+                del self._expiry[step]
+                self._planner.tickets.pop(step, None)
+                self._denied.pop(step, None)
+
+    def _candidates(
+        self,
+        state: progress.JobState,
+        name: definition.TaskName,
+        queue: queues.Queue,
+        step: str,
+        now: float,
+    ) -> list[str]:
+        denied = self._denied.get(step, set())
+        labels = state.step_of(name).labels
+        found = [
+            worker
+            for worker in self._book.workers.values()
+            if worker.entry is not None
+            and worker.entry.pool == queue.pool
+            and worker.takes_work(now, timing.FRESHNESS_S)
+            and worker.entry.labels.issuperset(labels)
+            and worker.identity not in denied
+        ]
+        found.sort(key=lambda worker: -worker.free.cpu)
+        return [worker.identity for worker in found[: timing.ADMISSION_MOST]]
+
+    def _ask(self, step: str, names: list[str], advice: queues.Advice) -> None:
+        if self._adviser is None:
+            logs.write_warning(
+                "admission.failed", step=step, reason="no service is set"
+            )
+            gevent.sleep(timing.ADMISSION_PAUSE_S)
+            return
+        expected = advice.decide_time + advice.worker_time * len(names)
+        answer = self._adviser.ask(
+            step, names, expected + timing.ADMISSION_SLACK_S
+        )
+        if isinstance(answer, advisers.Unavailable):
+            logs.write_warning(
+                "admission.failed", step=step, reason=answer.reason
+            )
+            gevent.sleep(timing.ADMISSION_PAUSE_S)
+            return
+        now = clocks.read_steady()
+        valid = (answer.valid or advice.valid) - timing.ADMISSION_MARGIN_S
+        self._expiry[step] = now + max(valid, timing.ADMISSION_MARGIN_S)
+        denied = set(names) - answer.tickets.keys()
+        self._denied.setdefault(step, set()).update(denied)
+        self._planner.tickets[step] = answer.tickets
+        logs.write_event(
+            "admission.given",
+            step=step,
+            asked=len(names),
+            admitted=len(answer.tickets),
+            valid=round(valid, 3),
+        )
+        self._on_change()
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -20,6 +20,7 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
+from rackvalve.manager import admission
 from rackvalve.manager import caretaker as caretakers
 from rackvalve.manager import contact as contacts
 from rackvalve.manager import election
@@ -27,6 +28,7 @@
 from rackvalve.manager import view as views
 from rackvalve.manager import watcher as watchers
 from rackvalve.manager import writer as writers
+from rackvalve.platform import advisers
 from rackvalve.platform import connections
 from rackvalve.platform import documents
 from rackvalve.platform import machines as machine_clients
@@ -36,6 +38,7 @@
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
 from rackvalve.scheduling import reports
+from rackvalve.scheduling import sharing
 from rackvalve.scheduling import workers
 
 WAITING_KEY = "waiting"
@@ -58,6 +61,9 @@
     :param keep: How long ended jobs are kept, in seconds.
     :param order_pause: Time without orders to VMs after the taking of the
         token, in seconds.
+    :param pace_interval: Least time between two changes of a run's pace, in
+        seconds.
+    :param adviser: The service that admits workers; ``None`` without one.
     :param on_contact: Called at each answer of the store.
     """
 
@@ -71,8 +77,12 @@
         machines: machine_clients.Machines,
         keep: float,
         order_pause: float,
+        pace_interval: float,
+        adviser: advisers.Adviser | None,
         on_contact: Callable[[], None],
     ) -> None:
+        self._pace_interval = pace_interval
+        self._adviser = adviser
         self._machines = machines
         self._order_pause = order_pause
         self._store = store
@@ -166,6 +176,9 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
+        self._book.orders.extend(
+            sharing.set_paces(worker, now, self._pace_interval)
+        )
         self._log_ends()
         self._mark_changed()
         worker.note_write(self._writer.number)
@@ -295,6 +308,14 @@
         self._spawn(fleet.run)
         self._spawn(self._writer.run)
         self._spawn(self._look_after_vms)
+        self._spawn(
+            admission.Admission(
+                self._adviser,
+                self._book,
+                self._planner,
+                on_change=self._wanted.set,
+            ).run
+        )
         self._plan_forever()
 
     def _look_after_vms(self) -> None:
@@ -391,6 +412,7 @@
                 queue=queue,
                 phase=state.phase.value,
                 tasks=sum(step.tasks for step in state.job.steps),
+                lasting=any(step.lasting for step in state.job.steps),
                 revision=defined.revision,
             )
         if records.Part.CANCEL in parts:
@@ -604,6 +626,14 @@
                     worker=order.worker,
                     reason=order.reason,
                 )
+            else:
+                logs.write_event(
+                    "run.paced",
+                    task=order.task,
+                    run=order.run,
+                    worker=order.worker,
+                    percent=order.percent,
+                )
             contact.send(order)
 
     def _log_ends(self) -> None:
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -19,6 +19,7 @@
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.manager import watcher as watchers
+from rackvalve.platform import advisers
 from rackvalve.platform import connections
 from rackvalve.platform import documents
 from rackvalve.platform import machines as machine_clients
@@ -120,9 +121,21 @@
             machines=self._machines,
             keep=self._settings.get("manager", "keep_time", float),
             order_pause=self._settings.get("manager", "order_pause", float),
+            pace_interval=self._settings.get(
+                "manager", "pace_interval", float
+            ),
+            adviser=self._make_adviser(),
             on_contact=self._view.note_contact,
         )
 
+    def _make_adviser(self) -> advisers.Adviser | None:
+        addresses = self._settings.get("manager", "adviser", tuple)
+        if not addresses:
+            return None
+        return advisers.Adviser(
+            connections.HttpClient(addresses[0].host, addresses[0].port)
+        )
+
     def _tell_ready(
         self, environ: dict[str, str], start_response: fronts.StartResponse
     ) -> list[bytes]:
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -55,6 +55,20 @@
 # How much before its time a repetition may start.
 EARLY_S = 0.0
 
+# -- admission -------------------------------------------------------------
+# Pause when no step waits for an admission.
+ADMISSION_INTERVAL_S = 0.05
+# Pause after the service has failed.
+ADMISSION_PAUSE_S = 0.2
+# Longest wait beyond the time that the configuration gives for an answer;
+# calls of this process are answered in turn.
+ADMISSION_SLACK_S = 1.0
+# Tickets are not used for the last part of their time.
+ADMISSION_MARGIN_S = 0.2
+# Workers named in one call: each one makes the answer later.  The users'
+# objective counts one call on 30 workers a step.
+ADMISSION_MOST = 30
+
 # -- VMs -------------------------------------------------------------------
 # How often it is decided which VM is closed, vacated or maintained next.
 CARE_INTERVAL_S = 0.1
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -168,10 +168,17 @@
                     view, state, step, repetition, number, tasks, need, now
                 )
                 planned += count
-                if count < len(tasks) and _is_plain(step):
+                if count < len(tasks) and self._is_plain(state, step):
                     full.append(need)
         return planned
 
+    def _is_plain(
+        self, state: progress.JobState, step: definition.Step
+    ) -> bool:
+        """Return whether only room decides where a step's tasks may go."""
+        special = step.most_per_worker or step.labels or step.gang
+        return not special and self._book.queues[state.queue].advice is None
+
     def _plan_step(
         self,
         view: placement.PoolView,
@@ -290,11 +297,6 @@
         return max(longest)
 
 
-def _is_plain(step: definition.Step) -> bool:
-    """Return whether only room decides where a step's tasks may go."""
-    return not (step.most_per_worker or step.labels or step.gang)
-
-
 def _covers(need: fleet.Room, other: fleet.Room) -> bool:
     """Return whether a need is in all ways at least another one."""
     return need.fits(other)
--- /dev/null
+++ b/src/rackvalve/scheduling/sharing.py
@@ -0,0 +1,83 @@
+"""Tasks that share a worker: serving ones come first, filling ones yield.
+
+A task that fills uses what others leave, and slows a serving task beside it.
+Its pace is lowered when the tail of a serving task nears its limit, quickly
+and far when it is over, and raised step by step once there is room again.
+"""
+
+from __future__ import annotations
+
+from rackvalve.jobs import progress
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import workers
+
+FULL_PACE = 100
+# Share of the tail limit above which filling tasks yield.  The figure that a
+# worker tells is rough and half a second old.
+YIELD_AT = 0.85
+# Share of the limit above which they stop at once.
+STOP_AT = 1.1
+# Share of the limit below which they go faster again.
+RAISE_BELOW = 0.65
+# Steps of the pace, in percent.  A report comes twice a second, so that four
+# of them pass within the time that a serving task may be over its limit.
+LOWER_STEP = 50
+RAISE_STEP = 20
+
+
+def set_paces(
+    worker: workers.WorkerState, now: float, interval: float
+) -> list[messages.SetPace]:
+    """Decide the paces of the filling tasks on a worker.
+
+    :param worker: The worker, just after its report.
+    :param now: Present time, in seconds.
+    :param interval: Least time between two changes of a pace, in seconds.
+    """
+    fillers = [
+        placed
+        for placed in worker.runs.values()
+        if placed.step.uses_leftover
+        and placed.run.stage is progress.Stage.CONFIRMED
+    ]
+    if not fillers:
+        return []
+    pressure = _measure_pressure(worker)
+    orders = []
+    for placed in fillers:
+        wanted = _choose_pace(placed.run.pace, pressure)
+        if wanted == placed.run.pace or now - placed.run.paced < interval:
+            continue
+        placed.run.pace = wanted
+        placed.run.paced = now
+        orders.append(
+            messages.SetPace(
+                worker=worker.identity,
+                task=placed.full_name,
+                run=placed.run.number,
+                percent=wanted,
+            )
+        )
+    return orders
+
+
+def _measure_pressure(worker: workers.WorkerState) -> float:
+    """Return the worst tail on a worker, as a share of its limit."""
+    return max(
+        (
+            placed.run.load / 1000 / placed.step.tail_limit
+            for placed in worker.runs.values()
+            if placed.step.tail_limit and not placed.step.uses_leftover
+        ),
+        default=0.0,
+    )
+
+
+def _choose_pace(pace: int, pressure: float) -> int:
+    if pressure > STOP_AT:
+        return 0
+    if pressure > YIELD_AT:
+        return max(0, pace - LOWER_STEP)
+    if pressure < RAISE_BELOW:
+        return min(FULL_PACE, pace + RAISE_STEP)
+    return pace
