Serve counters and histograms; stand-ins speak the published protocol

Change: rackvalve.telemetry on metrics_listen, by prometheus_client; stand-ins for store, workers and VMs in standins/keyvalue.py, worker.py, site.py.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -19,6 +19,7 @@
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import upkeep as upkeeps
+from rackvalve import telemetry as telemetries
 
 PREFIX = "wave/"
 # Written before each order to a VM, under the condition of the ownership.
@@ -38,6 +39,7 @@
     :param book: The owner's book.
     :param writer: Writes records.
     :param fence: Fencing token.
+    :param telemetry: Counts orders and sizes.
     :param order_pause: Time without orders after the taking of the token, in
         seconds.
     :param on_change: Called when workers were closed or stops are wanted.
@@ -51,6 +53,7 @@
         writer: writers.Writer,
         fence: int,
         *,
+        telemetry: telemetries.Telemetry,
         order_pause: float,
         on_change: Callable[[], None],
     ) -> None:
@@ -59,6 +62,7 @@
         self._book = book
         self._writer = writer
         self._fence = fence
+        self._telemetry = telemetry
         self._on_change = on_change
         self._upkeep = upkeeps.Upkeep(book)
         self._sizing = sizings.Sizing(book, self._upkeep)
@@ -153,6 +157,8 @@
             return
         self._sizes_logged = now
         for name, size in self._sizing.pools.items():
+            self._telemetry.pool_demand.labels(name).set(size.demand)
+            self._telemetry.pool_size.labels(name).set(size.have)
             logs.write_event(
                 "pool.size",
                 pool=name,
@@ -181,6 +187,9 @@
         self._record_waves()
         self._confirm_ownership()
         outcome = self._machines.maintain(order.vm, order.wave, self._fence)
+        self._telemetry.vm_orders.labels(
+            "maintain", type(outcome).__name__
+        ).inc()
         now = clocks.read_steady()
         logs.write_event(
             "vm.maintained",
@@ -203,6 +212,7 @@
         """Move a VM to another pool."""
         self._confirm_ownership()
         outcome = self._machines.move(order.vm, order.pool, self._fence)
+        self._telemetry.vm_orders.labels("move", type(outcome).__name__).inc()
         size = self._sizing.pools.get(order.pool)
         logs.write_event(
             "vm.moved",
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -20,6 +20,7 @@
 from rackvalve.manager import timing
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import store as stores
+from rackvalve import telemetry as telemetries
 
 if TYPE_CHECKING:
     from rackvalve.manager import owner as owners
@@ -36,6 +37,7 @@
     :param store: The store.
     :param name: Name of this process, unlike those of all others.
     :param make_owner: Makes the owner for a fencing token.
+    :param telemetry: Counts the changes.
     :param on_contact: Called at each answer of the store.
     """
 
@@ -45,11 +47,13 @@
         name: str,
         *,
         make_owner: Callable[[int], owners.Owner],
+        telemetry: telemetries.Telemetry,
         on_contact: Callable[[], None],
     ) -> None:
         self._store = store
         self._name = name
         self._make_owner = make_owner
+        self._telemetry = telemetry
         self._on_contact = on_contact
         self._holder: stores.Item | None = None
         self._known = False
@@ -124,6 +128,7 @@
             return
         self._lease = lease.identity
         logs.write_event("ownership.taken", fence=fence)
+        self._telemetry.ownership.labels("taken").inc()
         self._owner = self._make_owner(fence)
         self._owner.start()
 
@@ -151,6 +156,7 @@
             logs.write_warning(
                 "ownership.lost", fence=owner.fence, reason=reason
             )
+            self._telemetry.ownership.labels("lost").inc()
             self._owner = None
             self._changed.set()
 
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -31,6 +31,7 @@
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import queues
 from rackvalve import servers
+from rackvalve import telemetry as telemetries
 
 _IDENTITY = re.compile(r"[0-9a-fA-F]{16}")
 _STATES = {
@@ -80,6 +81,7 @@
 
     :param store: The store.
     :param view: The operator's orders.
+    :param telemetry: Counts the answers.
     :param is_leaving: Whether this process is to end.
     """
 
@@ -87,14 +89,15 @@
         self,
         store: stores.Store,
         view: views.View,
+        telemetry: telemetries.Telemetry,
         *,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._store = store
         self._view = view
+        self._telemetry = telemetry
         self._is_leaving = is_leaving
         self.active = 0
-        self._waiting: dict[str, int] = {}
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -106,6 +109,10 @@
             reply = self._answer(environ, began)
         finally:
             self.active -= 1
+        method = environ["REQUEST_METHOD"]
+        taken = clocks.read_steady() - began
+        self._telemetry.calls.labels(method, int(reply.status)).inc()
+        self._telemetry.call_seconds.labels(method).observe(taken)
         headers = [("Content-Type", "application/json")]
         if reply.status in (
             http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -117,13 +124,13 @@
         if reply.reason:
             logs.write_event(
                 "call.answered",
-                method=environ["REQUEST_METHOD"],
+                method=method,
                 path=environ.get(servers.TARGET_KEY, "")[:200],
                 status=int(reply.status),
                 reason=reply.reason,
                 version=_version(self._view),
                 silence=round(self._view.silence(began), 3),
-                seconds=round(clocks.read_steady() - began, 4),
+                seconds=round(taken, 4),
             )
         start_response(f"{reply.status.value} {reply.status.phrase}", headers)
         return [reply.body]
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -40,6 +40,7 @@
 from rackvalve.scheduling import reports
 from rackvalve.scheduling import sharing
 from rackvalve.scheduling import workers
+from rackvalve import telemetry as telemetries
 
 WAITING_KEY = "waiting"
 # What an earlier owner may have extended just before it lost its rights.
@@ -57,6 +58,7 @@
     :param view: The operator's orders.
     :param fence: Fencing token.
     :param name: Name of this process, unlike those of all others.
+    :param telemetry: Counts what happens.
     :param machines: The platform's interface to its VMs.
     :param keep: How long ended jobs are kept, in seconds.
     :param order_pause: Time without orders to VMs after the taking of the
@@ -74,6 +76,7 @@
         fence: int,
         *,
         name: str,
+        telemetry: telemetries.Telemetry,
         machines: machine_clients.Machines,
         keep: float,
         order_pause: float,
@@ -83,6 +86,7 @@
     ) -> None:
         self._pace_interval = pace_interval
         self._adviser = adviser
+        self._telemetry = telemetry
         self._machines = machines
         self._order_pause = order_pause
         self._store = store
@@ -199,6 +203,7 @@
         if self._book is None or self.deposed:
             return
         if result is not messages.StartResult.STARTED:
+            self._telemetry.starts_rejected.labels(result.value).inc()
             logs.write_warning(
                 "run.rejected",
                 job=placed.state.identity,
@@ -326,6 +331,7 @@
             self._book,
             self._writer,
             self.fence,
+            telemetry=self._telemetry,
             order_pause=self._order_pause,
             on_change=self._wanted.set,
         )
@@ -585,13 +591,18 @@
     ) -> None:
         assert self._book is not None
         if phase in progress.FINAL:
+            taken = clocks.read_steady() - state.arrived
+            self._telemetry.jobs_ended.labels(state.queue, phase.value).inc()
+            self._telemetry.job_seconds.labels(
+                state.queue, phase.value
+            ).observe(taken)
             logs.write_event(
                 "job.ended",
                 job=state.identity,
                 queue=state.queue,
                 phase=phase.value,
                 reason=state.reason,
-                seconds=round(clocks.read_steady() - state.arrived, 3),
+                seconds=round(taken, 3),
             )
         self._book.take_recorded(state.identity, planned, clocks.read_steady())
         self._send_orders()
@@ -611,6 +622,7 @@
                 )
                 continue
             if isinstance(order, messages.StartRun):
+                self._count_start(order)
                 logs.write_event(
                     "run.ordered",
                     job=order.job,
@@ -636,8 +648,17 @@
                 )
             contact.send(order)
 
+    def _count_start(self, order: messages.StartRun) -> None:
+        assert self._book is not None
+        state = self._book.jobs[order.job]
+        self._telemetry.runs_ordered.labels(state.queue).inc()
+        if order.run == 1:
+            waited = clocks.read_steady() - state.arrived
+            self._telemetry.job_wait.labels(state.queue).observe(waited)
+
     def _log_ends(self) -> None:
         for end in self._handler.ended:
+            self._telemetry.runs_ended.labels(end.cause).inc()
             logs.write_event(
                 "run.ended",
                 task=end.task,
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -28,6 +28,7 @@
 from rackvalve.settings import catalog
 from rackvalve.settings import kinds
 from rackvalve.settings import reader
+from rackvalve import telemetry
 
 PROGRAM = "rackvalve-manager"
 SETTINGS_VARIABLE = "RACKVALVE_CONFIG"
@@ -56,8 +57,12 @@
             connections.HttpClient(address.host, address.port)
             for _ in range(2)
         ]
+        self._telemetry = telemetry.Telemetry()
         self._store = stores.Store(
-            self._clients[0], self._clients[1], timeout=timing.STORE_TIMEOUT_S
+            self._clients[0],
+            self._clients[1],
+            timeout=timing.STORE_TIMEOUT_S,
+            on_call=self._count_store_call,
         )
         machines = settings.get("manager", "machines", kinds.Address)
         self._machine_client = connections.HttpClient(
@@ -68,12 +73,16 @@
         )
         self._view = views.View()
         self._front = fronts.Front(
-            self._store, self._view, is_leaving=lambda: self._leaving
+            self._store,
+            self._view,
+            self._telemetry,
+            is_leaving=lambda: self._leaving,
         )
         self._election = election.Election(
             self._store,
             self._name,
             make_owner=self._make_owner,
+            telemetry=self._telemetry,
             on_contact=self._view.note_contact,
         )
 
@@ -88,6 +97,7 @@
         listeners = [
             self._listen("front_listen", self._front),
             self._listen("ready_listen", self._tell_ready),
+            self._listen("metrics_listen", self._telemetry.make_app()),
         ]
         operator = watchers.Watcher(
             self._store,
@@ -112,12 +122,16 @@
         server.start()
         return server
 
+    def _count_store_call(self, call: str, outcome: str) -> None:
+        self._telemetry.store_calls.labels(call, outcome).inc()
+
     def _make_owner(self, fence: int) -> owners.Owner:
         return owners.Owner(
             self._store,
             self._view,
             fence,
             name=self._name,
+            telemetry=self._telemetry,
             machines=self._machines,
             keep=self._settings.get("manager", "keep_time", float),
             order_pause=self._settings.get("manager", "order_pause", float),
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 import dataclasses
 from typing import TypeVar
 import urllib.parse
@@ -19,6 +20,14 @@
 STATUS_CONFLICT = 412
 STATUS_BUSY = frozenset({429, 503})
 
+_CALL_NAMES = (
+    ("/kv-key", "read"),
+    ("/kv-range", "range"),
+    ("/kv-lease-end", "end lease"),
+    ("/kv-lease", "open lease"),
+    ("/kv-keep", "renew lease"),
+)
+
 # The store's own limit of conditions, writes and removals in one commit.
 COMMIT_ENTRIES = 32
 # The answer to a waiting watch may be this late (seconds); a slow store takes
@@ -184,10 +193,12 @@
     """Calls the store.
 
     :param client: Connections to it.
+    :param watches: Connections for calls that wait.
     :param timeout: Longest wait for an answer, in seconds.
+    :param on_call: Told the name and the outcome of each call.
     """
 
-    __slots__ = ("_client", "_watches", "timeout")
+    __slots__ = ("_client", "_watches", "timeout", "_on_call")
 
     def __init__(
         self,
@@ -195,7 +206,9 @@
         watches: connections.HttpClient,
         *,
         timeout: float,
+        on_call: Callable[[str, str], None],
     ) -> None:
+        self._on_call = on_call
         self._client = client
         self._watches = watches
         self.timeout = timeout
@@ -254,6 +267,7 @@
             f"&wait-ms={int(wait * 1000)}"
         )
         raw = self._watches.exchange("GET", path, timeout=wait + WATCH_SLACK_S)
+        self._note("watch", raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
         if raw.status == STATUS_GONE:
@@ -298,6 +312,7 @@
         raw = self._client.exchange(
             "POST", "/kv-txn", body, timeout=self.timeout
         )
+        self._note("commit", raw)
         if isinstance(raw, connections.NoAnswer):
             if raw.sent:
                 return Unknown(reason=raw.reason)
@@ -353,10 +368,19 @@
             return answer
         return answer.status == STATUS_OK
 
+    def _note(
+        self, call: str, raw: connections.Answer | connections.NoAnswer
+    ) -> None:
+        if isinstance(raw, connections.Answer):
+            self._on_call(call, str(raw.status))
+        else:
+            self._on_call(call, "no answer")
+
     def _call(
         self, method: str, path: str, body: bytes = b""
     ) -> connections.Answer | Unavailable:
         raw = self._client.exchange(method, path, body, timeout=self.timeout)
+        self._note(_name_call(path), raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
         if raw.status not in (STATUS_OK, STATUS_MISSING):
@@ -364,6 +388,14 @@
         return raw
 
 
+def _name_call(path: str) -> str:
+    """Return what a call does, for counts."""
+    for prefix, name in _CALL_NAMES:
+        if path.startswith(prefix):
+            return name
+    return "other"
+
+
 def _decode(body: bytes, kind: type[T]) -> T | Unavailable:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/rackvalve/settings/catalog.py
+++ b/src/rackvalve/settings/catalog.py
@@ -123,6 +123,8 @@
      "Address on which callers hand in jobs."),
     ("manager", "ready_listen", kinds.Endpoint(), REQUIRED,
      "Address on which the balancer asks whether callers may come."),
+    ("manager", "metrics_listen", kinds.Endpoint(), REQUIRED,
+     "Address on which counters and histograms are told."),
     ("manager", "store", kinds.Endpoint(), REQUIRED,
      "Address of the platform's store."),
     ("manager", "machines", kinds.Endpoint(), REQUIRED,
--- /dev/null
+++ b/src/rackvalve/telemetry.py
@@ -0,0 +1,85 @@
+"""Counters and latency histograms of a manager, told as text on request.
+
+:data:`MEASURES` names every measure and its meaning; the reference page is
+made from it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import prometheus_client
+
+MEASURES: dict[str, str] = {
+    "rackvalve_store_calls_total": "counter by call, outcome: calls to the "
+    "platform's store",
+    "rackvalve_ownership_changes_total": "counter by change: taken, lost",
+    "rackvalve_calls_total": "counter by method, status: callers' requests",
+    "rackvalve_call_seconds": "histogram by method: time to the answer",
+    "rackvalve_runs_ordered_total": "counter by queue: runs that workers were "
+    "told to start",
+    "rackvalve_runs_ended_total": "counter by cause: ends of runs",
+    "rackvalve_starts_rejected_total": "counter by reason: starts that a "
+    "worker did not carry out",
+    "rackvalve_jobs_ended_total": "counter by queue, phase: jobs",
+    "rackvalve_job_wait_seconds": "histogram by queue: from a job's arrival "
+    "at the owner to the order of its first run",
+    "rackvalve_job_seconds": "histogram by queue, phase: from a job's arrival "
+    "at the owner to its last record",
+    "rackvalve_vm_orders_total": "counter by order, outcome: orders to VMs",
+    "rackvalve_pool_demand": "gauge by pool: demand, in VMs",
+    "rackvalve_pool_size": "gauge by pool: VMs that work for it",
+}
+# Bounds of the histograms, in seconds: from the store's answer (4 ms) to the
+# longest job of the users' sheets.
+BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+
+
+class Telemetry:
+    """The measures of one process."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self.store_calls = self._count("store_calls", "call", "outcome")
+        self.ownership = self._count("ownership_changes", "change")
+        self.calls = self._count("calls", "method", "status")
+        self.call_seconds = self._time("call_seconds", "method")
+        self.runs_ordered = self._count("runs_ordered", "queue")
+        self.runs_ended = self._count("runs_ended", "cause")
+        self.starts_rejected = self._count("starts_rejected", "reason")
+        self.jobs_ended = self._count("jobs_ended", "queue", "phase")
+        self.job_wait = self._time("job_wait_seconds", "queue")
+        self.job_seconds = self._time("job_seconds", "queue", "phase")
+        self.vm_orders = self._count("vm_orders", "order", "outcome")
+        self.pool_demand = self._gauge("pool_demand", "pool")
+        self.pool_size = self._gauge("pool_size", "pool")
+
+    def make_app(self) -> Callable[..., Any]:
+        """Make the WSGI application that tells the measures."""
+        return prometheus_client.make_wsgi_app(self._registry)
+
+    def _count(self, name: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"rackvalve_{name}",
+            MEASURES[f"rackvalve_{name}_total"],
+            labels,
+            registry=self._registry,
+        )
+
+    def _time(self, name: str, *labels: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"rackvalve_{name}",
+            MEASURES[f"rackvalve_{name}"],
+            labels,
+            registry=self._registry,
+            buckets=BOUNDS,
+        )
+
+    def _gauge(self, name: str, *labels: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"rackvalve_{name}",
+            MEASURES[f"rackvalve_{name}"],
+            labels,
+            registry=self._registry,
+        )
--- /dev/null
+++ b/standins/keyvalue.py
@@ -0,0 +1,214 @@
+"""Stand-in for the platform's store: items, commits, leases, watches.
+
+Faults on command (``POST /-/fault``): ``busy`` answers 503 and does nothing,
+``silent`` never answers, ``slow`` answers late, ``lost`` does the call and
+drops the answer, ``forget`` drops the history at once.
+"""
+
+from __future__ import annotations
+
+import base64
+import time
+import urllib.parse
+
+import gevent
+from gevent import event
+
+from standins import serving
+
+HISTORY_MOST = 10000
+PAGE_ITEMS = 500
+ENTRIES_MOST = 32
+SLOW_S = 0.2
+SILENCE_S = 3600.0
+
+
+class Store:
+    """The store, as a WSGI application."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.forgotten = 0
+        self.leases = {}
+        self.next_lease = 1
+        self.changed = event.Event()
+        self.fault = ""
+        self.calls = 0
+        gevent.spawn(self._expire_forever)
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/-/fault":
+            return self._set_fault(environ, start_response)
+        self.calls += 1
+        if self.fault == "busy":
+            return serving.answer_json(start_response, {}, "503 Busy")
+        if self.fault == "silent":
+            gevent.sleep(SILENCE_S)
+        if self.fault == "slow":
+            gevent.sleep(SLOW_S)
+        status, body = self._answer(environ, path)
+        if self.fault == "lost":
+            environ["standin.socket"].close()
+            raise OSError("the answer is lost")
+        return serving.answer_json(start_response, body, status)
+
+    def put(self, key, payload, lease=0):
+        """Write a key; also used by the site itself."""
+        self._commit([(key, payload, lease)], [])
+
+    def remove(self, key):
+        """Remove a key; also used by the site itself."""
+        self._commit([], [key])
+
+    def _set_fault(self, environ, start_response):
+        order = serving.read_json(environ)
+        if order.get("fault") == "forget":
+            self.forgotten = self.revision
+            self.history.clear()
+        elif "revoke" in order:
+            self.remove(order["revoke"])
+        else:
+            self.fault = order.get("fault", "")
+        return serving.answer_json(start_response, {"calls": self.calls})
+
+    def _answer(self, environ, path):
+        query = {
+            key: values[0]
+            for key, values in urllib.parse.parse_qs(
+                environ.get("QUERY_STRING", "")
+            ).items()
+        }
+        method = environ["REQUEST_METHOD"]
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            if item is None:
+                return "404 Missing", {}
+            return "200 OK", {**item, "at": self.revision}
+        if path == "/kv-range":
+            return "200 OK", self._read_range(query)
+        if path == "/kv-watch":
+            return self._watch(query)
+        if path == "/kv-txn":
+            return self._transact(serving.read_json(environ))
+        if path == "/kv-lease":
+            return self._open_lease(serving.read_json(environ))
+        number = int(path.rpartition("/")[2])
+        if number not in self.leases:
+            return "404 Over", {}
+        if method == "DELETE":
+            self._end_lease(number)
+            return "200 OK", {}
+        ttl = self.leases[number][0]
+        self.leases[number] = (ttl, time.monotonic() + ttl)
+        return "200 OK", {"ttl_ms": int(ttl * 1000)}
+
+    def _read_range(self, query):
+        prefix = query["path-prefix"]
+        after = query.get("after-rev", "")
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        return {
+            "items": found[:PAGE_ITEMS],
+            "more": len(found) > PAGE_ITEMS,
+            "at": self.revision,
+        }
+
+    def _watch(self, query):
+        after = int(query["after-rev"])
+        until = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return "410 Gone", {}
+            events = [
+                change
+                for change in self.history
+                if change["rev"] > after
+                and change["key"].startswith(query["path-prefix"])
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return "200 OK", {"events": events, "at": self.revision}
+            self.changed.wait(left)
+
+    def _transact(self, order):
+        conditions = order.get("expected-rev", [])
+        puts = order.get("put", [])
+        removals = order.get("remove", [])
+        if len(conditions) + len(puts) + len(removals) > ENTRIES_MOST:
+            return "400 Too many entries", {}
+        for condition in conditions:
+            item = self.items.get(condition["key"])
+            if (item["rev"] if item else 0) != condition["rev"]:
+                present = [
+                    self.items[row["key"]]
+                    for row in conditions
+                    if row["key"] in self.items
+                ]
+                return "412 Conflict", {"items": present}
+        for put in puts:
+            lease = put.get("lease", 0)
+            if lease and lease not in self.leases:
+                return "404 No such lease", {}
+        self._commit(
+            [
+                (
+                    put["key"],
+                    base64.b64decode(put["value"]),
+                    put.get("lease", 0),
+                )
+                for put in puts
+            ],
+            removals,
+        )
+        return "200 OK", {"rev": self.revision}
+
+    def _commit(self, puts, removals):
+        self.revision += 1
+        for key, payload, lease in puts:
+            known = self.items.get(key)
+            item = {
+                "key": key,
+                "value": base64.b64encode(payload).decode(),
+                "rev": self.revision,
+                "made": known["made"] if known else self.revision,
+                "lease": lease,
+            }
+            self.items[key] = item
+            self.history.append(item)
+        for key in removals:
+            if self.items.pop(key, None) is not None:
+                self.history.append(
+                    {"key": key, "rev": self.revision, "gone": True}
+                )
+        del self.history[:-HISTORY_MOST]
+        woken, self.changed = self.changed, event.Event()
+        woken.set()
+
+    def _open_lease(self, order):
+        ttl = order["ttl_ms"] / 1000
+        number = self.next_lease
+        self.next_lease += 1
+        self.leases[number] = (ttl, time.monotonic() + ttl)
+        return "200 OK", {"lease": number, "ttl_ms": order["ttl_ms"]}
+
+    def _end_lease(self, number):
+        del self.leases[number]
+        keys = [
+            key for key, item in self.items.items() if item["lease"] == number
+        ]
+        if keys:
+            self._commit([], keys)
+
+    def _expire_forever(self):
+        while True:
+            gevent.sleep(0.05)
+            now = time.monotonic()
+            for number, (_, until) in list(self.leases.items()):
+                if now >= until and not self.fault:
+                    self._end_lease(number)
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,178 @@
+"""Stand-in for the users' platform: the store, VMs and their workers.
+
+One process on loopback speaks the published protocol, takes the operator's
+documents and faults by ``POST /-/order``, and tells at ``GET /-/journal``
+what the workers did, in order.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+
+from standins import keyvalue  # noqa: E402
+from standins import serving  # noqa: E402
+from standins import worker as workers  # noqa: E402
+
+HOST = "127.0.0.1"
+AWAY_S = 0.3
+WORKER_PREFIX = "servers/"
+
+
+class Site:
+    """Everything that the platform runs."""
+
+    def __init__(self, pools, first_port, capacity):
+        self.host = HOST
+        self.store = keyvalue.Store()
+        self.capacity = capacity
+        self.journal = []
+        self.machines = {}
+        self.orders = []
+        port = first_port
+        for pool, count in pools.items():
+            for _ in range(count):
+                name = f"m-{port}"
+                self.machines[name] = {
+                    "pool": pool,
+                    "port": port,
+                    "state": "up",
+                    "worker": None,
+                }
+                self.start_worker(name)
+                port += 1
+
+    def note(self, kind, worker, task, run, detail):
+        """Write down what a worker did."""
+        self.journal.append(
+            [time.monotonic(), kind, worker.identity, task, run, detail]
+        )
+
+    def start_worker(self, name):
+        """Begin a new life on a VM."""
+        machine = self.machines[name]
+        life = workers.Worker(
+            self, name, machine["pool"], machine["port"], self.capacity
+        )
+        life.server = serving.make_server(HOST, machine["port"], life)
+        life.server.start()
+        machine["worker"] = life
+        machine["state"] = "up"
+        self.store.put(
+            WORKER_PREFIX + life.identity,
+            json.dumps(life.describe()).encode(),
+        )
+
+    def end_worker(self, name):
+        """End the life on a VM."""
+        life = self.machines[name]["worker"]
+        if life is None:
+            return
+        life.end()
+        life.server.stop(timeout=0)
+        self.store.remove(WORKER_PREFIX + life.identity)
+        self.machines[name]["worker"] = None
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/machines":
+            return serving.answer_json(start_response, self._list())
+        if path in ("/machine-move", "/machine-upkeep"):
+            order = serving.read_json(environ)
+            status, body = self._order(environ, path, order)
+            return serving.answer_json(start_response, body, status)
+        if path == "/-/order":
+            body = self._obey(serving.read_json(environ))
+            return serving.answer_json(start_response, body)
+        if path == "/-/journal":
+            return serving.answer_json(
+                start_response,
+                {"journal": self.journal, "orders": self.orders},
+            )
+        return self.store(environ, start_response)
+
+    def _list(self):
+        return {
+            "machines": [
+                {
+                    "machine": name,
+                    "pool": machine["pool"],
+                    "state": machine["state"],
+                    "zone": "hall-1",
+                    "labels": ["a", "r1"],
+                    "capacity": self.capacity,
+                    "id": (
+                        machine["worker"].identity
+                        if machine["worker"]
+                        else None
+                    ),
+                }
+                for name, machine in self.machines.items()
+            ],
+            "next-token": None,
+        }
+
+    def _order(self, environ, path, order):
+        machine = self.machines.get(order["machine"])
+        if machine is None:
+            return "400 Unknown", {}
+        if machine["state"] != "up":
+            return "409 Busy", {"reason": "busy"}
+        self.orders.append(
+            [
+                time.monotonic(),
+                path,
+                order["machine"],
+                environ["HTTP_LEASE_HOLDER"],
+                int(environ["HTTP_FENCING_TOKEN"]),
+                len(machine["worker"].running),
+            ]
+        )
+        self.end_worker(order["machine"])
+        machine["state"] = "moving" if "pool" in order else "upkeep"
+        machine["pool"] = order.get("pool", machine["pool"])
+        gevent.spawn_later(AWAY_S, self.start_worker, order["machine"])
+        return "200 OK", {}
+
+    def _obey(self, order):
+        if "put" in order:
+            self.store.put(order["put"], json.dumps(order["value"]).encode())
+        if "fault" in order:
+            machine = self.machines[order["machine"]]
+            if machine["worker"] is not None:
+                machine["worker"].fault = order["fault"]
+        if "crash" in order:
+            self.end_worker(order["crash"])
+            gevent.spawn_later(AWAY_S, self.start_worker, order["crash"])
+        return {}
+
+
+def main():
+    """Serve until killed."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--first-worker-port", type=int, required=True)
+    parser.add_argument("--pools", required=True, help="pool=3,other=2")
+    parser.add_argument("--cpu", type=int, default=8000)
+    options = parser.parse_args()
+    pools = {
+        name: int(count)
+        for name, _, count in (
+            part.partition("=") for part in options.pools.split(",")
+        )
+    }
+    capacity = {"cpu": options.cpu, "mem-mb": 100000, "gpu": 0}
+    site = Site(pools, options.first_worker_port, capacity)
+    serving.make_server(HOST, options.port, site).start()
+    serving.serve_until_killed()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,194 @@
+"""Stand-in for workers: each runs tasks under leases and fencing tokens.
+
+A task's spec says how long it works: ``work_ms=200``, ``fail`` to fail each
+time.  What each worker did stands in the site's journal of starts and ends.
+Faults on command: ``dead`` neither answers nor runs on, ``silent`` does not
+answer and runs on, ``late`` leaves orders unanswered and carries them out
+after a while.
+"""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+import gevent
+from gevent import event
+
+from standins import serving
+
+TICK_S = 0.005
+LATE_S = 1.0
+SILENCE_S = 3600.0
+HOLD_MOST_S = 10.0
+STOP_S = 0.05
+
+
+class Worker:
+    """One life of a worker, as a WSGI application."""
+
+    def __init__(self, site, machine, pool, port, capacity):
+        self.site = site
+        self.identity = f"i-{uuid.uuid4().hex[:10]}"
+        self.machine = machine
+        self.pool = pool
+        self.port = port
+        self.capacity = capacity
+        self.fault = ""
+        self.fence = 0
+        self.lease = 0.0
+        self.running = {}
+        self.ended = []
+        self.count = 0
+        self.sealed = {}
+        self.happened = event.Event()
+        self.alive = True
+        self.server = None
+        gevent.spawn(self._work_forever)
+
+    def describe(self):
+        """Return the entry that it writes about itself."""
+        return {
+            "service": self.pool,
+            "addr": f"{self.site.host}:{self.port}",
+            "zone": "hall-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-left-ms": 0,
+            "capacity": self.capacity,
+            "labels": ["a", "r1"],
+            "machine": self.machine,
+            "clock-ms": int(self.clock() * 1000),
+            "seq": 1,
+        }
+
+    def clock(self):
+        return time.monotonic()
+
+    def end(self):
+        """End this life; all that runs dies."""
+        self.alive = False
+        for task, run in list(self.running):
+            self.site.note("end", self, task, run, "died")
+        self.running.clear()
+
+    def __call__(self, environ, start_response):
+        order = serving.read_json(environ)
+        if self.fault in ("dead", "silent"):
+            gevent.sleep(SILENCE_S)
+        if environ.get("HTTP_EXPECT_INSTANCE") != self.identity:
+            return serving.answer_json(start_response, {}, "421 Other life")
+        path = environ["PATH_INFO"]
+        if self.fault == "late" and path != "/hold":
+            gevent.spawn_later(LATE_S, self._carry_out, path, order)
+            gevent.sleep(SILENCE_S)
+        status, body = self._carry_out(path, order)
+        return serving.answer_json(start_response, body, status)
+
+    def _carry_out(self, path, order):
+        if not self.alive:
+            return "421 Other life", {}
+        self._lapse()
+        if order.get("fence", 0) < self.fence:
+            return self._reject("fence")
+        self.fence = max(self.fence, order.get("fence", 0))
+        if path == "/run-start":
+            return self._start(order)
+        if path == "/run-stop":
+            return self._stop(order)
+        if path == "/hold":
+            return self._hold(order)
+        return "200 OK", self._clock_body()
+
+    def _start(self, order):
+        key = (order["task"], order["run"])
+        until = order["until-ms"] / 1000
+        if key in self.running:
+            return "200 OK", self._clock_body()
+        if order["run"] <= self.sealed.get(order["task"], 0):
+            return self._reject("old")
+        if until <= self.clock():
+            return self._reject("late")
+        self._extend(until)
+        self.site.note("start", self, *key, order["spec"])
+        words = dict(
+            word.partition("=")[::2] for word in order["spec"].split()
+        )
+        self.running[key] = {
+            "began": self.clock(),
+            "work": int(words.get("work_ms", "50")) / 1000,
+            "fail": "fail" in words,
+            "stopped": 0.0,
+        }
+        return "200 OK", self._clock_body()
+
+    def _stop(self, order):
+        task, run = order["task"], order["run"]
+        self.sealed[task] = max(run, self.sealed.get(task, 0))
+        running = self.running.get((task, run))
+        if running is not None and not running["stopped"]:
+            running["stopped"] = self.clock() + STOP_S
+        return "200 OK", self._clock_body()
+
+    def _hold(self, order):
+        if "until-ms" in order:
+            self._extend(order["until-ms"] / 1000)
+        self.ended = [row for row in self.ended if row[0] > order["last-seen"]]
+        until = time.monotonic() + order.get("wait-ms", 0) / 1000
+        while not self.ended and self.alive:
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            self.happened.wait(left)
+        running = [
+            [task, run, "", self._percent(state), 0]
+            for (task, run), state in self.running.items()
+        ]
+        return "200 OK", {
+            **self._clock_body(),
+            "running": running,
+            "ended": self.ended,
+        }
+
+    def _percent(self, state):
+        done = (self.clock() - state["began"]) / max(state["work"], 0.001)
+        return min(100, int(100 * done))
+
+    def _extend(self, until):
+        self.lease = max(self.lease, min(until, self.clock() + HOLD_MOST_S))
+
+    def _reject(self, reason):
+        return "409 Rejected", {**self._clock_body(), "reason": reason}
+
+    def _clock_body(self):
+        return {"clock-ms": int(self.clock() * 1000)}
+
+    def _lapse(self):
+        if self.clock() >= self.lease:
+            for key in list(self.running):
+                self._finish(key, "lapsed")
+
+    def _work_forever(self):
+        while self.alive:
+            gevent.sleep(TICK_S)
+            if self.fault == "dead":
+                continue
+            self._lapse()
+            now = self.clock()
+            for key, state in list(self.running.items()):
+                if state["stopped"]:
+                    if now >= state["stopped"]:
+                        self._finish(key, "stopped")
+                elif now - state["began"] >= state["work"]:
+                    self._finish(key, "failed" if state["fail"] else "done")
+
+    def _finish(self, key, how):
+        task, run = key
+        del self.running[key]
+        self.site.note("end", self, task, run, how)
+        self.sealed[task] = max(run, self.sealed.get(task, 0))
+        self.count += 1
+        self.ended.append([self.count, task, run, how, ""])
+        woken, self.happened = self.happened, event.Event()
+        woken.set()
--- /dev/null
+++ b/tools/site.py
@@ -0,0 +1,250 @@
+"""Starts a small site: the platform's stand-in and some managers."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+from tools import fleet as fleets
+
+POOLS = {"lookups": 3, "rebuilds": 2, "spare": 1}
+QUEUES = {"lookup": "lookups", "rebuild": "rebuilds"}
+START_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 40.0
+FINAL = ("completed", "failed", "cancelled")
+
+
+class Site:
+    """Processes of one small site on loopback.
+
+    :param managers: How many managers to run.
+    :param pools: Number of VMs by pool; the pool ``spare`` holds spare VMs.
+    """
+
+    def __init__(self, managers=3, pools=None):
+        self.pools = pools or POOLS
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rackvalve-site-"))
+        self.port = fleets.find_port()
+        self.version = 1
+        self.jobs = 0
+        self.platform = None
+        self.managers = [self._make_manager(n) for n in range(managers)]
+
+    def start(self):
+        """Start all processes and wait until one manager is ready."""
+        first = self._find_ports(sum(self.pools.values()))
+        pools = ",".join(f"{pool}={n}" for pool, n in self.pools.items())
+        self.platform = fleets.Process(
+            "site",
+            [
+                sys.executable,
+                "-m",
+                "standins.site",
+                f"--port={self.port}",
+                f"--first-worker-port={first}",
+                f"--pools={pools}",
+            ],
+            str(self.folder / "site.log"),
+        )
+        self.platform.start()
+        self._wait(lambda: self.order({}) is not None, "the platform")
+        self.configure()
+        for manager in self.managers:
+            manager["process"].start()
+        self._wait(
+            lambda: all(self._is_ready(m) for m in self.managers),
+            "the managers",
+        )
+
+    def stop(self):
+        """End all processes."""
+        for manager in self.managers:
+            if manager["process"].popen is not None:
+                manager["process"].resume()
+                manager["process"].kill()
+        if self.platform is not None and self.platform.popen is not None:
+            self.platform.kill()
+
+    def configure(self, queues=None):
+        """Write the operator's configuration."""
+        queues = QUEUES if queues is None else queues
+        routes = [
+            {
+                "name": name,
+                "host": "jobs.example",
+                "path-prefix": f"/{name}/",
+                "service": pool,
+                "priority": 0,
+                "max-attempts": 3,
+                "stretch": 2.0,
+                "target-latency-ms": 600,
+                "timeout-ms": 3000,
+            }
+            for name, pool in queues.items()
+        ]
+        services = [
+            {
+                "name": pool,
+                "admission-check": True,
+                "spare": pool == "spare",
+            }
+            for pool in self.pools
+        ]
+        self.version += 1
+        self.order(
+            {
+                "put": "op/config",
+                "value": {
+                    "version": self.version,
+                    "routes": routes,
+                    "services": services,
+                    "limits": {"max-body-bytes": 65536},
+                },
+            }
+        )
+
+    def order(self, order):
+        """Give the platform's stand-in an order."""
+        return self._call(self.port, "POST", "/-/order", order)
+
+    def set_store_fault(self, fault):
+        """Let the store fail in some way; empty for none."""
+        return self._call(self.port, "POST", "/-/fault", {"fault": fault})
+
+    def revoke(self, key):
+        """Take a key away from its holder."""
+        return self._call(self.port, "POST", "/-/fault", {"revoke": key})
+
+    def journal(self):
+        """Return what workers did and what VMs were told."""
+        return self._call(self.port, "GET", "/-/journal")
+
+    def submit(self, queue, steps, spec="work_ms=50", manager=None):
+        """Hand a job in, at any manager, until it is accepted.
+
+        :return: The job's identifier.
+        """
+        self.jobs += 1
+        identity = f"{self.jobs:016x}"
+        body = {"spec": spec, "steps": steps}
+        until = time.monotonic() + END_TIMEOUT_S
+        while time.monotonic() < until:
+            for one in [manager] if manager else self.managers:
+                reply = self.call(one, "POST", f"/{queue}/{identity}", body)
+                if reply is not None and reply.status == 200:
+                    return identity
+            time.sleep(0.05)
+        raise TimeoutError(f"job {identity} is not accepted")
+
+    def state(self, queue, identity):
+        """Return a job's state, at the first manager that tells it."""
+        for manager in self.managers:
+            reply = self.call(manager, "GET", f"/{queue}/{identity}")
+            if reply is not None and reply.status == 200:
+                return json.loads(reply.body)["state"]
+            if reply is not None and reply.status == 410:
+                return "gone"
+        return "unknown"
+
+    def wait_final(self, queue, identity):
+        """Wait until a job has ended and return its state."""
+        until = time.monotonic() + END_TIMEOUT_S
+        while time.monotonic() < until:
+            state = self.state(queue, identity)
+            if state in FINAL:
+                return state
+            time.sleep(0.05)
+        return self.state(queue, identity)
+
+    def owner(self):
+        """Return the manager that owns the scheduling, or ``None``."""
+        found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
+        if found.status != 200:
+            return None
+        import base64
+
+        value = base64.b64decode(json.loads(found.body)["value"]).decode()
+        for manager in self.managers:
+            if manager["vm"] == value.split()[0]:
+                return manager
+        return None
+
+    def call(self, manager, method, path, body=None, headers=None):
+        """Call a manager as a caller would; ``None`` without an answer."""
+        text = b"" if body is None else json.dumps(body).encode()
+        if isinstance(body, bytes):
+            text = body
+        try:
+            return fleets.call(
+                manager["front"],
+                method,
+                path,
+                text,
+                {"Host": "jobs.example", **(headers or {})},
+                timeout=3.0,
+            )
+        except OSError:
+            return None
+
+    def _make_manager(self, number):
+        vm = f"vm-{number + 1}"
+        front, ready = fleets.find_port(), fleets.find_port()
+        metrics = fleets.find_port()
+        settings = self.folder / f"{vm}.ini"
+        settings.write_text(
+            "[instance]\n"
+            f"vm = {vm}\n"
+            "hall = hall-1\n"
+            "[manager]\n"
+            f"front_listen = 127.0.0.1:{front}\n"
+            f"ready_listen = 127.0.0.1:{ready}\n"
+            f"metrics_listen = 127.0.0.1:{metrics}\n"
+            f"store = 127.0.0.1:{self.port}\n"
+            f"machines = 127.0.0.1:{self.port}\n"
+            "order_pause = 500ms\n"
+        )
+        process = fleets.Process(
+            vm,
+            [str(fleets.BIN / "rackvalve-manager"), str(settings)],
+            str(self.folder / f"{vm}.log"),
+        )
+        return {
+            "vm": vm,
+            "front": front,
+            "ready": ready,
+            "metrics": metrics,
+            "process": process,
+        }
+
+    def _is_ready(self, manager):
+        try:
+            reply = fleets.call(manager["ready"], "GET", "/ready", timeout=2.0)
+        except OSError:
+            return False
+        return reply.status == 200
+
+    def _call(self, port, method, path, body=None):
+        text = b"" if body is None else json.dumps(body).encode()
+        try:
+            reply = fleets.call(port, method, path, text, timeout=5.0)
+        except OSError:
+            return None
+        return json.loads(reply.body)
+
+    def _wait(self, condition, what):
+        until = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{what} did not start; see {self.folder}")
+
+    def _find_ports(self, count):
+        """Return the first of some ports in a row that seem free."""
+        while True:
+            first = fleets.find_port()
+            if first + count < 65536:
+                return first
