Let a retried start keep its lease; test the managers as processes

Cause: a new scenario with a worker that is cut off and runs on did not end: each retry of an unanswered start asked for a new lease, so that the silent worker's runs were never proved over. Ruled out: the worker's own lease: it lapsed in the stand-in.

--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -193,30 +193,48 @@
         """
         key = (f"{order.job}.{order.task}", order.run)
         uncertain = False
+        until: float | None = None
         while True:
             placed = self._worker.runs.get(key)
             if placed is None or placed.run.stop_wanted:
                 return
-            outcome = self._try_start(placed)
+            if until is None:
+                until = self._lease_until()
+            outcome = self._try_start(placed, until)
             result = self._judge_start(outcome, uncertain)
             if result is not None:
                 self._owner.take_start(placed, result, uncertain)
                 return
             if isinstance(outcome, connections.NoAnswer) and outcome.sent:
                 uncertain = True
+            if isinstance(outcome, clients.Rejected):
+                # Its lease is over on the worker's clock; ask for a new one.
+                until = None
             gevent.sleep(timing.ORDER_PAUSE_S)
 
-    def _try_start(self, placed: workers.Placed) -> clients.Outcome:
+    def _lease_until(self) -> float | None:
+        """Return the end of a lease that begins now, on the worker's clock.
+
+        An order that is tried again keeps its lease: each new one would put
+        off the time at which a silent worker's runs are proved over.
+        """
         now = clocks.read_steady()
         shown = self._clock.read(now)
         if shown is None:
-            return connections.NoAnswer(reason="clock unknown", sent=False)
+            return None
         self._worker.note_extension(now, timing.WORKER_LEASE_S)
+        return shown + timing.WORKER_LEASE_S
+
+    def _try_start(
+        self, placed: workers.Placed, until: float | None
+    ) -> clients.Outcome:
+        if until is None:
+            return connections.NoAnswer(reason="clock unknown", sent=False)
         return self._client.start(
             task=placed.full_name,
             run=placed.run.number,
             spec=placed.state.job.spec,
-            lease_until=shown + timing.WORKER_LEASE_S,
+            lease_until=until,
             fence=self._owner.fence,
             checkpoint=placed.task.checkpoint,
             ticket=placed.run.ticket,
--- a/standins/site.py
+++ b/standins/site.py
@@ -29,16 +29,16 @@
 class Site:
     """Everything that the platform runs."""
 
-    def __init__(self, pools, first_port, capacity):
+    def __init__(self, pools, ports, capacity):
         self.host = HOST
         self.store = keyvalue.Store()
         self.capacity = capacity
         self.journal = []
         self.machines = {}
         self.orders = []
-        port = first_port
         for pool, count in pools.items():
             for _ in range(count):
+                port = ports.pop()
                 name = f"m-{port}"
                 self.machines[name] = {
                     "pool": pool,
@@ -47,7 +47,6 @@
                     "worker": None,
                 }
                 self.start_worker(name)
-                port += 1
 
     def note(self, kind, worker, task, run, detail):
         """Write down what a worker did."""
@@ -158,7 +157,7 @@
     """Serve until killed."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--first-worker-port", type=int, required=True)
+    parser.add_argument("--worker-ports", required=True, help="1,2,3")
     parser.add_argument("--pools", required=True, help="pool=3,other=2")
     parser.add_argument("--cpu", type=int, default=8000)
     options = parser.parse_args()
@@ -169,7 +168,8 @@
         )
     }
     capacity = {"cpu": options.cpu, "mem-mb": 100000, "gpu": 0}
-    site = Site(pools, options.first_worker_port, capacity)
+    ports = [int(port) for port in options.worker_ports.split(",")]
+    site = Site(pools, ports, capacity)
     serving.make_server(HOST, options.port, site).start()
     serving.serve_until_killed()
 
--- a/tools/site.py
+++ b/tools/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import pathlib
 import sys
@@ -35,7 +36,7 @@
 
     def start(self):
         """Start all processes and wait until one manager is ready."""
-        first = self._find_ports(sum(self.pools.values()))
+        ports = [fleets.find_port() for _ in range(sum(self.pools.values()))]
         pools = ",".join(f"{pool}={n}" for pool, n in self.pools.items())
         self.platform = fleets.Process(
             "site",
@@ -44,7 +45,7 @@
                 "-m",
                 "standins.site",
                 f"--port={self.port}",
-                f"--first-worker-port={first}",
+                "--worker-ports=" + ",".join(map(str, ports)),
                 f"--pools={pools}",
             ],
             str(self.folder / "site.log"),
@@ -164,8 +165,6 @@
         found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
         if found.status != 200:
             return None
-        import base64
-
         value = base64.b64decode(json.loads(found.body)["value"]).decode()
         for manager in self.managers:
             if manager["vm"] == value.split()[0]:
@@ -174,9 +173,10 @@
 
     def call(self, manager, method, path, body=None, headers=None):
         """Call a manager as a caller would; ``None`` without an answer."""
-        text = b"" if body is None else json.dumps(body).encode()
         if isinstance(body, bytes):
             text = body
+        else:
+            text = b"" if body is None else json.dumps(body).encode()
         try:
             return fleets.call(
                 manager["front"],
@@ -241,10 +241,3 @@
                 return
             time.sleep(0.05)
         raise TimeoutError(f"{what} did not start; see {self.folder}")
-
-    def _find_ports(self, count):
-        """Return the first of some ports in a row that seem free."""
-        while True:
-            first = fleets.find_port()
-            if first + count < 65536:
-                return first
