Split the owner: intake of jobs, roster of workers, recorder

A VM's name in an event overwrote the name of the process's own VM. Change: manager/intake.py, roster.py, recorder.py; Resources and Rules carry what the owner needs; models and bench of the tests in files of their own; tools/names.py and an import rule hold that wire names stay in the adapter.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/python -m tools.lengths
+	$(BIN)/python -m tools.names
 
 demo: .venv/ready
 	$(BIN)/python -m tools.demo
--- /dev/null
+++ b/features/job_bench.py
@@ -0,0 +1,161 @@
+"""A book whose workers answer as a test tells them to."""
+
+from __future__ import annotations
+
+from features import job_models as models
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.manager import timing
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import planner as planners
+from rackvalve.scheduling import reports
+
+IDENTITY = "00000000000000aa"
+
+
+class Bench:
+    """A book with workers that answer as the test tells them to."""
+
+    def __init__(self, names, capacity=None, racks=None, labels=None):
+        self.now = 1000.0
+        self.book = books.Book(
+            models.CONFIGURATION, inherited_lease=5.0, now=self.now
+        )
+        self.handler = reports.Handler(
+            self.book, early=0.0, lease=timing.WORKER_LEASE_S
+        )
+        self.planner = planners.Planner(
+            self.book,
+            planners.Limits(freshness=timing.FRESHNESS_S, early=0.0),
+        )
+        self.numbers = dict.fromkeys(names, 0)
+        for name in names:
+            self.book.set_entry(
+                fleet.Entry(
+                    identity=name,
+                    pool=models.POOL,
+                    host="",
+                    port=0,
+                    hall="",
+                    vm=name,
+                    rack=(racks or {}).get(name, "r"),
+                    labels=frozenset((labels or {}).get(name, ())),
+                    capacity=capacity or models.CAPACITY,
+                    draining=False,
+                    remaining=None,
+                )
+            )
+            self.report(name)
+
+    def report(self, name, running=(), ended=()):
+        worker = self.book.workers[name]
+        rows = []
+        for full, run, ending in ended:
+            self.numbers[name] += 1
+            rows.append(
+                reports.EndedRow(
+                    number=self.numbers[name],
+                    task=full,
+                    run=run,
+                    ending=ending,
+                    cause=ending.value,
+                    checkpoint="",
+                )
+            )
+        self.handler.take(
+            worker,
+            reports.Report(
+                sent=self.now, running=tuple(running), ended=tuple(rows)
+            ),
+            now=self.now,
+            wall=self.now,
+        )
+
+    def add(self, *steps, identity=IDENTITY, **fields):
+        state = progress.JobState(
+            identity,
+            "queue",
+            definition.Job(spec="x", steps=tuple(steps), **fields),
+            self.now,
+        )
+        self.book.add_job(state, self.now, self.now, 0.0)
+        return state
+
+    def plan(self):
+        """Plan, record, and have all starts confirmed."""
+        self.planner.find_stuck(self.now)
+        self.planner.plan(self.now, self.now)
+        for state in self.book.jobs.values():
+            planned = [
+                (task.name, run.number)
+                for task in state.tasks.values()
+                for run in task.runs.values()
+                if run.stage is progress.Stage.PLANNED
+            ]
+            self.book.take_recorded(state.identity, planned, self.now)
+
+    def starts(self):
+        """Take the starts ordered so far."""
+        found = [
+            order
+            for order in self.book.orders
+            if isinstance(order, messages.StartRun)
+        ]
+        for order in found:
+            self.book.orders.remove(order)
+        return found
+
+    def stops(self):
+        return [
+            order
+            for order in self.book.orders
+            if isinstance(order, messages.StopRun)
+        ]
+
+    def confirm(self, order):
+        placed = self.placed(order)
+        self.book.take_start(
+            placed,
+            messages.StartResult.STARTED,
+            uncertain=False,
+            now=self.now,
+        )
+        return placed
+
+    def placed(self, order):
+        worker = self.book.workers[order.worker]
+        return worker.runs[f"{order.job}.{order.task}", order.run]
+
+    def start_all(self):
+        self.plan()
+        orders = self.starts()
+        for order in orders:
+            self.confirm(order)
+        return orders
+
+    def end(self, order, ending):
+        self.now += 0.05
+        self.report(
+            order.worker,
+            self.rows(order.worker, order),
+            [(f"{order.job}.{order.task}", order.run, ending)],
+        )
+
+    def rows(self, name, without=None):
+        """List what runs on a worker, with progress that moves."""
+        found = []
+        for (full, run), placed in self.book.workers[name].runs.items():
+            if without is not None and run == without.run:
+                continue
+            found.append(
+                reports.RunningRow(
+                    task=full,
+                    run=run,
+                    checkpoint="",
+                    percent=placed.run.percent + 1,
+                    load=0.0,
+                )
+            )
+        return found
--- /dev/null
+++ b/features/job_models.py
@@ -0,0 +1,229 @@
+"""Small models of the platform: a store, workers with leases and tokens.
+
+The checks of a history look only at what these workers did.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from rackvalve.jobs import definition
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import reports
+
+POOL = "pool"
+QUEUE = queues.Queue(
+    name="queue",
+    host="h",
+    prefix="/q/",
+    pool=POOL,
+    priority=0,
+    attempts=3,
+    stretch=2.0,
+    allowance=1.0,
+    advice=None,
+)
+CONFIGURATION = queues.Configuration(
+    version=1,
+    queues=(QUEUE,),
+    pools={POOL: queues.Pool(name=POOL, guarded=True, spare=False)},
+    body_limit=1000,
+)
+CAPACITY = fleet.Room(cpu=4, memory=4, gpu=0)
+# A worker's clock may be this much slower than ours.
+SLOWEST = 0.98
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Rules:
+    """Which parts of the rule the history keeps.
+
+    :param fence: Whether workers compare fencing tokens.
+    :param record: Whether a run is recorded before it is ordered.
+    :param proof: Whether silent workers are waited for.
+    :param acknowledge: Whether ends are acknowledged only once recorded.
+    """
+
+    fence: bool = True
+    record: bool = True
+    proof: bool = True
+    acknowledge: bool = True
+
+
+class Violation(Exception):
+    """A promise was broken; the text says which."""
+
+
+class World:
+    """What callers and workers have seen, for the checks."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.jobs: dict[str, definition.Job] = {}
+        self.running: dict[str, set[tuple[str, int]]] = {}
+        # Tasks whose good end a worker was told to forget.
+        self.settled: set[str] = set()
+        self.done: set[str] = set()
+        self.failures: dict[str, int] = {}
+        self.completed: set[str] = set()
+        self.starts = 0
+
+    def check_start(self, worker: str, task: str, run: int) -> None:
+        self.starts += 1
+        others = {key for key in self.running.get(task, set())}
+        if others:
+            raise Violation(f"{task} runs twice: {others} and {worker}")
+        if task in self.settled:
+            raise Violation(f"{task} starts after its end was settled")
+        identity, _, rest = task.partition(".")
+        if identity in self.completed:
+            raise Violation(f"{task} starts after its job is completed")
+        name = definition.parse_task_name(rest)
+        step = self.jobs[identity].steps[name.step]
+        for earlier in step.after:
+            for index in range(self.jobs[identity].steps[earlier].tasks):
+                if f"{identity}.0.{earlier}.{index}" not in self.done:
+                    raise Violation(f"{task} starts before step {earlier}")
+        self.running.setdefault(task, set()).add((worker, run))
+
+    def check_end(self, worker: str, task: str, run: int) -> None:
+        self.running.get(task, set()).discard((worker, run))
+
+
+class FakeWorker:
+    """One life of a worker, with the platform's rules."""
+
+    def __init__(self, world: World, identity: str, rules: Rules, rate: float):
+        self.world = world
+        self.identity = identity
+        self.rules = rules
+        self.rate = rate
+        self.started = world.now
+        self.fence = 0
+        self.running: dict[tuple[str, int], float] = {}
+        self.ended: list[reports.EndedRow] = []
+        self.sealed: dict[str, int] = {}
+        self.lease = 0.0
+        self.count = 0
+        self.alive = True
+
+    def clock(self) -> float:
+        return (self.world.now - self.started) * self.rate
+
+    def entry(self) -> fleet.Entry:
+        return fleet.Entry(
+            identity=self.identity,
+            pool=POOL,
+            host="",
+            port=0,
+            hall="",
+            vm=self.identity,
+            rack="",
+            labels=frozenset(),
+            capacity=CAPACITY,
+            draining=False,
+            remaining=None,
+        )
+
+    def takes(self, fence: int) -> bool:
+        if fence < self.fence and self.rules.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        return True
+
+    def start(
+        self, task: str, run: int, fence: int, until: float
+    ) -> messages.StartResult | None:
+        self.lapse()
+        if not self.takes(fence):
+            return None
+        if (task, run) in self.running:
+            return messages.StartResult.STARTED
+        if run <= self.sealed.get(task, 0):
+            return messages.StartResult.OUTDATED
+        if until <= self.clock():
+            return messages.StartResult.OUTDATED
+        self.lease = max(self.lease, until)
+        self.world.check_start(self.identity, task, run)
+        self.running[task, run] = self.clock()
+        return messages.StartResult.STARTED
+
+    def stop(self, task: str, run: int, fence: int) -> bool:
+        self.lapse()
+        if not self.takes(fence):
+            return False
+        self.sealed[task] = max(run, self.sealed.get(task, 0))
+        for key in list(self.running):
+            if key[0] == task and key[1] <= run:
+                self.end(key, reports.Ending.CUT_SHORT)
+        return True
+
+    def hold(
+        self, fence: int, seen: int, until: float | None, sent: float
+    ) -> reports.Report | None:
+        self.lapse()
+        if not self.takes(fence):
+            return None
+        if until is not None:
+            self.lease = max(self.lease, until)
+        for row in self.ended:
+            if row.number <= seen and row.ending is reports.Ending.DONE:
+                self.world.settled.add(row.task)
+        self.ended = [row for row in self.ended if row.number > seen]
+        return reports.Report(
+            sent=sent,
+            running=tuple(
+                reports.RunningRow(
+                    task=task,
+                    run=run,
+                    checkpoint="",
+                    percent=(self.clock() - began) * 10 + 1,
+                    load=0.0,
+                )
+                for (task, run), began in self.running.items()
+            ),
+            ended=tuple(self.ended),
+        )
+
+    def end(self, key: tuple[str, int], ending: reports.Ending) -> None:
+        task, run = key
+        del self.running[key]
+        self.world.check_end(self.identity, task, run)
+        self.sealed[task] = max(run, self.sealed.get(task, 0))
+        if ending is reports.Ending.DONE:
+            self.world.done.add(task)
+        self.count += 1
+        self.ended.append(
+            reports.EndedRow(
+                number=self.count,
+                task=task,
+                run=run,
+                ending=ending,
+                cause=ending.value,
+                checkpoint="",
+            )
+        )
+
+    def lapse(self) -> None:
+        if self.clock() >= self.lease:
+            for key in list(self.running):
+                self.end(key, reports.Ending.CUT_SHORT)
+
+    def die(self) -> None:
+        self.alive = False
+        for task, run in list(self.running):
+            self.world.check_end(self.identity, task, run)
+        self.running.clear()
+
+
+class FakeStore:
+    """Records and the ownership key."""
+
+    def __init__(self) -> None:
+        self.owner = 0
+        self.revision = 0
+        self.definitions: dict[str, bytes] = {}
+        self.cancels: set[str] = set()
+        self.progress: dict[str, bytes] = {}
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -4,169 +4,22 @@
 
 import behave
 
+from features import job_bench as benches
 from features import job_history as histories
+from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve.manager import timing
-from rackvalve.scheduling import book as books
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import planner as planners
 from rackvalve.scheduling import reports
 
-IDENTITY = "00000000000000aa"
 HISTORY_STEPS = 300
 ONE = definition.TaskName(repetition=0, step=0, index=0)
 
 
-class Bench:
-    """A book with workers that answer as the test tells them to."""
-
-    def __init__(self, names, capacity=None, racks=None, labels=None):
-        self.now = 1000.0
-        self.book = books.Book(
-            histories.CONFIGURATION, inherited_lease=5.0, now=self.now
-        )
-        self.handler = reports.Handler(
-            self.book, early=0.0, lease=timing.WORKER_LEASE_S
-        )
-        self.planner = planners.Planner(
-            self.book,
-            planners.Limits(freshness=timing.FRESHNESS_S, early=0.0),
-        )
-        self.numbers = dict.fromkeys(names, 0)
-        for name in names:
-            self.book.set_entry(
-                fleet.Entry(
-                    identity=name,
-                    pool=histories.POOL,
-                    host="",
-                    port=0,
-                    hall="",
-                    vm=name,
-                    rack=(racks or {}).get(name, "r"),
-                    labels=frozenset((labels or {}).get(name, ())),
-                    capacity=capacity or histories.CAPACITY,
-                    draining=False,
-                    remaining=None,
-                )
-            )
-            self.report(name)
-
-    def report(self, name, running=(), ended=()):
-        worker = self.book.workers[name]
-        rows = []
-        for full, run, ending in ended:
-            self.numbers[name] += 1
-            rows.append(
-                reports.EndedRow(
-                    number=self.numbers[name],
-                    task=full,
-                    run=run,
-                    ending=ending,
-                    cause=ending.value,
-                    checkpoint="",
-                )
-            )
-        self.handler.take(
-            worker,
-            reports.Report(
-                sent=self.now, running=tuple(running), ended=tuple(rows)
-            ),
-            now=self.now,
-            wall=self.now,
-        )
-
-    def add(self, *steps, identity=IDENTITY, **fields):
-        state = progress.JobState(
-            identity,
-            "queue",
-            definition.Job(spec="x", steps=tuple(steps), **fields),
-            self.now,
-        )
-        self.book.add_job(state, self.now, self.now, 0.0)
-        return state
-
-    def plan(self):
-        """Plan, record, and have all starts confirmed."""
-        self.planner.find_stuck(self.now)
-        self.planner.plan(self.now, self.now)
-        for state in self.book.jobs.values():
-            planned = [
-                (task.name, run.number)
-                for task in state.tasks.values()
-                for run in task.runs.values()
-                if run.stage is progress.Stage.PLANNED
-            ]
-            self.book.take_recorded(state.identity, planned, self.now)
-
-    def starts(self):
-        """Take the starts ordered so far."""
-        found = [
-            order
-            for order in self.book.orders
-            if isinstance(order, messages.StartRun)
-        ]
-        for order in found:
-            self.book.orders.remove(order)
-        return found
-
-    def stops(self):
-        return [
-            order
-            for order in self.book.orders
-            if isinstance(order, messages.StopRun)
-        ]
-
-    def confirm(self, order):
-        placed = self.placed(order)
-        self.book.take_start(
-            placed,
-            messages.StartResult.STARTED,
-            uncertain=False,
-            now=self.now,
-        )
-        return placed
-
-    def placed(self, order):
-        worker = self.book.workers[order.worker]
-        return worker.runs[f"{order.job}.{order.task}", order.run]
-
-    def start_all(self):
-        self.plan()
-        orders = self.starts()
-        for order in orders:
-            self.confirm(order)
-        return orders
-
-    def end(self, order, ending):
-        self.now += 0.05
-        self.report(
-            order.worker,
-            self.rows(order.worker, order),
-            [(f"{order.job}.{order.task}", order.run, ending)],
-        )
-
-    def rows(self, name, without=None):
-        """List what runs on a worker, with progress that moves."""
-        found = []
-        for (full, run), placed in self.book.workers[name].runs.items():
-            if without is not None and run == without.run:
-                continue
-            found.append(
-                reports.RunningRow(
-                    task=full,
-                    run=run,
-                    checkpoint="",
-                    percent=placed.run.percent + 1,
-                    load=0.0,
-                )
-            )
-        return found
-
-
 def make_steps(first, second):
     return (
         definition.Step(tasks=first, cpu=1),
@@ -177,7 +30,7 @@
 @behave.when("{count:d} generated job histories run")
 def run_histories(context, count):
     context.violations = histories.explore(
-        count, HISTORY_STEPS, histories.Rules(), 1000
+        count, HISTORY_STEPS, models.Rules(), 1000
     )
 
 
@@ -188,7 +41,7 @@
 
 @behave.when("up to {count:d} job histories run without {part}")
 def run_without(context, count, part):
-    rules = histories.Rules(**{part: False})
+    rules = models.Rules(**{part: False})
     context.violations = []
     for seed in range(1, count + 1):
         context.violations = histories.explore(1, HISTORY_STEPS, rules, seed)
@@ -204,13 +57,15 @@
 @behave.given("a job of {first:d} task and then {second:d} task")
 @behave.given("a job of {first:d} tasks and then {second:d} task")
 def make_job(context, first, second):
-    context.bench = Bench(["w1"])
+    context.bench = benches.Bench(["w1"])
     context.state = context.bench.add(*make_steps(first, second))
 
 
 @behave.given("{count:d} workers and a job of 1 task and then 1 task")
 def make_workers(context, count):
-    context.bench = Bench([f"w{number}" for number in range(1, count + 1)])
+    context.bench = benches.Bench(
+        [f"w{number}" for number in range(1, count + 1)]
+    )
     context.state = context.bench.add(*make_steps(1, 1))
 
 
@@ -276,7 +131,7 @@
             if name == context.order.worker:
                 running.append(
                     reports.RunningRow(
-                        task=f"{IDENTITY}.0.0.0",
+                        task=f"{benches.IDENTITY}.0.0.0",
                         run=context.order.run,
                         checkpoint="",
                         percent=10.0,
@@ -305,8 +160,8 @@
     (order,) = context.bench.start_all()
     payload = records.write_progress(context.state)
     defined = records.write_definition(context.state.job, 1000.0)
-    context.bench = Bench([])
-    state = records.read_definition("queue", IDENTITY, defined)
+    context.bench = benches.Bench([])
+    state = records.read_definition("queue", benches.IDENTITY, defined)
     records.read_progress(state, payload, context.bench.now)
     context.bench.book.add_job(state, 1000.0, 1000.0, 0.0)
     assert not state.waiting, "may still run"
@@ -314,9 +169,7 @@
     context.state = state
     context.bench.numbers["w1"] = 0
     context.bench.book.set_entry(
-        histories.FakeWorker(
-            histories.World(), "w1", histories.Rules(), 1.0
-        ).entry()
+        models.FakeWorker(models.World(), "w1", models.Rules(), 1.0).entry()
     )
     context.bench.report("w1")
 
@@ -351,7 +204,7 @@
 def check_not_within(context):
     assert context.restarted is not None
     # The worker's clock may be two percent slow.
-    assert context.restarted >= timing.WORKER_LEASE_S / histories.SLOWEST
+    assert context.restarted >= timing.WORKER_LEASE_S / models.SLOWEST
 
 
 @behave.then("it is started elsewhere once the lease is proved over")
@@ -362,7 +215,7 @@
 @behave.when("it is cancelled while both first tasks run")
 def cancel(context):
     context.orders = context.bench.start_all()
-    context.bench.book.cancel_job(IDENTITY, context.bench.now)
+    context.bench.book.cancel_job(benches.IDENTITY, context.bench.now)
 
 
 @behave.then("{count:d} stops are ordered and the job is cancelled")
@@ -398,7 +251,7 @@
     assert not bench.starts()
     bench.now += 0.01
     bench.book.take_stop(
-        order.worker, (f"{IDENTITY}.0.0.0", order.run), bench.now
+        order.worker, (f"{benches.IDENTITY}.0.0.0", order.run), bench.now
     )
     bench.now += 0.01
     bench.report(order.worker)
@@ -423,14 +276,16 @@
 def check_one_lease(context):
     now = context.bench.now
     lease = timing.WORKER_LEASE_S
-    assert not context.worker.is_over(now + lease / histories.SLOWEST)
+    assert not context.worker.is_over(now + lease / models.SLOWEST)
     assert context.worker.is_over(now + 2 * lease)
 
 
 @behave.given("a lasting job of {count:d} tasks of which {most:d} may be away")
 def make_lasting(context, count, most):
     names = [f"w{number}" for number in range(count)]
-    context.bench = Bench(names, capacity=fleet.Room(cpu=1, memory=0, gpu=0))
+    context.bench = benches.Bench(
+        names, capacity=fleet.Room(cpu=1, memory=0, gpu=0)
+    )
     context.state = context.bench.add(
         definition.Step(tasks=count, cpu=1, lasting=True, most_away=most)
     )
@@ -464,7 +319,7 @@
 
 @behave.given("workers with room for {count:d} tasks")
 def make_room(context, count):
-    context.bench = Bench(
+    context.bench = benches.Bench(
         [f"w{number}" for number in range(count)],
         capacity=fleet.Room(cpu=1, memory=0, gpu=0),
     )
@@ -494,7 +349,7 @@
 
 @behave.given("3 workers on 2 racks, one of them labelled")
 def make_racks(context):
-    context.bench = Bench(
+    context.bench = benches.Bench(
         ["w1", "w2", "w3"],
         racks={"w1": "r1", "w2": "r1", "w3": "r2"},
         labels={"w2": ("fast",)},
@@ -527,7 +382,7 @@
 
 @behave.given("a job of {count:d} times, {interval:d} seconds apart")
 def make_schedule(context, count, interval):
-    context.bench = Bench(["w1"])
+    context.bench = benches.Bench(["w1"])
     context.state = context.bench.add(
         definition.Step(cpu=0),
         first_run=context.bench.now + 5,
@@ -550,13 +405,13 @@
     state = context.state
     payload = records.write_progress(state)
     defined = records.write_definition(state.job, state.accepted)
-    copy = records.read_definition("queue", IDENTITY, defined)
+    copy = records.read_definition("queue", benches.IDENTITY, defined)
     records.read_progress(copy, payload, 0.0)
     assert copy.job == state.job
     assert records.write_progress(copy) == payload
     assert copy.next_run == state.next_run
     assert records.read_summary(payload).phase is state.phase
-    key = records.write_key("queue", IDENTITY, records.Part.PROGRESS)
+    key = records.write_key("queue", benches.IDENTITY, records.Part.PROGRESS)
     assert records.read_key(key) == records.Key(
-        queue="queue", identity=IDENTITY, part=records.Part.PROGRESS
+        queue="queue", identity=benches.IDENTITY, part=records.Part.PROGRESS
     )
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -193,7 +193,7 @@
         now = clocks.read_steady()
         logs.write_event(
             "vm.maintained",
-            vm=order.vm,
+            ordered_vm=order.vm,
             wave=order.wave,
             fence=self._fence,
             outcome=type(outcome).__name__,
@@ -216,7 +216,7 @@
         size = self._sizing.pools.get(order.pool)
         logs.write_event(
             "vm.moved",
-            vm=order.vm,
+            ordered_vm=order.vm,
             pool=order.pool,
             fence=self._fence,
             wanted=size.wanted if size is not None else 0,
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -37,6 +37,7 @@
     :param store: The store.
     :param name: Name of this process, unlike those of all others.
     :param make_owner: Makes the owner for a fencing token.
+    :param may_own: Whether this process knows enough to own.
     :param telemetry: Counts the changes.
     :param on_contact: Called at each answer of the store.
     """
@@ -46,13 +47,15 @@
         store: stores.Store,
         name: str,
         *,
-        make_owner: Callable[[int], owners.Owner],
+        make_owner: Callable[[int], owners.Owner | None],
+        may_own: Callable[[], bool],
         telemetry: telemetries.Telemetry,
         on_contact: Callable[[], None],
     ) -> None:
         self._store = store
         self._name = name
         self._make_owner = make_owner
+        self._may_own = may_own
         self._telemetry = telemetry
         self._on_contact = on_contact
         self._holder: stores.Item | None = None
@@ -78,7 +81,7 @@
             self._changed.clear()
             if self._owner is not None:
                 self._keep()
-            elif self._known and self._holder is None and not self._resigned:
+            elif self._known and self._holder is None and self._may_own():
                 self._campaign()
 
     def resign(self) -> None:
@@ -130,7 +133,8 @@
         logs.write_event("ownership.taken", fence=fence)
         self._telemetry.ownership.labels("taken").inc()
         self._owner = self._make_owner(fence)
-        self._owner.start()
+        if self._owner is not None:
+            self._owner.start()
 
     def _find_fence(self, outcome: object, payload: bytes) -> int | None:
         if isinstance(outcome, stores.Committed):
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -23,7 +23,7 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
-from rackvalve.manager import owner as owners
+from rackvalve.manager import recorder as recorders
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.platform import callers
@@ -355,7 +355,7 @@
     # -- counting ----------------------------------------------------------
 
     def _count(self, call: Call) -> Reply:
-        found = self._store.read(owners.WAITING_KEY)
+        found = self._store.read(recorders.WAITING_KEY)
         if isinstance(found, stores.Unavailable):
             return _refuse(f"the store does not answer: {found.reason}")
         counts: dict[str, int] = {}
--- /dev/null
+++ b/src/rackvalve/manager/intake.py
@@ -0,0 +1,108 @@
+"""Takes what callers have handed in and cancelled from the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve.jobs import records
+from rackvalve import logs
+from rackvalve.manager import timing
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import book as books
+
+Parts = dict[records.Part, stores.Item]
+
+
+class JobIntake:
+    """Brings the records of jobs into one owner's book.
+
+    :param book: The book.
+    :param progress: Progress records that were read before the first range.
+    :param on_change: Called after jobs were taken.
+    """
+
+    __slots__ = ("_book", "_progress", "_on_change")
+
+    def __init__(
+        self,
+        book: books.Book,
+        progress: tuple[stores.Item, ...],
+        *,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._book = book
+        self._progress = progress
+        self._on_change = on_change
+
+    def take_range(self, items: tuple[stores.Item, ...]) -> None:
+        """Take all records, at first and after lost history.
+
+        What is known already stays as it is.
+
+        :param items: All definitions and cancels.
+        """
+        by_job: dict[tuple[str, str], Parts] = {}
+        for item in items + self._progress:
+            key = records.read_key(item.key)
+            if key is not None:
+                parts = by_job.setdefault((key.queue, key.identity), {})
+                parts[key.part] = item
+        self._progress = ()
+        for (queue, identity), parts in by_job.items():
+            self._take(queue, identity, parts)
+        self._on_change()
+
+    def take_changes(self, changes: stores.Changes) -> None:
+        """Take what was just handed in or cancelled.
+
+        :param changes: The changes.
+        """
+        for item in changes.written:
+            key = records.read_key(item.key)
+            if key is not None:
+                self._take(key.queue, key.identity, {key.part: item})
+        self._on_change()
+
+    def _take(self, queue: str, identity: str, parts: Parts) -> None:
+        if records.Part.DEFINITION in parts:
+            if identity not in self._book.jobs:
+                self._define(queue, identity, parts)
+        if records.Part.CANCEL in parts:
+            self._cancel(identity)
+
+    def _define(self, queue: str, identity: str, parts: Parts) -> None:
+        now = clocks.read_steady()
+        defined = parts[records.Part.DEFINITION]
+        stored = parts.get(records.Part.PROGRESS)
+        try:
+            state = records.read_definition(queue, identity, defined.payload)
+            if stored is not None:
+                records.read_progress(state, stored.payload, now)
+        except errors.DocumentInvalidError as error:
+            logs.write_warning(
+                "document.rejected", key=defined.key, reason=error.reason
+            )
+            return
+        self._book.add_job(state, now, clocks.read_wall(), timing.EARLY_S)
+        logs.write_event(
+            "job.taken",
+            job=identity,
+            queue=queue,
+            phase=state.phase.value,
+            tasks=sum(step.tasks for step in state.job.steps),
+            lasting=any(step.lasting for step in state.job.steps),
+            revision=defined.revision,
+        )
+
+    def _cancel(self, identity: str) -> None:
+        state = self._book.jobs.get(identity)
+        if state is None or state.is_final:
+            return
+        self._book.cancel_job(identity, clocks.read_wall())
+        logs.write_event(
+            "job.cancelled",
+            job=identity,
+            runs=sum(len(task.runs) for task in state.tasks.values()),
+        )
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -82,6 +82,7 @@
             self._store,
             self._name,
             make_owner=self._make_owner,
+            may_own=lambda: self._view.configuration is not None,
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
         )
@@ -125,22 +126,27 @@
     def _count_store_call(self, call: str, outcome: str) -> None:
         self._telemetry.store_calls.labels(call, outcome).inc()
 
-    def _make_owner(self, fence: int) -> owners.Owner:
-        return owners.Owner(
-            self._store,
-            self._view,
-            fence,
+    def _make_owner(self, fence: int) -> owners.Owner | None:
+        configuration = self._view.configuration
+        if configuration is None:
+            return None
+        resources = owners.Resources(
             name=self._name,
-            telemetry=self._telemetry,
+            store=self._store,
             machines=self._machines,
+            adviser=self._make_adviser(),
+            view=self._view,
+            telemetry=self._telemetry,
+            on_contact=self._view.note_contact,
+        )
+        rules = owners.Rules(
             keep=self._settings.get("manager", "keep_time", float),
             order_pause=self._settings.get("manager", "order_pause", float),
             pace_interval=self._settings.get(
                 "manager", "pace_interval", float
             ),
-            adviser=self._make_adviser(),
-            on_contact=self._view.note_contact,
         )
+        return owners.Owner(resources, rules, configuration, fence)
 
     def _make_adviser(self) -> advisers.Adviser | None:
         addresses = self._settings.get("manager", "adviser", tuple)
--- /dev/null
+++ b/src/rackvalve/manager/roster.py
@@ -0,0 +1,163 @@
+"""Follows the entries of workers and keeps a contact with each of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import gevent
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve import logs
+from rackvalve.manager import contact as contacts
+from rackvalve.manager import timing
+from rackvalve.platform import connections
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+from rackvalve.platform import workers as clients
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import fleet
+
+if TYPE_CHECKING:
+    from rackvalve.manager import owner as owners
+
+
+class Roster:
+    """The workers of one owner.
+
+    :param owner: Whom contacts tell what workers say.
+    :param book: The owner's book.
+    :param on_change: Called after workers came, changed or went.
+    """
+
+    __slots__ = ("_owner", "_book", "_on_change", "_contacts")
+
+    def __init__(
+        self,
+        owner: owners.Owner,
+        book: books.Book,
+        *,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._owner = owner
+        self._book = book
+        self._on_change = on_change
+        self._contacts: dict[str, contacts.Contact] = {}
+
+    def contact(self, identity: str) -> contacts.Contact | None:
+        """Return the contact with a worker.
+
+        :param identity: The worker.
+        """
+        return self._contacts.get(identity)
+
+    def close(self) -> None:
+        """End all contacts; what runs on workers runs on."""
+        for contact in self._contacts.values():
+            contact.close()
+        self._contacts.clear()
+
+    def take_range(self, items: tuple[stores.Item, ...]) -> None:
+        """Take all entries, at first and after lost history.
+
+        :param items: All entries.
+        """
+        present = set()
+        for item in items:
+            self._take(item)
+            present.add(documents.worker_of(item.key))
+        now = clocks.read_steady()
+        for identity, worker in self._book.workers.items():
+            if worker.entry is not None and identity not in present:
+                self._book.remove_entry(identity, now)
+        self._on_change()
+
+    def take_changes(self, changes: stores.Changes) -> None:
+        """Take entries that were just written or removed.
+
+        :param changes: The changes.
+        """
+        for item in changes.written:
+            self._take(item)
+        now = clocks.read_steady()
+        written = {item.key: item.revision for item in changes.written}
+        for key, revision in changes.removed:
+            if written.get(key, 0) < revision:
+                self._book.remove_entry(documents.worker_of(key), now)
+        self._on_change()
+
+    def end_life(self, identity: str, reason: str) -> None:
+        """Forget a worker whose life is over.
+
+        :param identity: The worker.
+        :param reason: What proves it.
+        """
+        contact = self._contacts.pop(identity, None)
+        worker = self._book.workers.get(identity)
+        if worker is not None:
+            logs.write_event(
+                "worker.over",
+                worker=identity,
+                reason=reason,
+                runs=len(worker.runs),
+            )
+            self._book.end_life(identity, clocks.read_steady())
+            self._on_change()
+        if contact is not None:
+            # May be called by one of the contact's own greenlets.
+            gevent.spawn(contact.close)
+
+    def forget_gone(self, now: float) -> None:
+        """Forget workers that have left: no entry, no answer, no lease.
+
+        :param now: Present time, in seconds.
+        """
+        for identity, worker in list(self._book.workers.items()):
+            if worker.runs or not worker.is_over(now):
+                continue
+            gone = worker.entry is None or (
+                worker.gone_since is not None
+                and now - worker.gone_since > timing.ENTRY_GRACE_S
+                and now - worker.answered > timing.ENTRY_GRACE_S
+            )
+            if gone:
+                self.end_life(identity, "its entry is gone, it is silent")
+
+    def _take(self, item: stores.Item) -> None:
+        try:
+            entry = documents.read_worker(item.key, item.payload)
+        except errors.DocumentInvalidError as error:
+            logs.write_warning(
+                "document.rejected", key=item.key, reason=error.reason
+            )
+            return
+        self._log(entry, item.revision)
+        worker = self._book.set_entry(entry)
+        if entry.identity not in self._contacts:
+            client = clients.Worker(
+                connections.HttpClient(entry.host, entry.port),
+                entry.identity,
+                timeout=timing.ORDER_TIMEOUT_S,
+            )
+            contact = contacts.Contact(self._owner, worker, client)
+            self._contacts[entry.identity] = contact
+            contact.start()
+
+    def _log(self, entry: fleet.Entry, revision: int) -> None:
+        known = self._book.workers.get(entry.identity)
+        if known is None or known.entry is None:
+            logs.write_event(
+                "worker.found",
+                worker=entry.identity,
+                pool=entry.pool,
+                on_vm=entry.vm,
+                revision=revision,
+            )
+        elif entry.draining and not known.entry.draining:
+            logs.write_event(
+                "worker.draining",
+                worker=entry.identity,
+                remaining=entry.remaining,
+                runs=len(known.runs),
+            )
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -40,7 +40,6 @@
 
     :param store: The store.
     :param ownership: The condition that this process is the owner.
-    :param last_commit: Revision of the commit before; 0 for none.
     :param name: Name of this owner, unlike those of all others.
     :param on_deposed: Called when another owner is found.
     :param on_contact: Called at each answer of the store.
@@ -50,7 +49,6 @@
         self,
         store: stores.Store,
         ownership: stores.Condition,
-        last_commit: int,
         *,
         name: str,
         on_deposed: Callable[[str], None],
@@ -58,7 +56,7 @@
     ) -> None:
         self._store = store
         self._ownership = ownership
-        self._last_commit = last_commit
+        self._last_commit = 0
         self._name = name
         self._on_deposed = on_deposed
         self._on_contact = on_contact
@@ -68,7 +66,13 @@
         self._urgent = event.Event()
         self._number = 0
         self._commits = 0
-        self.failing_since: float | None = None
+
+    def set_last_commit(self, revision: int) -> None:
+        """Take where the owner before has ended, before :meth:`run`.
+
+        :param revision: Revision of the last commit; 0 for none.
+        """
+        self._last_commit = revision
 
     @property
     def number(self) -> int:
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -128,7 +128,7 @@
     rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
     remaining = wire.remaining_ms
     return fleet.Entry(
-        identity=key.removeprefix(WORKER_PREFIX),
+        identity=worker_of(key),
         pool=wire.service,
         host=host,
         port=int(port),
@@ -146,6 +146,14 @@
     )
 
 
+def worker_of(key: str) -> str:
+    """Return the identity of the worker that a key belongs to.
+
+    :param key: The key of a worker's entry.
+    """
+    return key.removeprefix(WORKER_PREFIX)
+
+
 def read_wave(payload: bytes) -> fleet.Wave:
     """Decode the operator's order of a maintenance wave.
 
