--- /dev/null
+++ b/features/steps/upkeep_steps.py
@@ -0,0 +1,379 @@
+"""Steps about waves, sizes of pools, shared workers and admission."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import behave
+
+from features import job_bench as benches
+from features import job_models as models
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import sharing
+from rackvalve.scheduling import sizing
+from rackvalve.scheduling import upkeep
+
+OTHER = "other"
+SPARE = "spare"
+AWAY_S = 1.0
+WIDE = fleet.Room(cpu=4, memory=4, gpu=0)
+
+
+def make_pools(book, *names):
+    book.set_configuration(
+        dataclasses.replace(
+            models.CONFIGURATION,
+            pools={
+                name: queues.Pool(name=name, guarded=True, spare=name == SPARE)
+                for name in (models.POOL, SPARE, *names)
+            },
+        )
+    )
+
+
+def list_vm(identity, pool=models.POOL, worker=None, up=True):
+    return upkeep.Vm(
+        identity=identity,
+        pool=pool,
+        up=up,
+        worker=identity if worker is None else worker,
+    )
+
+
+@behave.given(
+    "a pool of {count:d} VMs and a wave over all of them that bears "
+    "{most:d} away"
+)
+def make_wave(context, count, most):
+    context.vms = [f"w{number}" for number in range(count)]
+    context.bench = benches.Bench(context.vms)
+    make_pools(context.bench.book)
+    context.upkeep = upkeep.Upkeep(context.bench.book)
+    context.wave = fleet.Wave(
+        number=1, vms=tuple(context.vms), duration=60.0, most_away=most
+    )
+    context.upkeep.add_wave(context.wave, context.bench.now)
+    context.upkeep.take_list(
+        [list_vm(vm) for vm in context.vms], context.bench.now
+    )
+    context.most = most
+
+
+@behave.when("the wave is carried out to its end")
+def run_wave(context):
+    bench, care = context.bench, context.upkeep
+    context.orders, context.busy = [], []
+    context.greatest, context.early = 0, False
+    lives = {vm: vm for vm in context.vms}
+    back = {}
+    state = care.waves[1]
+    for number in range(600):
+        bench.now += 0.1
+        if number % 10 == 0:
+            identity = f"{number:016x}"
+            bench.add(definition.Step(cpu=1), identity=identity)
+        for order in bench.start_all():
+            # Half of the tasks end at once, the others later.
+            if order.run % 2:
+                bench.end(order, benches.reports.Ending.DONE)
+        for vm, life in lives.items():
+            if vm not in back:
+                bench.report(life, bench.rows(life))
+        for order in care.decide(bench.now):
+            worker = bench.book.workers[lives[order.vm]]
+            context.busy.extend(worker.runs)
+            context.orders.append(order.vm)
+            care.note_ordered(order, bench.now)
+            bench.book.end_life(worker.identity, bench.now)
+            back[order.vm] = bench.now + AWAY_S
+        context.greatest = max(context.greatest, len(back))
+        context.early |= state.complete and len(context.orders) < len(
+            context.vms
+        )
+        for vm, time in list(back.items()):
+            if bench.now >= time:
+                del back[vm]
+                lives[vm] += "x"
+                bench.numbers[lives[vm]] = 0
+                entry = dataclasses.replace(
+                    models.FakeWorker(
+                        models.World(), lives[vm], models.Rules(), 1.0
+                    ).entry(),
+                    vm=vm,
+                )
+                bench.book.set_entry(entry)
+                bench.report(lives[vm])
+        for worker in bench.book.workers.values():
+            vm = worker.entry.vm
+            worker.closing = upkeep.CLOSED if vm in care.leaving() else ""
+        care.take_list(
+            [list_vm(vm, worker=lives[vm], up=vm not in back) for vm in lives],
+            bench.now,
+        )
+        # Work that lasts too long for the wave's patience ends here.
+        for vm, life in lives.items():
+            for placed in list(
+                bench.book.workers[life].runs.values()
+                if life in bench.book.workers
+                else ()
+            ):
+                if bench.now - placed.run.since > 2.0:
+                    bench.book.release(placed, bench.now)
+                    placed.task.done = True
+
+
+@behave.then(
+    "at most {most:d} VMs were away at once and each was maintained once"
+)
+def check_wave(context, most):
+    assert context.greatest <= most
+    assert sorted(context.orders) == sorted(context.vms), context.orders
+
+
+@behave.then("no VM was maintained with work on it")
+def check_empty(context):
+    assert not context.busy
+
+
+@behave.then("the wave is complete only after the last of them")
+def check_complete(context):
+    assert not context.early
+    assert context.upkeep.waves[1].complete
+
+
+@behave.when(
+    "the platform's list still names the old life of a VM that has work"
+)
+def work_on_new_life(context):
+    bench = context.bench
+    bench.add(definition.Step(tasks=2, cpu=4))
+    orders = bench.start_all()
+    assert len(orders) == 2
+    context.upkeep.take_list(
+        [list_vm(vm, worker=f"old-{vm}") for vm in context.vms], bench.now
+    )
+
+
+@behave.then("that VM is not maintained")
+def check_not_maintained(context):
+    assert not context.upkeep.decide(context.bench.now)
+
+
+@behave.when("an owner that had ordered 1 VM and finished 2 is replaced")
+def restore(context):
+    ordered, *done = context.vms[:3]
+    context.upkeep.restore(1, [ordered], done)
+    context.expected = {ordered}
+
+
+@behave.then("the ordered VM is ordered again and the finished ones are not")
+def check_restored(context):
+    found = set()
+    for _ in range(3):
+        context.bench.now += 0.1
+        for order in context.upkeep.decide(context.bench.now):
+            found.add(order.vm)
+    assert found == context.expected, found
+
+
+@behave.when("{count:d} of the VMs were ordered lately by another owner")
+def hold_vms(context, count):
+    context.upkeep.held = frozenset(context.vms[:count])
+
+
+@behave.then("only the other VM is maintained")
+def check_held(context):
+    found = set()
+    for _ in range(50):
+        context.bench.now += 0.1
+        for order in context.upkeep.decide(context.bench.now):
+            found.add(order.vm)
+    assert found == set(context.vms[3:]), found
+
+
+@behave.given("a pool of {count:d} VMs and {spares:d} spare VMs")
+def make_sizing(context, count, spares):
+    names = [f"w{number}" for number in range(count)]
+    context.bench = benches.Bench(names, capacity=WIDE)
+    make_pools(context.bench.book)
+    context.upkeep = upkeep.Upkeep(context.bench.book)
+    context.sizing = sizing.Sizing(context.bench.book, context.upkeep)
+    context.listed = {name: list_vm(name) for name in names}
+    for number in range(spares):
+        vm = f"s{number}"
+        context.listed[vm] = list_vm(vm, pool=SPARE, worker="")
+    context.names = names
+
+
+def step_sizing(context, seconds):
+    """Let time pass and collect the moves."""
+    moves = []
+    until = context.bench.now + seconds
+    while context.bench.now < until:
+        context.bench.now += 0.1
+        context.upkeep.take_list(
+            list(context.listed.values()), context.bench.now
+        )
+        for name in context.names:
+            context.bench.report(name, context.bench.rows(name))
+        moves.extend(context.sizing.decide(context.bench.now))
+    return moves
+
+
+@behave.when("work for {count:d} VMs waits")
+def want_room(context, count):
+    context.state = context.bench.add(
+        definition.Step(tasks=count, cpu=WIDE.cpu)
+    )
+    context.moves = step_sizing(context, 0.5)
+
+
+@behave.then("{count:d} VMs move to the pool")
+def check_grown(context, count):
+    assert len(context.moves) == count
+    assert {move.pool for move in context.moves} == {models.POOL}
+    for move in context.moves:
+        context.listed[move.vm] = list_vm(move.vm)
+        context.names.append(move.vm)
+        context.bench.numbers[move.vm] = 0
+        context.bench.book.set_entry(
+            models.FakeWorker(
+                models.World(), move.vm, models.Rules(), 1.0
+            ).entry()
+        )
+
+
+@behave.when("the work is done and some time has passed")
+def finish_work(context):
+    context.bench.book.cancel_job(benches.IDENTITY, context.bench.now)
+    context.moves = step_sizing(
+        context, sizing.PEAK_WINDOW_S + sizing.STAY_S + 1.0
+    )
+
+
+@behave.then("the pool goes back to {count:d} VMs")
+def check_shrunk(context, count):
+    assert {move.pool for move in context.moves} == {SPARE}, context.moves
+    assert len(context.names) - len(context.moves) == count
+    assert count == sizing.LEAST
+
+
+@behave.when("it gives a VM away and at once lacks room")
+def give_and_want(context):
+    moves = step_sizing(context, sizing.PEAK_WINDOW_S + 1.0)
+    assert moves
+    context.gone = {move.vm for move in moves}
+    context.bench.add(definition.Step(tasks=6, cpu=WIDE.cpu))
+    context.moves = step_sizing(context, 0.5)
+
+
+@behave.then("the worker of that VM is closed and is not taken back")
+def check_closed(context):
+    assert context.gone <= context.sizing.departing()
+    for vm in context.gone:
+        assert context.bench.book.workers[vm].closing == sizing.SURPLUS
+        assert not context.bench.book.workers[vm].takes_work(
+            context.bench.now, 10.0
+        )
+
+
+@behave.when("another pool lacks room")
+def want_elsewhere(context):
+    queue = dataclasses.replace(models.QUEUE, name="other-queue", pool=OTHER)
+    book = context.bench.book
+    make_pools(book, OTHER)
+    book.set_configuration(
+        dataclasses.replace(book.configuration, queues=(models.QUEUE, queue))
+    )
+    book.set_entry(
+        dataclasses.replace(
+            book.workers[context.names[0]].entry,
+            identity="o0",
+            vm="o0",
+            pool=OTHER,
+        )
+    )
+    context.listed["o0"] = list_vm("o0", pool=OTHER)
+    context.bench.numbers["o0"] = 0
+    context.names.append("o0")
+    state = progress.JobState(
+        "f" * 16,
+        "other-queue",
+        definition.Job(
+            spec="x", steps=(definition.Step(tasks=8, cpu=WIDE.cpu),)
+        ),
+        context.bench.now,
+    )
+    book.add_job(state, context.bench.now, context.bench.now, 0.0)
+    context.moves = step_sizing(context, 1.0)
+
+
+@behave.then("empty VMs of the first pool move to the other")
+def check_direct(context):
+    assert len(context.moves) == 6 - sizing.LEAST
+    assert {move.pool for move in context.moves} == {OTHER}
+
+
+@behave.given(
+    "a serving task with a limit of {limit:d} ms beside a filling task"
+)
+def make_shared(context, limit):
+    context.bench = benches.Bench(["w1"])
+    context.bench.add(
+        definition.Step(lasting=True, tail_limit=limit / 1000),
+        identity="1" * 16,
+    )
+    context.bench.add(
+        definition.Step(lasting=True, uses_leftover=True), identity="2" * 16
+    )
+    context.placed = {
+        order.job[0]: context.bench.placed(order)
+        for order in context.bench.start_all()
+    }
+
+
+@behave.when("its tail is {tail:d} ms and the pace is {pace:d}")
+def press(context, tail, pace):
+    context.placed["1"].run.load = float(tail)
+    context.placed["2"].run.pace = pace
+    context.orders = sharing.set_paces(
+        context.bench.book.workers["w1"], context.bench.now, 0.1
+    )
+
+
+@behave.then("the pace becomes {new:d}")
+def check_pace(context, new):
+    assert context.placed["2"].run.pace == new
+    assert context.placed["1"].run.pace == sharing.FULL_PACE
+    for order in context.orders:
+        assert order.percent == new and order.task.startswith("2" * 16)
+
+
+@behave.given("3 workers of a queue with an admission service")
+def make_admitted(context):
+    context.bench = benches.Bench(["w1", "w2", "w3"])
+    advice = queues.Advice(decide_time=0.1, worker_time=0.01, valid=3.0)
+    context.bench.book.set_configuration(
+        dataclasses.replace(
+            models.CONFIGURATION,
+            queues=(dataclasses.replace(models.QUEUE, advice=advice),),
+        )
+    )
+    context.bench.add(definition.Step(cpu=1))
+
+
+@behave.then("nothing is placed without a ticket")
+def check_no_ticket(context):
+    assert not context.bench.start_all()
+
+
+@behave.then("a task goes to the admitted worker and brings its ticket")
+def check_ticket(context):
+    step = f"{benches.IDENTITY}.0.0"
+    context.bench.planner.tickets[step] = {"w2": "ticket"}
+    (order,) = context.bench.start_all()
+    assert order.worker == "w2"
+    assert context.bench.placed(order).run.ticket == "ticket"
--- /dev/null
+++ b/features/upkeep.feature
@@ -0,0 +1,58 @@
+Feature: VMs: waves, sizes of pools, and tasks that share a worker
+
+  Scenario: A wave never has more VMs away than it bears, and maintains each once
+    Given a pool of 8 VMs and a wave over all of them that bears 2 away
+    When the wave is carried out to its end
+    Then at most 2 VMs were away at once and each was maintained once
+    And no VM was maintained with work on it
+    And the wave is complete only after the last of them
+
+  Scenario: A VM whose worker has a new life is vacated by that life
+    Given a pool of 2 VMs and a wave over all of them that bears 1 away
+    When the platform's list still names the old life of a VM that has work
+    Then that VM is not maintained
+
+  Scenario: A new owner goes on where the old one ended
+    Given a pool of 4 VMs and a wave over all of them that bears 1 away
+    When an owner that had ordered 1 VM and finished 2 is replaced
+    Then the ordered VM is ordered again and the finished ones are not
+
+  Scenario: VMs that an earlier owner has just ordered are left alone
+    Given a pool of 4 VMs and a wave over all of them that bears 4 away
+    When 3 of the VMs were ordered lately by another owner
+    Then only the other VM is maintained
+
+  Scenario: A pool that lacks room gets spare VMs, and gives them back later
+    Given a pool of 3 VMs and 4 spare VMs
+    When work for 5 VMs waits
+    Then 4 VMs move to the pool
+    When the work is done and some time has passed
+    Then the pool goes back to 3 VMs
+
+  Scenario: A VM whose move is ordered takes no work until it is over
+    Given a pool of 6 VMs and 0 spare VMs
+    When it gives a VM away and at once lacks room
+    Then the worker of that VM is closed and is not taken back
+
+  Scenario: Surplus VMs go straight to the pool that lacks room
+    Given a pool of 6 VMs and 0 spare VMs
+    When another pool lacks room
+    Then empty VMs of the first pool move to the other
+
+  Scenario Outline: Filling tasks yield to a serving task
+    Given a serving task with a limit of 100 ms beside a filling task
+    When its tail is <tail> ms and the pace is <pace>
+    Then the pace becomes <new>
+
+    Examples:
+      | tail | pace | new |
+      | 150  | 100  | 0   |
+      | 95   | 100  | 50  |
+      | 75   | 40   | 40  |
+      | 30   | 40   | 60  |
+      | 30   | 100  | 100 |
+
+  Scenario: A step with an admission service goes to admitted workers only
+    Given 3 workers of a queue with an admission service
+    Then nothing is placed without a ticket
+    And a task goes to the admitted worker and brings its ticket
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -47,6 +47,8 @@
         self._waiting: dict[str, int] = {}
         self._waiting_at = 0.0
         self._collected_at = clocks.read_steady()
+        # Jobs whose end was told; records of late ends of runs may follow.
+        self._ended: set[str] = set()
 
     def mark_changed(self) -> None:
         """Have the records of all jobs that changed written."""
@@ -94,6 +96,7 @@
             if not state.finished or state.finished > limit or busy:
                 continue
             del self._book.jobs[state.identity]
+            self._ended.discard(state.identity)
             for part in records.Part:
                 self._writer.mark(
                     records.write_key(state.queue, state.identity, part),
@@ -121,7 +124,8 @@
         phase: progress.Phase,
     ) -> None:
         now = clocks.read_steady()
-        if phase in progress.FINAL:
+        if phase in progress.FINAL and state.identity not in self._ended:
+            self._ended.add(state.identity)
             self._note_end(state, phase, now)
         self._book.take_recorded(state.identity, planned, now)
         self._on_recorded()
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -208,7 +208,9 @@
         """Close as many VMs as the time that is left asks for."""
         left = state.left()
         wanted = self._count_wanted(state, len(left), now)
-        open_vms = [vm for vm in left if vm not in state.closed]
+        open_vms = [
+            vm for vm in left if vm not in state.closed and vm not in self.held
+        ]
         open_vms.sort(key=self._cost)
         for vm in open_vms:
             busy = len(state.closed) + len(state.ordered.keys() - state.closed)
--- a/src/rackvalve/settings/explanation.py
+++ b/src/rackvalve/settings/explanation.py
@@ -5,11 +5,14 @@
 from rackvalve.settings import catalog
 
 
-def explain_all() -> str:
-    """Return one paragraph a key: type and unit, default, meaning."""
+def explain_all(keys: tuple[catalog.Key, ...] = catalog.KEYS) -> str:
+    """Return one paragraph a key: type and unit, default, meaning.
+
+    :param keys: The settings to explain.
+    """
     lines = []
     section = ""
-    for key in catalog.KEYS:
+    for key in keys:
         if key.section != section:
             section = key.section
             lines.append(f"[{section}]")
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -13,6 +13,7 @@
 from tools.experiments import cores  # noqa: E402
 from tools.experiments import entry  # noqa: E402
 from tools.experiments import faults  # noqa: E402
+from tools.experiments import jobs  # noqa: E402
 from tools.experiments import once  # noqa: E402
 from tools.experiments import overload  # noqa: E402
 from tools.experiments import waves  # noqa: E402
@@ -22,6 +23,7 @@
 EXPERIMENTS = {
     "entry": entry.run,
     "cores": cores.run,
+    "jobs": jobs.run,
     "once": once.run,
     "overload": overload.run,
     "faults": faults.run,
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -9,7 +9,9 @@
 from rackvalve import logs
 from rackvalve import metrics
 from rackvalve import outcomes
+from rackvalve.settings import catalog
 from rackvalve.settings import explanation
+from rackvalve import telemetry
 
 FOLDER = pathlib.Path(__file__).resolve().parent.parent / "docs" / "reference"
 NOTE = "\nMade by `make reference` from the code; do not edit.\n\n"
@@ -28,11 +30,16 @@
         f"| `{reason.value}` | {status} |"
         for reason, status in outcomes.STATUSES.items()
     )
+    measures = "\n".join(
+        f"| `{name}` | {text} |" for name, text in telemetry.MEASURES.items()
+    )
     return {
         "settings.md": "# Settings\n"
         + NOTE
         + "```\n"
         + explanation.explain_all()
+        + "\n```\n\nOf `rackvalve-manager`, whose file is its own:\n\n```\n"
+        + explanation.explain_all(catalog.MANAGER_KEYS)
         + "\n```\n",
         "language.md": "# The language's grammar\n"
         + NOTE
@@ -46,6 +53,9 @@
         + events
         + "\n\n| metric | meaning |\n|---|---|\n"
         + measured
+        + "\n\nOf the manager, at `metrics_listen`:\n\n"
+        + "| measure | meaning |\n|---|---|\n"
+        + measures
         + "\n",
         "reasons.md": "# Reasons of refusals and unknown outcomes\n"
         + NOTE
