Decode workers' reports once: one copy of their types

Cause: the adapter and the scheduler each had a type for a running and an ended task, translated by hand in between. Change: the types stand in scheduling/messages.py and the adapter makes them.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -55,7 +55,7 @@
         for full, run, ending in ended:
             self.numbers[name] += 1
             rows.append(
-                reports.EndedRow(
+                messages.EndedRow(
                     number=self.numbers[name],
                     task=full,
                     run=run,
@@ -66,7 +66,7 @@
             )
         self.handler.take(
             worker,
-            reports.Report(
+            messages.Report(
                 sent=self.now, running=tuple(running), ended=tuple(rows)
             ),
             now=self.now,
@@ -150,7 +150,7 @@
             if without is not None and run == without.run:
                 continue
             found.append(
-                reports.RunningRow(
+                messages.RunningRow(
                     task=full,
                     run=run,
                     checkpoint="",
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -323,7 +323,9 @@
                     bad = self.source.random() < fail
                     life.end(
                         key,
-                        reports.Ending.FAILED if bad else reports.Ending.DONE,
+                        messages.Ending.FAILED
+                        if bad
+                        else messages.Ending.DONE,
                     )
 
     def act(self) -> None:
--- a/features/job_models.py
+++ b/features/job_models.py
@@ -11,7 +11,6 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
-from rackvalve.scheduling import reports
 
 POOL = "pool"
 QUEUE = queues.Queue(
@@ -103,7 +102,7 @@
         self.started = world.now
         self.fence = 0
         self.running: dict[tuple[str, int], float] = {}
-        self.ended: list[reports.EndedRow] = []
+        self.ended: list[messages.EndedRow] = []
         self.sealed: dict[str, int] = {}
         self.lease = 0.0
         self.count = 0
@@ -157,25 +156,25 @@
         self.sealed[task] = max(run, self.sealed.get(task, 0))
         for key in list(self.running):
             if key[0] == task and key[1] <= run:
-                self.end(key, reports.Ending.CUT_SHORT)
+                self.end(key, messages.Ending.CUT_SHORT)
         return True
 
     def hold(
         self, fence: int, seen: int, until: float | None, sent: float
-    ) -> reports.Report | None:
+    ) -> messages.Report | None:
         self.lapse()
         if not self.takes(fence):
             return None
         if until is not None:
             self.lease = max(self.lease, until)
         for row in self.ended:
-            if row.number <= seen and row.ending is reports.Ending.DONE:
+            if row.number <= seen and row.ending is messages.Ending.DONE:
                 self.world.settled.add(row.task)
         self.ended = [row for row in self.ended if row.number > seen]
-        return reports.Report(
+        return messages.Report(
             sent=sent,
             running=tuple(
-                reports.RunningRow(
+                messages.RunningRow(
                     task=task,
                     run=run,
                     checkpoint="",
@@ -187,16 +186,16 @@
             ended=tuple(self.ended),
         )
 
-    def end(self, key: tuple[str, int], ending: reports.Ending) -> None:
+    def end(self, key: tuple[str, int], ending: messages.Ending) -> None:
         task, run = key
         del self.running[key]
         self.world.check_end(self.identity, task, run)
         self.sealed[task] = max(run, self.sealed.get(task, 0))
-        if ending is reports.Ending.DONE:
+        if ending is messages.Ending.DONE:
             self.world.done.add(task)
         self.count += 1
         self.ended.append(
-            reports.EndedRow(
+            messages.EndedRow(
                 number=self.count,
                 task=task,
                 run=run,
@@ -209,7 +208,7 @@
     def lapse(self) -> None:
         if self.clock() >= self.lease:
             for key in list(self.running):
-                self.end(key, reports.Ending.CUT_SHORT)
+                self.end(key, messages.Ending.CUT_SHORT)
 
     def die(self) -> None:
         self.alive = False
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -14,7 +14,6 @@
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import reports
 
 HISTORY_STEPS = 300
 ONE = definition.TaskName(repetition=0, step=0, index=0)
@@ -73,7 +72,7 @@
 def finish_one(context):
     context.orders = context.bench.start_all()
     assert len(context.orders) == 2
-    context.bench.end(context.orders[0], reports.Ending.DONE)
+    context.bench.end(context.orders[0], messages.Ending.DONE)
 
 
 @behave.then("the last task does not wait yet")
@@ -83,7 +82,7 @@
 
 @behave.when("the other first task is done")
 def finish_other(context):
-    context.bench.end(context.orders[1], reports.Ending.DONE)
+    context.bench.end(context.orders[1], messages.Ending.DONE)
 
 
 @behave.then("the last task waits")
@@ -96,7 +95,7 @@
     for number in range(count):
         assert not context.state.is_final, f"after {number} failures"
         (order,) = context.bench.start_all()
-        context.bench.end(order, reports.Ending.FAILED)
+        context.bench.end(order, messages.Ending.FAILED)
         context.bench.now += 0.1
         context.bench.report("w1")
 
@@ -110,7 +109,7 @@
 @behave.when("its first task fails once")
 def fail_once(context):
     (context.order,) = context.bench.start_all()
-    context.bench.end(context.order, reports.Ending.FAILED)
+    context.bench.end(context.order, messages.Ending.FAILED)
 
 
 @behave.then("its next run is on the other worker")
@@ -130,7 +129,7 @@
             running = []
             if name == context.order.worker:
                 running.append(
-                    reports.RunningRow(
+                    messages.RunningRow(
                         task=f"{benches.IDENTITY}.0.0.0",
                         run=context.order.run,
                         checkpoint="",
@@ -151,7 +150,7 @@
 def check_restart(context):
     context.bench.plan()
     assert not context.bench.starts(), "started while the first may run"
-    context.bench.end(context.order, reports.Ending.CUT_SHORT)
+    context.bench.end(context.order, messages.Ending.CUT_SHORT)
     check_other(context)
 
 
@@ -227,7 +226,7 @@
 @behave.then("a later good end does not complete it")
 def check_stays_cancelled(context):
     for order in context.orders:
-        context.bench.end(order, reports.Ending.DONE)
+        context.bench.end(order, messages.Ending.DONE)
     assert context.state.phase is progress.Phase.CANCELLED
     assert not context.state.waiting
 
--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -11,6 +11,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import sharing
 from rackvalve.scheduling import sizing
@@ -78,7 +79,7 @@
         for order in bench.start_all():
             # Half of the tasks end at once, the others later.
             if order.run % 2:
-                bench.end(order, benches.reports.Ending.DONE)
+                bench.end(order, messages.Ending.DONE)
         for vm, life in lives.items():
             if vm not in back:
                 bench.report(life, bench.rows(life))
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -14,16 +14,11 @@
 from rackvalve.platform import connections
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import reports
 from rackvalve.scheduling import workers
 
 if TYPE_CHECKING:
     from rackvalve.manager import owner as owners
 
-_ENDINGS = {
-    clients.Ending.DONE: reports.Ending.DONE,
-    clients.Ending.FAILED: reports.Ending.FAILED,
-}
 _REJECTIONS = {
     clients.Reason.OUTDATED_RUN: messages.StartResult.OUTDATED,
     clients.Reason.NO_ROOM: messages.StartResult.NO_ROOM,
@@ -145,7 +140,11 @@
                 worker=self._worker.identity,
             )
         self._owner.take_report(
-            self._worker, _translate(report, self._sent), now
+            self._worker,
+            messages.Report(
+                sent=self._sent, running=report.running, ended=report.ended
+            ),
+            now,
         )
 
     def _wait_for_record(self) -> None:
@@ -325,30 +324,3 @@
 @_send_order.register
 def _(order: messages.SetPace, contact: Contact) -> None:
     contact.set_pace(order)
-
-
-def _translate(report: clients.Report, sent: float) -> reports.Report:
-    return reports.Report(
-        sent=sent,
-        running=tuple(
-            reports.RunningRow(
-                task=row.task,
-                run=row.run,
-                checkpoint=row.checkpoint,
-                percent=row.percent,
-                load=row.load,
-            )
-            for row in report.running
-        ),
-        ended=tuple(
-            reports.EndedRow(
-                number=row.number,
-                task=row.task,
-                run=row.run,
-                ending=_ENDINGS.get(row.ending, reports.Ending.CUT_SHORT),
-                cause=row.ending.value,
-                checkpoint=row.checkpoint,
-            )
-            for row in report.ended
-        ),
-    )
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -189,7 +189,7 @@
     # -- told by contacts --------------------------------------------------
 
     def take_report(
-        self, worker: workers.WorkerState, report: reports.Report, now: float
+        self, worker: workers.WorkerState, report: messages.Report, now: float
     ) -> None:
         """Apply a worker's report.
 
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -8,29 +8,23 @@
 import msgspec
 
 from rackvalve.platform import connections
+from rackvalve.scheduling import messages
 
 STATUS_OK = 200
 STATUS_INVALID = 400
 STATUS_REJECTED = 409
 STATUS_OTHER_LIFE = 421
 STATUS_UNWELL = frozenset({429, 503})
+# The other words mean that a run did not end by itself: stopped; lapsed (its
+# lease ran out); broken (another member of its gang ended); alone (the other
+# members did not come).
+_ENDINGS = {
+    "done": messages.Ending.DONE,
+    "failed": messages.Ending.FAILED,
+}
 LIFE_HEADER = "Expect-Instance"
 
 
-class Ending(enum.Enum):
-    """How a run of a task ended, in the platform's words."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    # The worker's lease ran out.
-    LAPSED = "lapsed"
-    # Another member of its gang ended.
-    PARTNER_ENDED = "broken"
-    # The other members of its gang did not come.
-    PARTNERS_MISSING = "alone"
-
-
 class Reason(enum.Enum):
     """Why a worker rejected a start, in the platform's words."""
 
@@ -44,45 +38,6 @@
     TICKET = "ticket"
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class RunningTask:
-    """A run on a worker.
-
-    :param task: Name of the task.
-    :param run: Number of the run.
-    :param checkpoint: Newest checkpoint, empty for none.
-    :param percent: Part of the work that is done; for a task that lasts 100
-        once it is at work.
-    :param load: Over the last half second: for a task that serves the tail
-        of its answers' times in milliseconds, else the cores in use in
-        thousandths.
-    """
-
-    task: str
-    run: int
-    checkpoint: str
-    percent: float
-    load: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class EndedTask:
-    """The end of a run on a worker.
-
-    :param number: Rises by one with each end of this worker's life.
-    :param task: Name of the task.
-    :param run: Number of the run.
-    :param ending: How it ended.
-    :param checkpoint: Newest checkpoint, empty for none.
-    """
-
-    number: int
-    task: str
-    run: int
-    ending: Ending
-    checkpoint: str
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Report:
     """What a worker says of itself.
@@ -93,8 +48,8 @@
     """
 
     clock: float
-    running: tuple[RunningTask, ...]
-    ended: tuple[EndedTask, ...]
+    running: tuple[messages.RunningRow, ...]
+    ended: tuple[messages.EndedRow, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -311,7 +266,7 @@
 def _read_report(body: bytes) -> Report:
     wire = msgspec.json.decode(body, type=_WireHold)
     running = tuple(
-        RunningTask(
+        messages.RunningRow(
             task=str(row[0]),
             run=int(row[1]),
             checkpoint=str(row[2]),
@@ -321,11 +276,12 @@
         for row in wire.running
     )
     ended = tuple(
-        EndedTask(
+        messages.EndedRow(
             number=int(row[0]),
             task=str(row[1]),
             run=int(row[2]),
-            ending=Ending(row[3]),
+            ending=_ENDINGS.get(str(row[3]), messages.Ending.CUT_SHORT),
+            cause=str(row[3]),
             checkpoint=str(row[4]),
         )
         for row in wire.ended
--- a/src/rackvalve/scheduling/messages.py
+++ b/src/rackvalve/scheduling/messages.py
@@ -72,4 +72,67 @@
     NOT_SENT = "not sent"
 
 
+class Ending(enum.Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    # It did not end by itself: stopped, lapsed, or without its gang.
+    CUT_SHORT = "cut short"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class RunningRow:
+    """A run that the worker has.
+
+    :param task: Full name of the task.
+    :param run: Number of the run.
+    :param checkpoint: Newest checkpoint, empty for none.
+    :param percent: Part of the work that is done; 100 for a task that lasts
+        and is at work.
+    :param load: Tail of a serving task's answers in milliseconds, else cpu
+        in use in thousandths of a core.
+    """
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: float
+    load: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class EndedRow:
+    """A run that has ended on the worker.
+
+    :param number: Rises by one with each end of the worker's life.
+    :param task: Full name of the task.
+    :param run: Number of the run.
+    :param ending: How it ended.
+    :param cause: The worker's own word for it, for logs.
+    :param checkpoint: Newest checkpoint, empty for none.
+    """
+
+    number: int
+    task: str
+    run: int
+    ending: Ending
+    cause: str
+    checkpoint: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Report:
+    """What a worker answered to a hold.
+
+    :param sent: When the hold was sent, in seconds.
+    :param running: What runs.
+    :param ended: What ended and was not acknowledged.
+    """
+
+    sent: float
+    running: tuple[RunningRow, ...]
+    ended: tuple[EndedRow, ...]
+
+
 Order = StartRun | StopRun | SetPace
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
@@ -25,69 +24,6 @@
 DURATION_WEIGHT = 0.1
 
 
-class Ending(enum.Enum):
-    """How a run ended."""
-
-    DONE = "done"
-    FAILED = "failed"
-    # It did not end by itself: stopped, lapsed, or without its gang.
-    CUT_SHORT = "cut short"
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class RunningRow:
-    """A run that the worker has.
-
-    :param task: Full name of the task.
-    :param run: Number of the run.
-    :param checkpoint: Newest checkpoint, empty for none.
-    :param percent: Part of the work that is done; 100 for a task that lasts
-        and is at work.
-    :param load: Tail of a serving task's answers in milliseconds, else cpu
-        in use in thousandths of a core.
-    """
-
-    task: str
-    run: int
-    checkpoint: str
-    percent: float
-    load: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class EndedRow:
-    """A run that has ended on the worker.
-
-    :param number: Rises by one with each end of the worker's life.
-    :param task: Full name of the task.
-    :param run: Number of the run.
-    :param ending: How it ended.
-    :param cause: The worker's own word for it, for logs.
-    :param checkpoint: Newest checkpoint, empty for none.
-    """
-
-    number: int
-    task: str
-    run: int
-    ending: Ending
-    cause: str
-    checkpoint: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Report:
-    """What a worker answered to a hold.
-
-    :param sent: When the hold was sent, in seconds.
-    :param running: What runs.
-    :param ended: What ended and was not acknowledged.
-    """
-
-    sent: float
-    running: tuple[RunningRow, ...]
-    ended: tuple[EndedRow, ...]
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class RunEnded:
     """What an end came to, for logs.
@@ -128,7 +64,7 @@
     def take(
         self,
         worker: workers.WorkerState,
-        report: Report,
+        report: messages.Report,
         *,
         now: float,
         wall: float,
@@ -163,7 +99,7 @@
     def _take_end(
         self,
         worker: workers.WorkerState,
-        row: EndedRow,
+        row: messages.EndedRow,
         now: float,
         wall: float,
     ) -> None:
@@ -188,7 +124,7 @@
             state, task = located
         if row.checkpoint and placed is not None:
             task.checkpoint = row.checkpoint
-        if row.ending is Ending.DONE:
+        if row.ending is messages.Ending.DONE:
             self._take_done(worker, state, task, placed, row.run, now, wall)
         elif placed is not None:
             self._take_cut(worker, placed, row.ending, now, wall)
@@ -237,20 +173,20 @@
         self,
         worker: workers.WorkerState,
         placed: workers.Placed,
-        ending: Ending,
+        ending: messages.Ending,
         now: float,
         wall: float,
     ) -> None:
         task, state = placed.task, placed.state
         delay = LASTING_PAUSE_S if placed.step.lasting else 0.0
-        if ending is Ending.FAILED:
+        if ending is messages.Ending.FAILED:
             task.avoid.add(worker.identity)
             self._note_failure(worker, placed, now)
         self._book.release(placed, now, delay=delay)
         queue = self._book.queues.get(state.queue)
         limit = queue.attempts if queue is not None else 0
         if (
-            ending is Ending.FAILED
+            ending is messages.Ending.FAILED
             and not placed.step.lasting
             and not state.is_final
             and limit
@@ -344,7 +280,9 @@
         return None if task is None else (state, task)
 
 
-def _update_run(placed: workers.Placed, row: RunningRow, now: float) -> None:
+def _update_run(
+    placed: workers.Placed, row: messages.RunningRow, now: float
+) -> None:
     run = placed.run
     run.inherited = False
     if row.checkpoint:
