Move no lasting task that an earlier owner may be moving

Ruled out: a wrong count of tasks away: the count was right for what the new owner could see. Change: after a worker has taken a new owner's token, its lasting tasks count as away, and are not moved, until every stop that was ordered before has ended (stop_time and 0.6 s).

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -24,7 +24,10 @@
             models.CONFIGURATION, inherited_lease=5.0, now=self.now
         )
         self.handler = reports.Handler(
-            self.book, early=0.0, lease=timing.WORKER_LEASE_S
+            self.book,
+            early=0.0,
+            lease=timing.WORKER_LEASE_S,
+            settling=0.0,
         )
         self.planner = planners.Planner(
             self.book,
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -45,7 +45,10 @@
             models.CONFIGURATION, inherited_lease=lease, now=world.now
         )
         self.handler = reports.Handler(
-            self.book, early=0.0, lease=timing.WORKER_LEASE_S
+            self.book,
+            early=0.0,
+            lease=timing.WORKER_LEASE_S,
+            settling=0.0,
         )
         self.planner = planners.Planner(
             self.book,
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -80,6 +80,12 @@
       | 2    | 1    | silent              | may     |
       | 2    | 2    | silent              | may not |
 
+  Scenario: A new owner moves no lasting task that its predecessor may be moving
+    Given a lasting job of 3 tasks of which 1 may be away
+    When a new owner has just heard of all workers
+    Then the first task may not be moved
+    And another task may be moved once stops of the old owner have ended
+
   Scenario: A gang is placed whole or not at all
     Given workers with room for 3 tasks
     When a gang of 4 tasks is planned
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -309,6 +309,29 @@
             placed.run.percent = 0.0
 
 
+SETTLING_S = 1.5
+
+
+@behave.when("a new owner has just heard of all workers")
+def hear_all(context):
+    for worker in context.bench.book.workers.values():
+        worker.note_established(
+            context.bench.now, timing.WORKER_LEASE_S, SETTLING_S
+        )
+
+
+@behave.then(
+    "another task may be moved once stops of the old owner have ended"
+)
+def check_settled(context):
+    bench = context.bench
+    bench.now += SETTLING_S
+    for worker in bench.book.workers.values():
+        worker.answered = bench.now
+    placed = bench.placed(context.orders[1])
+    assert eviction.may_evict(bench.book, placed, bench.now)
+
+
 @behave.then("the first task {may} be moved")
 def check_evict(context, may):
     placed = context.bench.placed(context.orders[0])
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -78,11 +78,14 @@
         token, in seconds.
     :param pace_interval: Least time between two changes of a run's pace, in
         seconds.
+    :param stop_time: How long a worker takes at most to stop a run, in
+        seconds.
     """
 
     keep: float
     order_pause: float
     pace_interval: float
+    stop_time: float
 
 
 class Owner:
@@ -113,7 +116,10 @@
             configuration, inherited_lease=INHERITED_LEASE_S, now=self._heard
         )
         self._handler = reports.Handler(
-            self._book, early=timing.EARLY_S, lease=timing.WORKER_LEASE_S
+            self._book,
+            early=timing.EARLY_S,
+            lease=timing.WORKER_LEASE_S,
+            settling=rules.stop_time + timing.STOP_MARGIN_S,
         )
         self._planner = planners.Planner(
             self._book,
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -145,6 +145,7 @@
             pace_interval=self._settings.get(
                 "manager", "pace_interval", float
             ),
+            stop_time=self._settings.get("manager", "stop_time", float),
         )
         return owners.Owner(resources, rules, configuration, fence)
 
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -46,6 +46,9 @@
 # A worker's entry that is missing for longer than this is taken as gone; the
 # platform brings entries back within two seconds of an outage's end.
 ENTRY_GRACE_S = 2.0
+# A stop that an earlier owner ordered shows this much after its longest time:
+# holds are answered after half a second at the latest.
+STOP_MARGIN_S = 0.6
 # Orders to one worker that may be under way at the same time.
 ORDER_SENDERS = 3
 
--- a/src/rackvalve/scheduling/eviction.py
+++ b/src/rackvalve/scheduling/eviction.py
@@ -19,7 +19,8 @@
 def is_at_work(book: books.Book, task: progress.Task, now: float) -> bool:
     """Return whether a lasting task is at work, as far as is known.
 
-    A task on a worker that is silent is taken to be away.
+    A task on a worker that is silent is taken to be away, and so is one that
+    an earlier owner may just have ordered to stop.
 
     :param book: The book.
     :param task: The task.
@@ -30,6 +31,7 @@
         if (
             worker is not None
             and now - worker.answered <= SILENCE_S
+            and now >= worker.settled
             and run.stage is progress.Stage.CONFIRMED
             and run.percent >= AT_WORK_PERCENT
             and not run.stop_wanted
@@ -45,6 +47,9 @@
     :param placed: The run.
     :param now: Present time, in seconds.
     """
+    worker = book.workers.get(placed.run.worker)
+    if worker is None or now < worker.settled:
+        return False
     if not is_at_work(book, placed.task, now):
         return True
     name = placed.task.name
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -48,16 +48,23 @@
     :param book: The book.
     :param early: How much before its time a repetition may start, seconds.
     :param lease: Length of a lease on a worker, in seconds.
+    :param settling: How long a stop takes at most, in seconds.
     """
 
-    __slots__ = ("_book", "_early", "_lease", "ended")
+    __slots__ = ("_book", "_early", "_lease", "_settling", "ended")
 
     def __init__(
-        self, book: books.Book, *, early: float, lease: float
+        self,
+        book: books.Book,
+        *,
+        early: float,
+        lease: float,
+        settling: float,
     ) -> None:
         self._book = book
         self._early = early
         self._lease = lease
+        self._settling = settling
         # Ends that were handled and not yet logged.
         self.ended: list[RunEnded] = []
 
@@ -94,7 +101,7 @@
             if key not in worker.runs:
                 self._stop_stray(worker, key)
         if not worker.established:
-            worker.note_established(now, self._lease)
+            worker.note_established(now, self._lease, self._settling)
 
     def _take_end(
         self,
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -59,6 +59,7 @@
         "free",
         "runs",
         "established",
+        "settled",
         "answered",
         "lease_over",
         "handled",
@@ -80,6 +81,8 @@
         self.runs: dict[RunKey, Placed] = {}
         # Whether it has taken our fencing token and told what runs.
         self.established = False
+        # When all stops of earlier owners have ended.
+        self.settled = float("inf")
         # Time of its last answer to a hold.
         self.answered = float("-inf")
         self.lease_over = lease_over
@@ -135,7 +138,9 @@
         over = now + length * (1 + CLOCK_TOLERANCE) + LEASE_MARGIN_S
         self.lease_over = max(self.lease_over, over)
 
-    def note_established(self, now: float, length: float) -> None:
+    def note_established(
+        self, now: float, length: float, settling: float
+    ) -> None:
         """Note that the worker has taken our fencing token.
 
         From then on no earlier owner can extend its lease; what they asked
@@ -143,8 +148,11 @@
 
         :param now: Present time, in seconds.
         :param length: Length of a lease, in seconds.
+        :param settling: How long a stop takes at most that an earlier owner
+            may have ordered just before, in seconds.
         """
         self.established = True
+        self.settled = now + settling
         self.lease_over = float("-inf")
         self.note_extension(now, length)
 
--- a/src/rackvalve/settings/catalog.py
+++ b/src/rackvalve/settings/catalog.py
@@ -138,6 +138,8 @@
     ("manager", "order_pause", _time(0, 60), "3s",
      "How long a new owner gives no orders to VMs, so that two holders do "
      "not take turns."),
+    ("manager", "stop_time", _time(0, 60), "900ms",
+     "How long a worker takes at most to stop a run."),
     ("manager", "notice_time", _time(0, 600), "4500ms",
      "A lasting task that is not at work for this long counts as away."),
     ("manager", "harm_time", _time(0, 600), "4s",
