Drop functions, an attribute and a constant that nothing uses

Read: platform, jobs, scheduling and manager as a newcomer, with a search for names that occur once. Removed: Book.find_over (the planner does this itself), JobState.next_due, Task.away_since (never written but at first), STATUS_INVALID of the worker's client. Behaviour is unchanged.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -98,7 +98,6 @@
         "runs",
         "avoid",
         "not_before",
-        "away_since",
     )
 
     def __init__(self, name: definition.TaskName) -> None:
@@ -110,8 +109,6 @@
         # Workers on which it failed.
         self.avoid: set[str] = set()
         self.not_before = 0.0
-        # For tasks that last: since when it has not been at work.
-        self.away_since: float | None = None
 
 
 class JobState:
@@ -206,15 +203,6 @@
             for number in range(len(self.job.steps)):
                 self._open_step(repetition, number)
 
-    def next_due(self) -> float | None:
-        """Return when the next repetition is due, seconds since 1970."""
-        if self.is_final or not self.job.repetitions:
-            return None
-        for repetition in range(self.job.repetitions):
-            if (repetition, 0) not in self.opened:
-                return self._due(repetition)
-        return None
-
     def requeue(self, task: Task, not_before: float) -> None:
         """Let a task wait for another run.
 
@@ -285,10 +273,8 @@
     def _is_due(self, repetition: int, wall: float, early: float) -> bool:
         if not self.job.repetitions:
             return True
-        return wall >= self._due(repetition) - early
-
-    def _due(self, repetition: int) -> float:
-        return self.job.first_run + repetition * self.job.interval
+        due = self.job.first_run + repetition * self.job.interval
+        return wall >= due - early
 
     def _has(self, name: definition.TaskName) -> bool:
         return (
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -11,7 +11,6 @@
 from rackvalve.scheduling import messages
 
 STATUS_OK = 200
-STATUS_INVALID = 400
 STATUS_REJECTED = 409
 STATUS_OTHER_LIFE = 421
 STATUS_UNWELL = frozenset({429, 503})
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -320,17 +320,6 @@
         for placed in list(worker.runs.values()):
             self.release(placed, now)
 
-    def find_over(self, now: float) -> list[workers.WorkerState]:
-        """Return silent workers whose leases are proved over.
-
-        :param now: Present time, in seconds.
-        """
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.runs and worker.is_over(now)
-        ]
-
     def mark(self, state: progress.JobState, *, urgent: bool = False) -> None:
         """Have a job's record written.
 
