Read a VM and a page in functions of their own; order declarations

Read: platform/machines.py, jobs/records.py, manager/contact.py and scheduling/sizing.py. The listing of VMs is split; its reader no longer takes the one type that it was ever given. Contact declares when its last hold was sent; record types and properties stand with their kind. Behaviour is unchanged.

--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -68,6 +68,10 @@
     tasks: list[_Task] = []
 
 
+class _Phase(msgspec.Struct):
+    phase: progress.Phase
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Summary:
     """What callers may be told from a progress record alone.
@@ -193,10 +197,6 @@
     return Summary(phase=_decode(payload, _Phase).phase)
 
 
-class _Phase(msgspec.Struct):
-    phase: progress.Phase
-
-
 def _decode(payload: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(payload, type=kind)
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -79,6 +79,8 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._answering = True
         self._lost = False
+        # When the last hold was sent.
+        self._sent = 0.0
 
     def start(self) -> None:
         """Start to hold and to send."""
--- a/src/rackvalve/platform/machines.py
+++ b/src/rackvalve/platform/machines.py
@@ -120,24 +120,14 @@
         path = "/machines"
         while True:
             raw = self._client.exchange("GET", path, timeout=self._timeout)
-            page = _read(raw, _WireList)
+            page = _read_page(raw)
             if isinstance(page, Unavailable):
                 return page
             for wire in page.machines:
-                try:
-                    condition = Condition(wire.state)
-                except ValueError:
-                    return Unavailable(reason=f"unknown state {wire.state!r}")
-                vms.append(
-                    Vm(
-                        identity=wire.machine,
-                        pool=wire.pool,
-                        condition=condition,
-                        hall=wire.zone,
-                        labels=tuple(wire.labels),
-                        worker=wire.id or "",
-                    )
-                )
+                vm = _read_vm(wire)
+                if isinstance(vm, Unavailable):
+                    return vm
+                vms.append(vm)
             if not page.next:
                 return vms
             token = urllib.parse.quote(str(page.next), safe="")
@@ -197,14 +187,29 @@
         return Rejected(reason=wire.reason)
 
 
-def _read(
-    raw: connections.Answer | connections.NoAnswer, kind: type[_WireList]
+def _read_page(
+    raw: connections.Answer | connections.NoAnswer,
 ) -> _WireList | Unavailable:
     if isinstance(raw, connections.NoAnswer):
         return Unavailable(reason=raw.reason)
     if raw.status != STATUS_OK:
         return Unavailable(reason=f"status {raw.status}")
     try:
-        return msgspec.json.decode(raw.body, type=kind)
+        return msgspec.json.decode(raw.body, type=_WireList)
     except msgspec.DecodeError as error:
         return Unavailable(reason=repr(error))
+
+
+def _read_vm(wire: _WireVm) -> Vm | Unavailable:
+    try:
+        condition = Condition(wire.state)
+    except ValueError:
+        return Unavailable(reason=f"unknown state {wire.state!r}")
+    return Vm(
+        identity=wire.machine,
+        pool=wire.pool,
+        condition=condition,
+        hall=wire.zone,
+        labels=tuple(wire.labels),
+        worker=wire.id or "",
+    )
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -66,11 +66,6 @@
 
     __slots__ = ("samples", "leaving", "wanted", "have")
 
-    @property
-    def lacks(self) -> int:
-        """How many VMs the pool lacks."""
-        return max(0, self.wanted - self.have)
-
     def __init__(self) -> None:
         # Demand in VMs, with its time.
         self.samples: collections.deque[tuple[float, float]] = (
@@ -91,6 +86,11 @@
         while self.samples[0][0] < now - PEAK_WINDOW_S:
             self.samples.popleft()
 
+    @property
+    def lacks(self) -> int:
+        """How many VMs the pool lacks."""
+        return max(0, self.wanted - self.have)
+
     @property
     def demand(self) -> float:
         """The newest sample, in VMs."""
