Name steps and place runs with their tickets in one place

Read: scheduling/planner.py, manager/admission.py, jobs/progress.py. The admission and the planner must name a step alike: JobState.step_name does. The planner placed a run with its ticket twice; grouping of tasks by step is a function. Behaviour is unchanged.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -183,6 +183,14 @@
         """
         return self.job.steps[name.step]
 
+    def step_name(self, repetition: int, number: int) -> str:
+        """Return the name of a step, unlike those of all other steps.
+
+        :param repetition: Number of the repetition.
+        :param number: Number of the step.
+        """
+        return f"{self.identity}.{repetition}.{number}"
+
     def take_run_number(self) -> int:
         """Return a number above those of all earlier runs of the job."""
         number = self.next_run
--- a/src/rackvalve/manager/admission.py
+++ b/src/rackvalve/manager/admission.py
@@ -65,10 +65,10 @@
             if queue is None or queue.advice is None or not state.waiting:
                 continue
             name = next(iter(state.waiting))
-            step = f"{state.identity}.{name.repetition}.{name.step}"
+            step = state.step_name(name.repetition, name.step)
             if self._planner.tickets.get(step):
                 continue
-            names = self._candidates(state, name, queue, step, now)
+            names = self._find_candidates(state, name, queue, step, now)
             if names:
                 self._ask(step, names, queue.advice)
                 return True
@@ -81,7 +81,7 @@
                 self._planner.tickets.pop(step, None)
                 self._denied.pop(step, None)
 
-    def _candidates(
+    def _find_candidates(
         self,
         state: progress.JobState,
         name: definition.TaskName,
@@ -89,6 +89,7 @@
         step: str,
         now: float,
     ) -> list[str]:
+        """Return the workers to ask about, those with most room first."""
         denied = self._denied.get(step, set())
         labels = state.step_of(name).labels
         found = [
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -152,13 +152,7 @@
         # either.
         full: list[fleet.Room] = []
         for state in states:
-            by_step: dict[tuple[int, int], list[progress.Task]] = (
-                collections.defaultdict(list)
-            )
-            for name in state.waiting:
-                task = state.tasks[name]
-                if task.not_before <= now:
-                    by_step[name.repetition, name.step].append(task)
+            by_step = _group_ready(state, now)
             for (repetition, number), tasks in by_step.items():
                 step = state.job.steps[number]
                 need = fleet.need_of(step)
@@ -194,7 +188,7 @@
         tickets = None
         queue = self._book.queues[state.queue]
         if queue.advice is not None:
-            step_name = f"{state.identity}.{repetition}.{number}"
+            step_name = state.step_name(repetition, number)
             tickets = self.tickets.get(step_name, {})
         if step.gang:
             return self._plan_gang(
@@ -207,11 +201,8 @@
             )
             if worker is None:
                 break
-            run = self._book.place(
-                state, task, worker, state.take_run_number(), now
-            )
-            if tickets is not None:
-                run.ticket = tickets[worker.identity]
+            run_number = state.take_run_number()
+            self._place(state, task, worker, run_number, tickets, now)
             used[worker.identity] += 1
             planned += 1
         return planned
@@ -247,11 +238,23 @@
             return 0
         number = state.take_run_number()
         for task, worker in zip(tasks, chosen, strict=True):
-            run = self._book.place(state, task, worker, number, now)
-            if tickets is not None:
-                run.ticket = tickets[worker.identity]
+            self._place(state, task, worker, number, tickets, now)
         return len(tasks)
 
+    def _place(
+        self,
+        state: progress.JobState,
+        task: progress.Task,
+        worker: workers.WorkerState,
+        number: int,
+        tickets: dict[str, str] | None,
+        now: float,
+    ) -> None:
+        """Plan a run with the worker's ticket, where it needs one."""
+        run = self._book.place(state, task, worker, number, now)
+        if tickets is not None:
+            run.ticket = tickets[worker.identity]
+
     def _urgency(
         self, state: progress.JobState, now: float
     ) -> tuple[float, ...]:
@@ -302,6 +305,18 @@
     return need.fits(other)
 
 
+def _group_ready(
+    state: progress.JobState, now: float
+) -> dict[tuple[int, int], list[progress.Task]]:
+    """Return the tasks that may start now, by repetition and step."""
+    by_step: dict[tuple[int, int], list[progress.Task]] = {}
+    for name in state.waiting:
+        task = state.tasks[name]
+        if task.not_before <= now:
+            by_step.setdefault((name.repetition, name.step), []).append(task)
+    return by_step
+
+
 def _count_used(
     state: progress.JobState,
     repetition: int,
