Split the answering of a call; abandon a large body in one place

Read: manager/front.py. Headers are made by a function of their own, the two refusals of a large body are one, and _version is a verb. Behaviour is unchanged.

--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -113,14 +113,7 @@
         taken = clocks.read_steady() - began
         self._telemetry.calls.labels(method, int(reply.status)).inc()
         self._telemetry.call_seconds.labels(method).observe(taken)
-        headers = [("Content-Type", "application/json")]
-        if reply.status in (
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            http.HTTPStatus.GATEWAY_TIMEOUT,
-        ):
-            headers.append(("Retry-After", str(timing.RETRY_AFTER_S)))
-        if self._is_leaving():
-            headers.append(("Connection", "close"))
+        headers = self._make_headers(reply)
         if reply.reason:
             logs.write_event(
                 "call.answered",
@@ -128,13 +121,24 @@
                 path=environ.get(servers.TARGET_KEY, "")[:200],
                 status=int(reply.status),
                 reason=reply.reason,
-                version=_version(self._view),
+                version=_read_version(self._view),
                 silence=round(self._view.silence(began), 3),
                 seconds=round(taken, 4),
             )
         start_response(f"{reply.status.value} {reply.status.phrase}", headers)
         return [reply.body]
 
+    def _make_headers(self, reply: Reply) -> Headers:
+        headers = [("Content-Type", "application/json")]
+        if reply.status in (
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+        ):
+            headers.append(("Retry-After", str(timing.RETRY_AFTER_S)))
+        if self._is_leaving():
+            headers.append(("Connection", "close"))
+        return headers
+
     def _answer(self, environ: dict[str, Any], now: float) -> Reply:
         if self._view.configuration is None:
             return _refuse("no configuration yet")
@@ -265,7 +269,7 @@
             job=call.identity,
             queue=call.queue.name,
             revision=revision,
-            version=_version(self._view),
+            version=_read_version(self._view),
         )
         return Reply(status=http.HTTPStatus.OK)
 
@@ -385,21 +389,21 @@
     if length and not length.isdigit():
         return _reject("Content-Length is no number")
     if length and int(length) > limit:
-        environ[servers.ABANDON_KEY]()
-        return Reply(
-            status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            reason=f"the body has more than {limit} bytes",
-        )
+        return _abandon_body(environ, limit)
     body: bytes = environ["wsgi.input"].read(limit + 1)
     if len(body) > limit:
-        environ[servers.ABANDON_KEY]()
-        return Reply(
-            status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            reason=f"the body has more than {limit} bytes",
-        )
+        return _abandon_body(environ, limit)
     return body
 
 
+def _abandon_body(environ: dict[str, Any], limit: int) -> Reply:
+    environ[servers.ABANDON_KEY]()
+    return Reply(
+        status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        reason=f"the body has more than {limit} bytes",
+    )
+
+
 def _refuse(reason: str) -> Reply:
     return Reply(status=http.HTTPStatus.SERVICE_UNAVAILABLE, reason=reason)
 
@@ -412,6 +416,6 @@
     )
 
 
-def _version(view: views.View) -> int:
+def _read_version(view: views.View) -> int:
     configuration = view.configuration
     return configuration.version if configuration is not None else 0
