--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -106,7 +106,8 @@
             if isinstance(outcome, clients.Report):
                 self._take_report(outcome)
                 self._wait_for_record()
-            elif not self._take_outcome(outcome):
+            else:
+                self._take_outcome(outcome)
                 gevent.sleep(timing.ORDER_PAUSE_S)
 
     def _hold(self) -> clients.Report | clients.Outcome:
@@ -158,20 +159,17 @@
                 return
             gevent.sleep(timing.RECORD_LOOK_S)
 
-    def _take_outcome(self, outcome: clients.Outcome) -> bool:
-        """Act on an answer that is no report.
-
-        :return: Whether the next hold may follow at once.
-        """
+    def _take_outcome(self, outcome: clients.Outcome) -> None:
+        """Act on an answer that is no report."""
         if isinstance(outcome, clients.OtherLife):
             self._owner.end_life(self._worker.identity, "another life answers")
-            return False
+            return
         if isinstance(outcome, clients.Rejected):
             if outcome.reason is clients.Reason.FENCED:
                 self._owner.depose(
                     f"worker {self._worker.identity} has a greater token"
                 )
-            return False
+            return
         if not self._lost:
             self._lost = True
             logs.write_warning(
@@ -181,7 +179,6 @@
                 reason=str(outcome),
             )
         self._answering = False
-        return False
 
     def _send_forever(self) -> None:
         while True:
