Split the recording of waves and of orders to VMs

Read: manager/caretaker.py. A wave's record and its status are written by a function each; the list of VMs that were given orders is kept by one; the logged demand is read where all others read it. Behaviour is unchanged.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -174,7 +174,7 @@
             logs.write_event(
                 "pool.size",
                 pool=name,
-                demand=round(size.samples[-1][1], 2),
+                demand=round(size.demand, 2),
                 peak=round(size.peak(), 2),
                 wanted=size.wanted,
                 have=size.have,
@@ -186,13 +186,7 @@
 
         An owner that was deposed and does not know it gets no further.
         """
-        now = clocks.read_steady()
-        self._ordered = {
-            known: time
-            for known, time in self._ordered.items()
-            if now - time < ORDERED_S
-        }
-        self._ordered[vm] = now
+        self._remember_ordered(vm, clocks.read_steady())
         self._writer.mark(
             ORDERS_KEY, functools.partial(_make_ordered, self._ordered)
         )
@@ -200,6 +194,14 @@
         while self._writer.durable < write:
             gevent.sleep(timing.CARE_INTERVAL_S / 10)
 
+    def _remember_ordered(self, vm: str, now: float) -> None:
+        self._ordered = {
+            known: time
+            for known, time in self._ordered.items()
+            if now - time < ORDERED_S
+        }
+        self._ordered[vm] = now
+
     def _maintain(self, order: upkeeps.MaintainVm) -> None:
         """Have a VM maintained, once the store knows of it."""
         self._record_waves()
@@ -248,24 +250,30 @@
 
     def _record_waves(self) -> None:
         for number, state in self._upkeep.waves.items():
-            record = _Record(
-                ordered=sorted(state.ordered), done=sorted(state.done)
+            self._record_wave(number, state)
+            self._publish_status(number, state)
+
+    def _record_wave(self, number: int, state: upkeeps.WaveState) -> None:
+        record = _Record(
+            ordered=sorted(state.ordered), done=sorted(state.done)
+        )
+        if self._recorded.get(number) != record:
+            self._recorded[number] = record
+            self._writer.mark(
+                f"{PREFIX}{number}",
+                functools.partial(_make_record, record),
+            )
+
+    def _publish_status(self, number: int, state: upkeeps.WaveState) -> None:
+        status = "completed" if state.complete else "running"
+        if state.published != status:
+            state.published = status
+            logs.write_event("wave.status", wave=number, status=status)
+            payload = documents.write_wave_status(state.complete)
+            self._writer.mark(
+                f"{documents.WAVE_STATUS_PREFIX}{number}",
+                functools.partial(writers.Record, payload=payload),
             )
-            if self._recorded.get(number) != record:
-                self._recorded[number] = record
-                self._writer.mark(
-                    f"{PREFIX}{number}",
-                    functools.partial(_make_record, record),
-                )
-            status = "completed" if state.complete else "running"
-            if state.published != status:
-                state.published = status
-                logs.write_event("wave.status", wave=number, status=status)
-                payload = documents.write_wave_status(state.complete)
-                self._writer.mark(
-                    f"{documents.WAVE_STATUS_PREFIX}{number}",
-                    functools.partial(_make_status, payload),
-                )
 
 
 def _make_record(record: _Record) -> writers.Record:
@@ -274,7 +282,3 @@
 
 def _make_ordered(ordered: dict[str, float]) -> writers.Record:
     return writers.Record(payload=msgspec.json.encode(sorted(ordered)))
-
-
-def _make_status(payload: bytes) -> writers.Record:
-    return writers.Record(payload=payload)
