List a job's planned runs in one place

The same four lines stood in four places; JobState.list_planned is the one. The bench and the histories thereby go through the product's own list; no check of theirs is changed. Behaviour is unchanged.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -88,12 +88,7 @@
         self.planner.find_stuck(self.now)
         self.planner.plan(self.now, self.now)
         for state in self.book.jobs.values():
-            planned = [
-                (task.name, run.number)
-                for task in state.tasks.values()
-                for run in task.runs.values()
-                if run.stage is progress.Stage.PLANNED
-            ]
+            planned = state.list_planned()
             self.book.take_recorded(state.identity, planned, self.now)
 
     def starts(self):
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -82,12 +82,7 @@
         self.heard = self.world.now
         for identity in list(self.book.changed):
             state = self.book.jobs[identity]
-            planned = [
-                (task.name, run.number)
-                for task in state.tasks.values()
-                for run in task.runs.values()
-                if run.stage is progress.Stage.PLANNED
-            ]
+            planned = state.list_planned()
             self.store.progress[identity] = records.write_progress(state)
             if state.phase is progress.Phase.COMPLETED:
                 self.world.completed.add(identity)
@@ -103,12 +98,7 @@
         if not self.rules.record:
             for identity in list(self.book.changed):
                 state = self.book.jobs[identity]
-                planned = [
-                    (task.name, run.number)
-                    for task in state.tasks.values()
-                    for run in task.runs.values()
-                    if run.stage is progress.Stage.PLANNED
-                ]
+                planned = state.list_planned()
                 self.book.take_recorded(identity, planned, self.world.now)
 
     def lease_until(self, identity: str) -> float | None:
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -197,6 +197,15 @@
         self.next_run += 1
         return number
 
+    def list_planned(self) -> list[tuple[definition.TaskName, int]]:
+        """Return the runs that no record names yet, as task and number."""
+        return [
+            (task.name, run.number)
+            for task in self.tasks.values()
+            for run in task.runs.values()
+            if run.stage is Stage.PLANNED
+        ]
+
     def open_steps(self, wall: float, early: float) -> None:
         """Let the tasks of steps wait whose turn has come.
 
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -104,12 +104,7 @@
                 )
 
     def _make_record(self, state: progress.JobState) -> writers.Record:
-        planned = [
-            (task.name, run.number)
-            for task in state.tasks.values()
-            for run in task.runs.values()
-            if run.stage is progress.Stage.PLANNED
-        ]
+        planned = state.list_planned()
         return writers.Record(
             payload=records.write_progress(state),
             written=functools.partial(
