Split the step that carries out a wave

Read: features/steps/upkeep_steps.py. The 60 lines of run_wave are five functions, called in the order of before; no assertion is changed. Behaviour is unchanged.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -65,65 +65,96 @@
 
 @behave.when("the wave is carried out to its end")
 def run_wave(context):
-    bench, care = context.bench, context.upkeep
+    bench = context.bench
     context.orders, context.busy = [], []
     context.greatest, context.early = 0, False
-    lives = {vm: vm for vm in context.vms}
-    back = {}
-    state = care.waves[1]
+    context.lives = {vm: vm for vm in context.vms}
+    # When each VM that is away comes back.
+    context.back = {}
+    state = context.upkeep.waves[1]
     for number in range(600):
         bench.now += 0.1
         if number % 10 == 0:
             identity = f"{number:016x}"
             bench.add(definition.Step(cpu=1), identity=identity)
-        for order in bench.start_all():
-            # Half of the tasks end at once, the others later.
-            if order.run % 2:
-                bench.end(order, messages.Ending.DONE)
-        for vm, life in lives.items():
-            if vm not in back:
-                bench.report(life, bench.rows(life))
-        for order in care.decide(bench.now):
-            worker = bench.book.workers[lives[order.vm]]
-            context.busy.extend(worker.runs)
-            context.orders.append(order.vm)
-            care.note_ordered(order, bench.now)
-            bench.book.end_life(worker.identity, bench.now)
-            back[order.vm] = bench.now + AWAY_S
-        context.greatest = max(context.greatest, len(back))
+        do_work(context)
+        maintain_chosen(context)
+        context.greatest = max(context.greatest, len(context.back))
         context.early |= state.complete and len(context.orders) < len(
             context.vms
         )
-        for vm, time in list(back.items()):
-            if bench.now >= time:
-                del back[vm]
-                lives[vm] += "x"
-                bench.numbers[lives[vm]] = 0
-                entry = dataclasses.replace(
-                    models.FakeWorker(
-                        models.World(), lives[vm], models.Rules(), 1.0
-                    ).entry(),
-                    vm=vm,
-                )
-                bench.book.set_entry(entry)
-                bench.report(lives[vm])
-        for worker in bench.book.workers.values():
-            vm = worker.entry.vm
-            worker.closing = upkeep.CLOSED if vm in care.leaving() else ""
-        care.take_list(
-            [list_vm(vm, worker=lives[vm], up=vm not in back) for vm in lives],
-            bench.now,
-        )
-        # Work that lasts too long for the wave's patience ends here.
-        for vm, life in lives.items():
-            for placed in list(
-                bench.book.workers[life].runs.values()
-                if life in bench.book.workers
-                else ()
-            ):
-                if bench.now - placed.run.since > 2.0:
-                    bench.book.release(placed, bench.now)
-                    placed.task.done = True
+        bring_back(context)
+        close_and_list(context)
+        end_long_work(context)
+
+
+def do_work(context):
+    """Start what is planned, end half of it, and let all workers report."""
+    bench = context.bench
+    for order in bench.start_all():
+        # Half of the tasks end at once, the others later.
+        if order.run % 2:
+            bench.end(order, messages.Ending.DONE)
+    for vm, life in context.lives.items():
+        if vm not in context.back:
+            bench.report(life, bench.rows(life))
+
+
+def maintain_chosen(context):
+    """Carry out the orders to VMs, and note what ran on them."""
+    bench, care = context.bench, context.upkeep
+    for order in care.decide(bench.now):
+        worker = bench.book.workers[context.lives[order.vm]]
+        context.busy.extend(worker.runs)
+        context.orders.append(order.vm)
+        care.note_ordered(order, bench.now)
+        bench.book.end_life(worker.identity, bench.now)
+        context.back[order.vm] = bench.now + AWAY_S
+
+
+def bring_back(context):
+    """Begin new lives on VMs whose maintenance is over."""
+    bench, lives = context.bench, context.lives
+    for vm, time in list(context.back.items()):
+        if bench.now >= time:
+            del context.back[vm]
+            lives[vm] += "x"
+            bench.numbers[lives[vm]] = 0
+            entry = dataclasses.replace(
+                models.FakeWorker(
+                    models.World(), lives[vm], models.Rules(), 1.0
+                ).entry(),
+                vm=vm,
+            )
+            bench.book.set_entry(entry)
+            bench.report(lives[vm])
+
+
+def close_and_list(context):
+    """Tell workers whether they are closed, and list all VMs."""
+    bench, care = context.bench, context.upkeep
+    for worker in bench.book.workers.values():
+        vm = worker.entry.vm
+        worker.closing = upkeep.CLOSED if vm in care.leaving() else ""
+    care.take_list(
+        [
+            list_vm(vm, worker=life, up=vm not in context.back)
+            for vm, life in context.lives.items()
+        ],
+        bench.now,
+    )
+
+
+def end_long_work(context):
+    """End work that lasts too long for the wave's patience."""
+    bench = context.bench
+    for life in context.lives.values():
+        worker = bench.book.workers.get(life)
+        runs = list(worker.runs.values()) if worker is not None else []
+        for placed in runs:
+            if bench.now - placed.run.since > 2.0:
+                bench.book.release(placed, bench.now)
+                placed.task.done = True
 
 
 @behave.then(
