--- a/tools/experiments/jobs.py
+++ b/tools/experiments/jobs.py
@@ -43,15 +43,7 @@
     need = fleet.need_of(step)
     for size in POOL_SIZES:
         members = [_make_worker(number) for number in range(size)]
-        view = placement.PoolView(members)
-        task = progress.Task(
-            definition.TaskName(repetition=0, step=0, index=0)
-        )
-        used: collections.Counter = collections.Counter()
-        began = time.perf_counter()
-        for _ in range(DECISIONS):
-            view.choose(step, task, need, used, now=0.0)
-        taken = (time.perf_counter() - began) / DECISIONS
+        taken = _time_choice(members, step, need)
         scan = _time_scan(members, need)
         yield figures.Figure(
             figure=f"place.decision_us.{size}",
@@ -79,6 +71,16 @@
     return workers.WorkerState(entry.identity, entry, 0.0)
 
 
+def _time_choice(members, step, need):
+    view = placement.PoolView(members)
+    task = progress.Task(definition.TaskName(repetition=0, step=0, index=0))
+    used: collections.Counter = collections.Counter()
+    began = time.perf_counter()
+    for _ in range(DECISIONS):
+        view.choose(step, task, need, used, now=0.0)
+    return (time.perf_counter() - began) / DECISIONS
+
+
 def _time_scan(members, need):
     rounds = 20
     began = time.perf_counter()
@@ -110,22 +112,13 @@
         memory = figures.read_rss_mb(pid)
     finally:
         site.stop()
-    starts = [row for row in journal if row[1] == "start"]
     yield figures.Figure(
         figure="jobs.accept_p50_ms",
         value=statistics.median(accept_times) * 1000,
         unit="ms",
         n=len(accept_times),
     )
-    yield figures.Figure(
-        figure="jobs.twice", value=_count_twice(journal), unit="tasks", n=JOBS
-    )
-    lost = sum(state != "completed" for state in states)
-    yield figures.Figure(figure="jobs.lost", value=lost, unit="jobs", n=JOBS)
-    gaps = [_gap_after(kill, starts) for kill in kills]
-    yield figures.Figure(
-        figure="failover.gap_s", value=max(gaps), unit="s", n=len(gaps)
-    )
+    yield from _judge_jobs(journal, states, kills)
     yield figures.Figure(
         figure="store.calls_per_job",
         value=json.loads(calls.body)["calls"] / JOBS,
@@ -138,6 +131,20 @@
     yield figures.Figure(figure="manager.rss_mb", value=memory, unit="MB", n=1)
 
 
+def _judge_jobs(journal, states, kills):
+    """Yield what callers and workers saw of the jobs and of the kills."""
+    starts = [row for row in journal if row[1] == "start"]
+    yield figures.Figure(
+        figure="jobs.twice", value=_count_twice(journal), unit="tasks", n=JOBS
+    )
+    lost = sum(state != "completed" for state in states)
+    yield figures.Figure(figure="jobs.lost", value=lost, unit="jobs", n=JOBS)
+    gaps = [_gap_after(kill, starts) for kill in kills]
+    yield figures.Figure(
+        figure="failover.gap_s", value=max(gaps), unit="s", n=len(gaps)
+    )
+
+
 def _hand_in(site, accept_times, kills):
     for number in range(JOBS):
         killed = None
