Set public methods first, hide what only the planner uses, name a bound

Read: scheduling/upkeep.py, planner.py, placement.py. Upkeep's public methods stand before its private ones (moved, not changed); the planner's estimates of objective and chain are private verbs; the slowness from which a worker is worse than others has a name. Behaviour is unchanged.

--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -16,6 +16,9 @@
 # Workers with room that are compared for one task; with more, the choice
 # hardly gets better (the best of 16 at random is in the best 6 %).
 COMPARED = 16
+# A worker whose tasks take less than this many times as long as elsewhere is
+# as good as any other.
+SLOW_FROM = 1.5
 
 Score = tuple[float, ...]
 
@@ -115,7 +118,7 @@
         float(worker.identity in task.avoid),
         float(suspect),
         float(away_from_data),
-        worker.slowness if worker.slowness > 1.5 else 1.0,
+        worker.slowness if worker.slowness > SLOW_FROM else 1.0,
         crowd,
         leaves,
         neighbours,
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -261,9 +261,9 @@
         queue = self._book.queues[state.queue]
         if state.job.steps[0].lasting:
             return (float(queue.priority), 0.0, state.arrived)
-        objective = self.objective(state, queue)
+        objective = self._estimate_objective(state, queue)
         age = now - state.arrived
-        left = self.chain(state, open_only=True)
+        left = self._estimate_chain(state, open_only=True)
         grade = 1.0
         if age + left > objective:
             grade = 2.0
@@ -271,17 +271,13 @@
             grade = 3.0
         return (float(queue.priority), grade, state.arrived + objective)
 
-    def objective(
+    def _estimate_objective(
         self, state: progress.JobState, queue: queues.Queue
     ) -> float:
-        """Return the time within which a job should end, in seconds.
+        """Return the time within which a job should end, in seconds."""
+        return queue.allowance + queue.stretch * self._estimate_chain(state)
 
-        :param state: The job.
-        :param queue: Its queue.
-        """
-        return queue.allowance + queue.stretch * self.chain(state)
-
-    def chain(
+    def _estimate_chain(
         self, state: progress.JobState, *, open_only: bool = False
     ) -> float:
         """Return the time that a job's longest chain of steps takes.
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -204,6 +204,57 @@
         else:
             state.not_before[order.vm] = now + REFUSED_PAUSE_S
 
+    def workers_on(self, vm: str) -> list[workers.WorkerState]:
+        """Return the lives of workers that may be on a VM.
+
+        The platform's list may be older than a worker's own entry, and the
+        other way round.
+
+        :param vm: The VM.
+        """
+        listed = self.vms.get(vm)
+        return [
+            worker
+            for worker in self._book.workers.values()
+            if (worker.entry is not None and worker.entry.vm == vm)
+            or (listed is not None and worker.identity == listed.worker)
+        ]
+
+    def vacate(
+        self, vm: str, reason: str, patience: float, now: float
+    ) -> bool:
+        """Close a VM and stop what has to leave it.
+
+        :param vm: The VM.
+        :param reason: Why it is closed.
+        :param patience: Tasks that end by themselves are given this long
+            from their start, in seconds.
+        :param now: Present time, in seconds.
+        :return: Whether nothing is left on it.
+        """
+        empty = True
+        for worker in self.workers_on(vm):
+            worker.closing = reason
+            left = eviction.vacate(self._book, worker, patience, now)
+            empty = empty and left
+        return empty
+
+    def leaving(self) -> set[str]:
+        """Return the VMs that are closed or away for a wave."""
+        leaving: set[str] = set()
+        for state in self.waves.values():
+            if not state.complete:
+                leaving |= state.closed | state.ordered.keys()
+        return leaving
+
+    def later(self) -> set[str]:
+        """Return the VMs that are still to be maintained."""
+        later: set[str] = set()
+        for state in self.waves.values():
+            if not state.complete:
+                later.update(state.left())
+        return later
+
     def _close(self, state: WaveState, now: float) -> None:
         """Close as many VMs as the time that is left asks for."""
         left = state.left()
@@ -274,54 +325,3 @@
 
     def _finish(self, state: WaveState) -> None:
         state.complete = not state.left() and not state.ordered
-
-    def workers_on(self, vm: str) -> list[workers.WorkerState]:
-        """Return the lives of workers that may be on a VM.
-
-        The platform's list may be older than a worker's own entry, and the
-        other way round.
-
-        :param vm: The VM.
-        """
-        listed = self.vms.get(vm)
-        return [
-            worker
-            for worker in self._book.workers.values()
-            if (worker.entry is not None and worker.entry.vm == vm)
-            or (listed is not None and worker.identity == listed.worker)
-        ]
-
-    def vacate(
-        self, vm: str, reason: str, patience: float, now: float
-    ) -> bool:
-        """Close a VM and stop what has to leave it.
-
-        :param vm: The VM.
-        :param reason: Why it is closed.
-        :param patience: Tasks that end by themselves are given this long
-            from their start, in seconds.
-        :param now: Present time, in seconds.
-        :return: Whether nothing is left on it.
-        """
-        empty = True
-        for worker in self.workers_on(vm):
-            worker.closing = reason
-            left = eviction.vacate(self._book, worker, patience, now)
-            empty = empty and left
-        return empty
-
-    def leaving(self) -> set[str]:
-        """Return the VMs that are closed or away for a wave."""
-        leaving: set[str] = set()
-        for state in self.waves.values():
-            if not state.complete:
-                leaving |= state.closed | state.ordered.keys()
-        return leaving
-
-    def later(self) -> set[str]:
-        """Return the VMs that are still to be maintained."""
-        later: set[str] = set()
-        for state in self.waves.values():
-            if not state.complete:
-                later.update(state.left())
-        return later
