--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -98,7 +98,6 @@
         "runs",
         "avoid",
         "not_before",
-        "away_since",
     )
 
     def __init__(self, name: definition.TaskName) -> None:
@@ -110,8 +109,6 @@
         # Workers on which it failed.
         self.avoid: set[str] = set()
         self.not_before = 0.0
-        # For tasks that last: since when it has not been at work.
-        self.away_since: float | None = None
 
 
 class JobState:
@@ -186,12 +183,29 @@
         """
         return self.job.steps[name.step]
 
+    def step_name(self, repetition: int, number: int) -> str:
+        """Return the name of a step, unlike those of all other steps.
+
+        :param repetition: Number of the repetition.
+        :param number: Number of the step.
+        """
+        return f"{self.identity}.{repetition}.{number}"
+
     def take_run_number(self) -> int:
         """Return a number above those of all earlier runs of the job."""
         number = self.next_run
         self.next_run += 1
         return number
 
+    def list_planned(self) -> list[tuple[definition.TaskName, int]]:
+        """Return the runs that no record names yet, as task and number."""
+        return [
+            (task.name, run.number)
+            for task in self.tasks.values()
+            for run in task.runs.values()
+            if run.stage is Stage.PLANNED
+        ]
+
     def open_steps(self, wall: float, early: float) -> None:
         """Let the tasks of steps wait whose turn has come.
 
@@ -206,15 +220,6 @@
             for number in range(len(self.job.steps)):
                 self._open_step(repetition, number)
 
-    def next_due(self) -> float | None:
-        """Return when the next repetition is due, seconds since 1970."""
-        if self.is_final or not self.job.repetitions:
-            return None
-        for repetition in range(self.job.repetitions):
-            if (repetition, 0) not in self.opened:
-                return self._due(repetition)
-        return None
-
     def requeue(self, task: Task, not_before: float) -> None:
         """Let a task wait for another run.
 
@@ -285,10 +290,8 @@
     def _is_due(self, repetition: int, wall: float, early: float) -> bool:
         if not self.job.repetitions:
             return True
-        return wall >= self._due(repetition) - early
-
-    def _due(self, repetition: int) -> float:
-        return self.job.first_run + repetition * self.job.interval
+        due = self.job.first_run + repetition * self.job.interval
+        return wall >= due - early
 
     def _has(self, name: definition.TaskName) -> bool:
         return (
