Give an order to a VM on a fresh word of the store, and until it is known

Ruled out: the pause after a takeover: the successor kept it. Change: the store is asked again if its word is older than 0.9 s; an order is given until its outcome is known; the rest as named.

--- /dev/null
+++ b/features/steps/caretaker_steps.py
@@ -0,0 +1,101 @@
+"""Steps about orders to VMs and the store's word before them."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import behave
+
+from features import job_bench as benches
+from rackvalve.manager import caretaker
+from rackvalve.manager import view
+from rackvalve.platform import machines
+from rackvalve import telemetry
+
+
+class FakeWriter:
+    """Takes marks at once; the clock may jump while it does."""
+
+    def __init__(self, clock, jumps):
+        self.clock = clock
+        self.jumps = jumps
+        self.number = 0
+
+    @property
+    def durable(self):
+        return self.number
+
+    def mark(self, key, make, urgent=True):
+        self.number += 1
+        if self.jumps:
+            self.clock["now"] += self.jumps.pop(0)
+
+
+class FakeMachines:
+    """Answers orders with what it was given, then with success."""
+
+    def __init__(self, answers, writer):
+        self.answers = answers
+        self.writer = writer
+        self.sent = []
+
+    def maintain(self, vm, wave, fence):
+        self.sent.append((vm, wave, fence, self.writer.number))
+        if self.answers:
+            return self.answers.pop(0)
+        return machines.Ordered()
+
+
+def make_caretaker(context, jumps, answers):
+    clock = {"now": 100.0}
+    bench = benches.Bench(["w0"])
+    writer = FakeWriter(clock, jumps)
+    context.machines = FakeMachines(answers, writer)
+    context.read_steady = lambda: clock["now"]
+    context.caretaker = caretaker.Caretaker(
+        context.machines,
+        view.View(),
+        bench.book,
+        writer,
+        7,
+        telemetry=telemetry.Telemetry(),
+        order_pause=3.0,
+        spawn=lambda function: function(),
+        on_change=lambda: None,
+    )
+
+
+@behave.given(
+    "an owner that is frozen for 5 seconds while the store answers it"
+)
+def freeze_owner(context):
+    make_caretaker(context, [5.0], [])
+
+
+@behave.given("an interface to VMs whose first 2 answers are lost")
+def lose_answers(context):
+    lost = machines.Unavailable(reason="no answer in time")
+    make_caretaker(context, [], [lost, lost])
+
+
+@behave.when("it gives an order to a VM")
+def give_order(context):
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        context.outcome = context.caretaker._order(
+            "w0", lambda: context.machines.maintain("w0", 1, 7)
+        )
+
+
+@behave.then("it asks the store again before the order is sent")
+def check_asked_again(context):
+    ((_, _, _, marks),) = context.machines.sent
+    assert marks == 2, context.machines.sent
+
+
+@behave.then("the same order was sent 3 times and has succeeded")
+def check_repeated(context):
+    assert len(context.machines.sent) == 3
+    assert len({order[:3] for order in context.machines.sent}) == 1
+    assert isinstance(context.outcome, machines.Ordered)
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -56,3 +56,13 @@
     Given 3 workers of a queue with an admission service
     Then nothing is placed without a ticket
     And a task goes to the admitted worker and brings its ticket
+
+  Scenario: An order to a VM is given only on a fresh word of the store
+    Given an owner that is frozen for 5 seconds while the store answers it
+    When it gives an order to a VM
+    Then it asks the store again before the order is sent
+
+  Scenario: An order to a VM without an answer is given again, not to another VM
+    Given an interface to VMs whose first 2 answers are lost
+    When it gives an order to a VM
+    Then the same order was sent 3 times and has succeeded
--- a/src/rackvalve/jobs/definition.py
+++ b/src/rackvalve/jobs/definition.py
@@ -101,7 +101,9 @@
     :return: The name, or ``None`` for a text that is none.
     """
     parts = text.split(".")
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    if not text.isascii() or len(parts) != 3:
+        return None
+    if not all(part.isdigit() for part in parts):
         return None
     return TaskName(
         repetition=int(parts[0]), step=int(parts[1]), index=int(parts[2])
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -30,6 +30,9 @@
 ORDERED_S = 10.0
 
 
+Outcome = clients.Ordered | clients.Rejected | clients.Unavailable
+
+
 class _Record(msgspec.Struct):
     ordered: list[str] = []
     done: list[str] = []
@@ -46,6 +49,7 @@
     :param telemetry: Counts orders and sizes.
     :param order_pause: Time without orders after the taking of the token, in
         seconds.
+    :param spawn: Runs a function in a greenlet that ends with the owner.
     :param on_change: Called when workers were closed or stops are wanted.
     """
 
@@ -59,8 +63,10 @@
         *,
         telemetry: telemetries.Telemetry,
         order_pause: float,
+        spawn: Callable[[Callable[[], None]], None],
         on_change: Callable[[], None],
     ) -> None:
+        self._spawn = spawn
         self._machines = machines
         self._view = view
         self._book = book
@@ -141,9 +147,9 @@
 
     def _step(self, now: float) -> None:
         for maintain in self._upkeep.decide(now):
-            gevent.spawn(self._maintain, maintain)
+            self._spawn(functools.partial(self._maintain, maintain))
         for move in self._sizing.decide(now):
-            gevent.spawn(self._move, move)
+            self._spawn(functools.partial(self._move, move))
         self._apply_closing()
         self._log_sizes(now)
         self._record_waves()
@@ -186,13 +192,39 @@
 
         An owner that was deposed and does not know it gets no further.
         """
-        self._remember_ordered(vm, clocks.read_steady())
-        self._writer.mark(
-            ORDERS_KEY, functools.partial(_make_ordered, self._ordered)
-        )
-        write = self._writer.number
-        while self._writer.durable < write:
-            gevent.sleep(timing.CARE_INTERVAL_S / 10)
+        began = float("-inf")
+        # A process that was frozen meanwhile asks again: the answer is old.
+        while clocks.read_steady() - began > timing.CONFIRMATION_S:
+            began = clocks.read_steady()
+            self._remember_ordered(vm, began)
+            self._writer.mark(
+                ORDERS_KEY, functools.partial(_make_ordered, self._ordered)
+            )
+            write = self._writer.number
+            while self._writer.durable < write:
+                gevent.sleep(timing.CARE_INTERVAL_S / 10)
+
+    def _order(self, vm: str, send: Callable[[], Outcome]) -> Outcome:
+        """Give an order until it is known what became of it.
+
+        An order without an answer may have been taken; the platform answers
+        the same order with success if it is done already.
+
+        :param vm: The VM.
+        :param send: Gives the order once.
+        """
+        uncertain = False
+        for _ in range(timing.VM_ORDER_TRIES):
+            self._confirm_ownership(vm)
+            outcome = send()
+            if isinstance(outcome, clients.Ordered):
+                return outcome
+            if isinstance(outcome, clients.Unavailable):
+                uncertain = True
+            elif not uncertain:
+                return outcome
+            gevent.sleep(timing.VM_ORDER_PAUSE_S)
+        return outcome
 
     def _remember_ordered(self, vm: str, now: float) -> None:
         self._ordered = {
@@ -205,8 +237,10 @@
     def _maintain(self, order: upkeeps.MaintainVm) -> None:
         """Have a VM maintained, once the store knows of it."""
         self._record_waves()
-        self._confirm_ownership(order.vm)
-        outcome = self._machines.maintain(order.vm, order.wave, self._fence)
+        outcome = self._order(
+            order.vm,
+            lambda: self._machines.maintain(order.vm, order.wave, self._fence),
+        )
         self._telemetry.vm_orders.labels(
             "maintain", type(outcome).__name__
         ).inc()
@@ -230,8 +264,10 @@
 
     def _move(self, order: sizings.MoveVm) -> None:
         """Move a VM to another pool."""
-        self._confirm_ownership(order.vm)
-        outcome = self._machines.move(order.vm, order.pool, self._fence)
+        outcome = self._order(
+            order.vm,
+            lambda: self._machines.move(order.vm, order.pool, self._fence),
+        )
         self._telemetry.vm_orders.labels("move", type(outcome).__name__).inc()
         size = self._sizing.pools.get(order.pool)
         logs.write_event(
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -378,7 +378,7 @@
 def _read_budget(environ: dict[str, Any]) -> float:
     """Return how long a request may take, in seconds."""
     text = environ.get(callers.DEADLINE_HEADER, "")
-    if not text.isdigit() or len(text) > 9:
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
         return timing.REQUEST_BUDGET_S
     wanted = int(text) / 1000 * timing.DEADLINE_SHARE
     return min(timing.REQUEST_BUDGET_S, wanted)
@@ -386,7 +386,7 @@
 
 def _read_body(environ: dict[str, Any], limit: int) -> bytes | Reply:
     length = environ.get("CONTENT_LENGTH") or ""
-    if length and not length.isdigit():
+    if length and not (length.isascii() and length.isdigit()):
         return _reject("Content-Length is no number")
     if length and int(length) > limit:
         return _abandon_body(environ, limit)
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -279,7 +279,8 @@
             function()
         except Exception:
             # Another process goes on from the records.
-            logs.write_failure("task.failed", message=function.__qualname__)
+            name = getattr(function, "__qualname__", repr(function))
+            logs.write_failure("task.failed", message=name)
             self.depose("an unexpected error; see task.failed")
 
     def _run(self) -> None:
@@ -372,6 +373,7 @@
             self.fence,
             telemetry=self._telemetry,
             order_pause=self._rules.order_pause,
+            spawn=self._spawn,
             on_change=self._wanted.set,
         )
         caretaker.load(self._read_all(caretakers.PREFIX))
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -71,6 +71,7 @@
         self._machines = machine_clients.Machines(
             self._machine_client, vm, timeout=timing.MACHINES_TIMEOUT_S
         )
+        self._adviser = self._make_adviser()
         self._view = views.View()
         self._front = fronts.Front(
             self._store,
@@ -134,7 +135,7 @@
             name=self._name,
             store=self._store,
             machines=self._machines,
-            adviser=self._make_adviser(),
+            adviser=self._adviser,
             view=self._view,
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -44,7 +44,8 @@
         self._telemetry = telemetry
         self._keep = keep
         self._on_recorded = on_recorded
-        self._waiting: dict[str, int] = {}
+        # Not known at first: an earlier owner may have left other numbers.
+        self._waiting: dict[str, int] | None = None
         self._waiting_at = 0.0
         self._collected_at = clocks.read_steady()
         # Jobs whose end was told; records of late ends of runs may follow.
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -78,6 +78,13 @@
 # How often the platform's list of VMs is read, with a wave under way or not.
 LIST_BUSY_INTERVAL_S = 0.4
 LIST_INTERVAL_S = 2.0
+# An order to a VM is given this long after the store was asked at most: less
+# than the owner's lease, within which no other process can have taken over
+# and waited for its own pause.
+CONFIRMATION_S = 0.9
+# An order without an answer is given again after this pause, so many times.
+VM_ORDER_PAUSE_S = 0.3
+VM_ORDER_TRIES = 10
 # How often the sizes of pools are logged.
 SIZES_LOG_INTERVAL_S = 1.0
 # Longest wait for an answer of the platform's interface to its VMs.
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -123,7 +123,7 @@
     """
     wire = _decode(payload, _WireServer)
     host, _, port = wire.addr.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise errors.DocumentInvalidError(f"address {wire.addr!r}")
     rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
     remaining = wire.remaining_ms
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -19,6 +19,10 @@
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
 STATUS_BUSY = frozenset({429, 503})
+# Malformed: the store has done nothing.
+STATUS_INVALID = 400
+# A single key or lease may be missing; a range may only be empty.
+_FOUND = frozenset({STATUS_OK, STATUS_MISSING})
 
 _CALL_NAMES = (
     ("/kv-key", "read"),
@@ -317,10 +321,12 @@
             if raw.sent:
                 return Unknown(reason=raw.reason)
             return Unavailable(reason=raw.reason)
-        if raw.status in STATUS_BUSY:
+        if raw.status in STATUS_BUSY or raw.status == STATUS_INVALID:
             return Unavailable(reason=f"status {raw.status}")
         if raw.status == STATUS_MISSING:
             return LeaseOver()
+        if raw.status not in (STATUS_OK, STATUS_CONFLICT):
+            return Unknown(reason=f"status {raw.status}")
         answer = _decode(raw.body, _WireAnswer)
         if isinstance(answer, Unavailable):
             return Unknown(reason=answer.reason)
@@ -328,8 +334,6 @@
             return Conflict(
                 items={item.key: _to_item(item) for item in answer.items}
             )
-        if raw.status != STATUS_OK:
-            return Unavailable(reason=f"status {raw.status}")
         return Committed(revision=answer.rev)
 
     def open_lease(self, duration: float) -> Lease | Unavailable:
@@ -383,7 +387,8 @@
         self._note(_name_call(path), raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
-        if raw.status not in (STATUS_OK, STATUS_MISSING):
+        allowed = {STATUS_OK} if path.startswith("/kv-range") else _FOUND
+        if raw.status not in allowed:
             return Unavailable(reason=f"status {raw.status}")
         return raw
 
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -262,6 +262,11 @@
         if state.job.steps[0].lasting:
             return (float(queue.priority), 0.0, state.arrived)
         objective = self._estimate_objective(state, queue)
+        if state.job.repetitions:
+            # Each time counts from when it is due, not from the job's arrival.
+            first = next(iter(state.waiting)).repetition
+            due = first * state.job.interval
+            return (float(queue.priority), 1.0, state.arrived + due)
         age = now - state.arrived
         left = self._estimate_chain(state, open_only=True)
         grade = 1.0
