Let the site's tools wait for an owner between two of them

The managers' logs of those sites have ownership.lost, 'the lease is over': the starved owner's lease of 1.5 s had run out, and the next one had not taken over yet. The product went on; the step took for granted that there is always an owner. Change: tools/site.py waits for an owner; what the scenarios check is as it was.

--- a/tools/site.py
+++ b/tools/site.py
@@ -161,7 +161,22 @@
         return self.state(queue, identity)
 
     def owner(self):
-        """Return the manager that owns the scheduling, or ``None``."""
+        """Return the manager that owns the scheduling, waiting for one.
+
+        On a busy machine an owner's lease may run out; there is none then
+        until the next one has taken over.
+
+        :return: The manager, or ``None`` if there is none for long.
+        """
+        until = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until:
+            found = self._find_owner()
+            if found is not None:
+                return found
+            time.sleep(0.05)
+        return None
+
+    def _find_owner(self):
         found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
         if found.status != 200:
             return None
