Prefer large VMs for the ownership; keep a place for spread tasks

Ruled out: the store (it answered), want of room (VMs in pools were many). Change: the store's entry of the owner tells its processor; smaller VMs let larger ones go first, and a much larger one asks the owner to hand over. Sizes and waves count the places that spread tasks need. Only jobs that have not ended are looked at in each decision; lives are found by their VM.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -126,6 +126,10 @@
         worker = self.book.workers[order.worker]
         return worker.runs[f"{order.job}.{order.task}", order.run]
 
+    def placed_run(self, order):
+        """Return the run that an order to stop names."""
+        return self.book.workers[order.worker].runs[order.task, order.run]
+
     def start_all(self):
         self.plan()
         orders = self.starts()
--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -293,6 +293,45 @@
     assert count == sizing.LEAST
 
 
+@behave.when(
+    "a lasting step of {count:d} small tasks runs there, at most {most:d} on "
+    "a worker"
+)
+def spread_tasks(context, count, most):
+    context.state = context.bench.add(
+        definition.Step(tasks=count, cpu=1, lasting=True, most_per_worker=most)
+    )
+    assert len(context.bench.start_all()) == count
+
+
+@behave.then(
+    "the pool goes back to {count:d} VMs and each of the {tasks:d} tasks has "
+    "a place"
+)
+def check_spread(context, count, tasks):
+    bench, gone = context.bench, set()
+    for _ in range(8):
+        gone |= {
+            move.vm for move in step_sizing(context, sizing.PEAK_WINDOW_S)
+        }
+        for order in bench.stops():
+            bench.book.orders.remove(order)
+            placed = bench.placed_run(order)
+            bench.book.release(placed, bench.now)
+        for name in gone:
+            bench.book.workers[name].closing = sizing.SURPLUS
+        bench.start_all()
+    assert len(context.names) - len(gone) == count, gone
+    placed = [run for t in context.state.tasks.values() for run in t.runs]
+    assert len(placed) == tasks and not context.state.waiting
+
+
+@behave.then("at most 1 VM is closed at a time")
+def check_closed_at_once(context):
+    context.upkeep.decide(context.bench.now)
+    assert len(context.upkeep.leaving()) == 1
+
+
 @behave.when("it gives a VM away and at once lacks room")
 def give_and_want(context):
     moves = step_sizing(context, sizing.PEAK_WINDOW_S + 1.0)
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -29,6 +29,16 @@
     When the work is done and some time has passed
     Then the pool goes back to 3 VMs
 
+  Scenario: A pool keeps a place for each task of a step that must be spread
+    Given a pool of 8 VMs and 0 spare VMs
+    When a lasting step of 12 small tasks runs there, at most 2 on a worker
+    Then the pool goes back to 7 VMs and each of the 12 tasks has a place
+
+  Scenario: A wave closes no VM whose tasks would find no other place
+    Given a pool of 6 VMs and a wave over all of them that bears 4 away
+    When a lasting step of 10 small tasks runs there, at most 2 on a worker
+    Then at most 1 VM is closed at a time
+
   Scenario: A VM whose move is ordered takes no work until it is over
     Given a pool of 6 VMs and 0 spare VMs
     When it gives a VM away and at once lacks room
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -43,7 +43,9 @@
     "ownership.taken": "This process schedules from now on.",
     "ownership.deposed": "Another owner was found; says by what.",
     "ownership.lost": "This process schedules no more.",
-    "ownership.resigned": "This process handed the ownership over.",
+    "ownership.resigned": "This process handed the ownership over; says why.",
+    "ownership.requested": "This process asked the owner, on a smaller VM, to "
+    "hand over.",
     "owner.loaded": "A new owner has read all records.",
     "worker.found": "A worker was seen for the first time.",
     "worker.established": "A worker has taken the owner's fencing token.",
--- a/src/rackvalve/manager/admission.py
+++ b/src/rackvalve/manager/admission.py
@@ -60,7 +60,7 @@
         """
         now = clocks.read_steady()
         self._expire(now)
-        for state in self._book.jobs.values():
+        for state in self._book.open_jobs.values():
             queue = self._book.queues.get(state.queue)
             if queue is None or queue.advice is None or not state.waiting:
                 continue
--- /dev/null
+++ b/src/rackvalve/manager/candidacy.py
@@ -0,0 +1,98 @@
+"""Which process should own the scheduling: one with enough processor.
+
+All processor time of the scheduling is spent by one process.  On a VM with
+half a core it falls behind: reports wait, leases run out, jobs are late.  So
+a process on a smaller VM lets larger ones go first, and one on a much larger
+VM asks the owner to hand over.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+# A VM of less than this part of the owner's processor counts as smaller.
+# Handing over costs half a second without starts; less is not worth it.
+WORTHWHILE = 1.5
+# How long the smallest VM waits before it takes a free ownership, in seconds:
+# a larger one needs three calls to the store, of 4 ms each.
+SMALLEST_WAIT_S = 0.25
+# An owner is asked to hand over only after this time, in seconds: until then
+# it may be loading, or about to hear of another request.
+SETTLED_S = 2.0
+
+
+class Holder(msgspec.Struct, frozen=True, kw_only=True):
+    """Who holds the ownership, or asks for it, as the store keeps it.
+
+    :param process: Name of the process; begins with its VM.
+    :param attempt: Counts what the process has written so far.
+    :param cores: Processor of its VM, in cores of the usual speed.
+    """
+
+    process: str
+    attempt: int
+    cores: float
+
+    def encode(self) -> bytes:
+        """Return the value to be stored."""
+        return msgspec.json.encode(self)
+
+
+def read_holder(payload: bytes) -> Holder | None:
+    """Decode a stored holder.
+
+    :param payload: The stored value.
+    :return: The holder, or ``None`` for a value of another release.
+    """
+    try:
+        return msgspec.json.decode(payload, type=Holder)
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Standing:
+    """What a process knows of its own VM and of the others.
+
+    :param own: Processor of its own VM, in cores.
+    :param most: The most that any holder so far has told, in cores.
+    """
+
+    own: float
+    most: float
+
+    def include(self, holder: Holder | None) -> Standing:
+        """Return the standing with another holder known.
+
+        :param holder: The holder; ``None`` changes nothing.
+        """
+        if holder is None or holder.cores <= self.most:
+            return self
+        return Standing(own=self.own, most=holder.cores)
+
+
+def count_wait(standing: Standing) -> float:
+    """Return how long a process waits before it takes a free ownership.
+
+    :param standing: The process's own VM and the others.
+    :return: Time in seconds; 0 on the largest VM that was seen.
+    """
+    if standing.most <= standing.own:
+        return 0.0
+    return SMALLEST_WAIT_S * (1 - standing.own / standing.most)
+
+
+def is_worth_asking(
+    standing: Standing, holder: Holder | None, held_for: float
+) -> bool:
+    """Return whether a process should ask the owner to hand over.
+
+    :param standing: The process's own VM and the others.
+    :param holder: The present owner; ``None`` if it told nothing of itself.
+    :param held_for: How long it has been seen as the owner, in seconds.
+    """
+    if holder is None or held_for < SETTLED_S:
+        return False
+    return standing.own >= WORTHWHILE * holder.cores
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -3,7 +3,8 @@
 The key's creation revision is the owner's fencing token, so that tokens
 rise with each change of owner.  The key ends with its holder's lease, which
 only says that another process may try; workers that have taken a greater
-token are what ends an owner's rights.
+token are what ends an owner's rights.  :mod:`rackvalve.manager.candidacy`
+decides which process goes first.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from rackvalve import clocks
 from rackvalve import logs
+from rackvalve.manager import candidacy
 from rackvalve.manager import timing
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import store as stores
@@ -27,6 +29,8 @@
 
 PREFIX = "owner/"
 KEY = PREFIX + "scheduling"
+# The last process that has asked the owner to hand over.
+REQUEST_KEY = PREFIX + "request"
 # Candidates try at different times, so that one wins without conflict.
 CANDIDACY_SPREAD_S = 0.02
 
@@ -36,6 +40,7 @@
 
     :param store: The store.
     :param name: Name of this process, unlike those of all others.
+    :param cores: Processor of this VM, in cores of the usual speed.
     :param make_owner: Makes the owner for a fencing token.
     :param may_own: Whether this process knows enough to own.
     :param telemetry: Counts the changes.
@@ -47,6 +52,7 @@
         store: stores.Store,
         name: str,
         *,
+        cores: float,
         make_owner: Callable[[int], owners.Owner | None],
         may_own: Callable[[], bool],
         telemetry: telemetries.Telemetry,
@@ -58,7 +64,11 @@
         self._may_own = may_own
         self._telemetry = telemetry
         self._on_contact = on_contact
+        self._standing = candidacy.Standing(own=cores, most=cores)
         self._holder: stores.Item | None = None
+        # Since when the present holder is known, in seconds.
+        self._held_since = 0.0
+        self._request: stores.Item | None = None
         self._known = False
         self._changed = event.Event()
         self._owner: owners.Owner | None = None
@@ -81,24 +91,37 @@
             self._changed.clear()
             if self._owner is not None:
                 self._keep()
-            elif self._known and self._holder is None and self._may_own():
+            elif not self._known or not self._may_own() or self._resigned:
+                continue
+            elif self._holder is None:
                 self._campaign()
+            else:
+                self._ask_holder()
 
     def resign(self) -> None:
         """Hand over at once and take no further part."""
         self._resigned = True
+        self._hand_over("the process is to end")
+
+    def _hand_over(self, reason: str) -> None:
+        """Give the ownership up; what runs on workers runs on."""
         owner, self._owner = self._owner, None
         if owner is None:
             return
-        owner.stop("the process is to end")
+        owner.stop(reason)
         ended = self._store.end_lease(self._lease)
         logs.write_event(
-            "ownership.resigned", fence=owner.fence, ended=str(ended)
+            "ownership.resigned",
+            fence=owner.fence,
+            reason=reason,
+            ended=str(ended),
         )
 
     def _take_range(self, items: tuple[stores.Item, ...]) -> None:
         self._known = True
-        self._holder = next((item for item in items if item.key == KEY), None)
+        by_key = {item.key: item for item in items}
+        self._set_holder(by_key.get(KEY))
+        self._set_request(by_key.get(REQUEST_KEY))
         self._changed.set()
 
     def _take_changes(self, changes: stores.Changes) -> None:
@@ -106,22 +129,81 @@
         for item in changes.written:
             if item.key == KEY and item.revision > newest:
                 newest = item.revision
-                self._holder = item
+                self._set_holder(item)
+            elif item.key == REQUEST_KEY:
+                self._set_request(item)
         for key, revision in changes.removed:
             if key == KEY and revision > newest:
                 newest = revision
-                self._holder = None
+                self._set_holder(None)
         self._changed.set()
 
-    def _campaign(self) -> None:
+    def _set_holder(self, item: stores.Item | None) -> None:
+        known = self._holder
+        if item is None or known is None or known.created != item.created:
+            self._held_since = clocks.read_steady()
+        self._holder = item
+        if item is not None:
+            holder = candidacy.read_holder(item.payload)
+            self._standing = self._standing.include(holder)
+
+    def _set_request(self, item: stores.Item | None) -> None:
+        self._request = item
+        if item is not None:
+            asking = candidacy.read_holder(item.payload)
+            self._standing = self._standing.include(asking)
+
+    def _describe(self) -> bytes:
+        """Return a value for the store that no other try writes."""
+        self._tries += 1
+        return candidacy.Holder(
+            process=self._name,
+            attempt=self._tries,
+            cores=self._standing.own,
+        ).encode()
+
+    def _ask_holder(self) -> None:
+        """Ask the owner to hand over, if its VM is much smaller."""
+        item = self._holder
+        assert item is not None
+        holder = candidacy.read_holder(item.payload)
+        held_for = clocks.read_steady() - self._held_since
+        if not candidacy.is_worth_asking(self._standing, holder, held_for):
+            return
+        request = self._request
+        if request is not None and request.revision > item.created:
+            # This owner was asked already.
+            return
         gevent.sleep(random.uniform(0, CANDIDACY_SPREAD_S))
+        known = request.revision if request is not None else 0
+        outcome = self._store.commit(
+            [
+                stores.Condition(key=KEY, revision=item.revision),
+                stores.Condition(key=REQUEST_KEY, revision=known),
+            ],
+            [stores.Put(key=REQUEST_KEY, payload=self._describe())],
+        )
+        logs.write_event(
+            "ownership.requested",
+            fence=item.created,
+            holder=holder.process if holder is not None else "",
+            outcome=type(outcome).__name__,
+        )
+
+    def _is_asked(self, owner: owners.Owner) -> bool:
+        """Return whether a larger VM has asked this owner to hand over."""
+        request = self._request
+        return request is not None and request.revision > owner.fence
+
+    def _campaign(self) -> None:
+        wait = candidacy.count_wait(self._standing)
+        gevent.sleep(wait + random.uniform(0, CANDIDACY_SPREAD_S))
         if self._holder is not None or self._resigned:
             return
         lease = self._store.open_lease(timing.OWNER_LEASE_S)
         if isinstance(lease, stores.Unavailable):
             return
-        self._tries += 1
-        payload = f"{self._name} {self._tries}".encode()
+        payload = self._describe()
         outcome = self._store.commit(
             [stores.Condition(key=KEY, revision=0)],
             [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
@@ -149,6 +231,9 @@
     def _keep(self) -> None:
         owner = self._owner
         assert owner is not None
+        if self._is_asked(owner):
+            self._hand_over("a larger VM has asked for it")
+            return
         reason = owner.deposed
         if not reason and self._holder is not None:
             if self._holder.created > owner.fence:
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -82,6 +82,8 @@
         self._election = election.Election(
             self._store,
             self._name,
+            cores=settings.get("instance", "processor_share", float)
+            * settings.get("instance", "processor_speed", float),
             make_owner=self._make_owner,
             may_own=lambda: self._view.configuration is not None,
             telemetry=self._telemetry,
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -41,7 +41,9 @@
     __slots__ = (
         "configuration",
         "jobs",
+        "open_jobs",
         "workers",
+        "lives",
         "orders",
         "changed",
         "queues",
@@ -59,7 +61,12 @@
         self.configuration = configuration
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.jobs: dict[str, progress.JobState] = {}
+        # Those of them that have not ended: ended ones are kept for callers
+        # and must not cost time at each decision.
+        self.open_jobs: dict[str, progress.JobState] = {}
         self.workers: dict[str, workers.WorkerState] = {}
+        # The same workers by their VM, once their entries have named it.
+        self.lives: dict[str, dict[str, workers.WorkerState]] = {}
         # What is to be sent to workers, oldest first.
         self.orders: collections.deque[messages.Order] = collections.deque()
         # Jobs whose record in the store is to be written, in order, and
@@ -91,6 +98,8 @@
             return
         state.arrived = now
         self.jobs[state.identity] = state
+        if not state.is_final:
+            self.open_jobs[state.identity] = state
         for task in state.tasks.values():
             for run in task.runs.values():
                 worker = self._worker_of(run.worker)
@@ -138,6 +147,7 @@
         """
         worker = self._worker_of(entry.identity)
         worker.set_entry(entry)
+        self.lives.setdefault(entry.vm, {})[entry.identity] = worker
         return worker
 
     def remove_entry(self, identity: str, now: float) -> None:
@@ -317,6 +327,8 @@
         worker = self.workers.pop(identity, None)
         if worker is None:
             return
+        if worker.entry is not None:
+            self._forget_life(worker.entry.vm, identity)
         for placed in list(worker.runs.values()):
             self.release(placed, now)
 
@@ -328,11 +340,13 @@
         """
         known = self.changed.get(state.identity, False)
         self.changed[state.identity] = known or urgent or state.is_final
+        if state.is_final:
+            self.open_jobs.pop(state.identity, None)
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not begun."""
         counts: dict[str, int] = {}
-        for state in self.jobs.values():
+        for state in self.open_jobs.values():
             if state.phase is progress.Phase.QUEUED:
                 counts[state.queue] = counts.get(state.queue, 0) + 1
         return counts
@@ -352,6 +366,12 @@
         )
         self.release(placed or workers.Placed(state, task, run), now)
 
+    def _forget_life(self, vm: str, identity: str) -> None:
+        lives = self.lives.get(vm, {})
+        lives.pop(identity, None)
+        if not lives:
+            self.lives.pop(vm, None)
+
     def _worker_of(self, identity: str) -> workers.WorkerState:
         found = self.workers.get(identity)
         if found is None:
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -67,7 +67,7 @@
         :return: How many runs were planned.
         """
         waiting: dict[str, list[progress.JobState]] = {}
-        for state in self._book.jobs.values():
+        for state in self._book.open_jobs.values():
             if state.job.repetitions:
                 state.open_steps(wall, self._limits.early)
             queue = self._book.queues.get(state.queue)
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -64,7 +64,7 @@
 class PoolSize:
     """What is known of one pool's demand."""
 
-    __slots__ = ("samples", "leaving", "wanted", "have")
+    __slots__ = ("samples", "leaving", "wanted", "have", "spread", "away")
 
     def __init__(self) -> None:
         # Demand in VMs, with its time.
@@ -75,6 +75,10 @@
         self.leaving: set[str] = set()
         self.wanted = 0
         self.have = 0
+        # Least VMs on which each lasting step has a place for all its tasks.
+        self.spread = 0
+        # VMs that a wave has closed or taken away.
+        self.away = 0
 
     def note(self, demand: float, now: float) -> None:
         """Take a sample.
@@ -96,6 +100,14 @@
         """The newest sample, in VMs."""
         return self.samples[-1][1] if self.samples else 0.0
 
+    @property
+    def least(self) -> int:
+        """How many VMs the pool keeps whatever its demand is."""
+        if not self.spread:
+            return LEAST
+        # What leaves a VM needs a place that the others do not have.
+        return max(LEAST, self.spread + max(RESERVE, self.away))
+
     def peak(self, since: float = float("-inf")) -> float:
         """Return the greatest demand of the window, in VMs.
 
@@ -193,7 +205,7 @@
             units[pool] = worker.entry.capacity
             used = worker.entry.capacity.minus(worker.free)
             needs[pool] = needs.get(pool, fleet.EMPTY).plus(used)
-        for state in self._book.jobs.values():
+        for state in self._book.open_jobs.values():
             queue = self._book.queues.get(state.queue)
             if queue is None:
                 continue
@@ -209,12 +221,15 @@
     def _count(self, now: float) -> None:
         """Count what each pool has and wants."""
         demands = self._measure()
+        spreads = upkeeps.measure_spreads(self._book)
         for name, pool in self._book.configuration.pools.items():
             if pool.spare:
                 self.pools.pop(name, None)
                 continue
             size = self.pools.setdefault(name, PoolSize())
             size.note(demands.get(name, 0.0), now)
+            size.spread = spreads.get(name, 0)
+            size.away = self._count_away(name)
             size.have = self._count_have(name, size)
             size.wanted = _count_wanted(size)
         for name in self.pools.keys() - self._book.configuration.pools.keys():
@@ -233,6 +248,14 @@
         )
         return coming + working
 
+    def _count_away(self, name: str) -> int:
+        """Count the VMs of a pool that a wave has closed or taken away."""
+        found = 0
+        for vm in self._upkeep.leaving():
+            listed = self._upkeep.vms.get(vm)
+            found += listed is not None and listed.pool == name
+        return found
+
     def _is_sound(self, vm: upkeeps.Vm) -> bool:
         """Return whether a VM works, or is away for a moment only."""
         worker = self._book.workers.get(vm.worker)
@@ -285,7 +308,7 @@
         keep = size.wanted
         if lacking and not size.lacks:
             recent = size.peak(now - SHORT_WINDOW_S)
-            keep = max(LEAST, math.ceil(recent * HEADROOM))
+            keep = max(size.least, math.ceil(recent * HEADROOM))
         surplus = size.have - keep
         if surplus <= 0:
             return
@@ -332,7 +355,7 @@
     wanted = math.ceil(size.peak() * HEADROOM) + RESERVE
     if size.demand > size.have - RESERVE:
         wanted = math.ceil(size.demand * GROWTH) + RESERVE
-    return max(LEAST, wanted)
+    return max(size.least, wanted)
 
 
 def _count_vms(need: fleet.Room, unit: fleet.Room | None) -> float:
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -60,6 +60,28 @@
     wave: int
 
 
+def measure_spreads(book: books.Book) -> dict[str, int]:
+    """Return how many VMs each pool needs to place all lasting tasks.
+
+    A step that bears few of its tasks on one worker needs many workers,
+    however little room its tasks take.
+
+    :param book: The book.
+    :return: Number of VMs by pool.
+    """
+    spreads: dict[str, int] = {}
+    for state in book.open_jobs.values():
+        queue = book.queues.get(state.queue)
+        if queue is None:
+            continue
+        for step in state.job.steps:
+            if not step.lasting or not step.most_per_worker:
+                continue
+            needed = math.ceil(step.tasks / step.most_per_worker)
+            spreads[queue.pool] = max(spreads.get(queue.pool, 0), needed)
+    return spreads
+
+
 class WaveState:
     """How far a wave is.
 
@@ -212,13 +234,11 @@
 
         :param vm: The VM.
         """
+        lives = dict(self._book.lives.get(vm, {}))
         listed = self.vms.get(vm)
-        return [
-            worker
-            for worker in self._book.workers.values()
-            if (worker.entry is not None and worker.entry.vm == vm)
-            or (listed is not None and worker.identity == listed.worker)
-        ]
+        if listed is not None and listed.worker in self._book.workers:
+            lives[listed.worker] = self._book.workers[listed.worker]
+        return list(lives.values())
 
     def vacate(
         self, vm: str, reason: str, patience: float, now: float
@@ -263,11 +283,12 @@
             vm for vm in left if vm not in state.closed and vm not in self.held
         ]
         open_vms.sort(key=self._cost)
+        spreads = measure_spreads(self._book)
         for vm in open_vms:
             busy = len(state.closed) + len(state.ordered.keys() - state.closed)
             if busy >= wanted:
                 return
-            if self._may_close(vm):
+            if self._may_close(vm, spreads):
                 state.closed.add(vm)
 
     def _count_wanted(self, state: WaveState, left: int, now: float) -> int:
@@ -284,7 +305,7 @@
         ]
         return sum(1 for run in placed if run.step.lasting), len(placed)
 
-    def _may_close(self, vm: str) -> bool:
+    def _may_close(self, vm: str, spreads: dict[str, int]) -> bool:
         listed = self.vms.get(vm)
         if listed is None:
             return True
@@ -299,6 +320,9 @@
             for other in members
             if not other.up or self._is_leaving(other.identity)
         )
+        if len(members) - away <= spreads.get(listed.pool, 0):
+            # What leaves the VM would find no place; the pool grows first.
+            return False
         return away < max(1, int(POOL_PART * len(members)))
 
     def _is_leaving(self, vm: str) -> bool:
--- a/src/rackvalve/settings/kinds.py
+++ b/src/rackvalve/settings/kinds.py
@@ -106,6 +106,19 @@
     unit: str = "number from 0 to 1"
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Number:
+    """A number, not necessarily whole.
+
+    :param least: The smallest value allowed.
+    :param most: The largest value allowed.
+    """
+
+    least: float
+    most: float
+    unit: str = "number"
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Endpoint:
     """One address, ``IP:PORT``."""
@@ -120,7 +133,17 @@
     unit: str = "IP:PORT, IP:PORT, ..."
 
 
-Kind = Text | Choice | Duration | Size | Count | Ratio | Endpoint | Endpoints
+Kind = (
+    Text
+    | Choice
+    | Duration
+    | Size
+    | Count
+    | Ratio
+    | Number
+    | Endpoint
+    | Endpoints
+)
 
 
 @functools.singledispatch
@@ -208,6 +231,18 @@
     return ratio
 
 
+@read_value.register
+def _(kind: Number, text: str) -> Value | Malformed:
+    wanted = f"write a number from {kind.least:g} to {kind.most:g}"
+    try:
+        number = float(text)
+    except ValueError:
+        return Malformed(mend=wanted)
+    if not kind.least <= number <= kind.most:
+        return Malformed(mend=wanted)
+    return number
+
+
 @read_value.register
 def _(kind: Endpoint, text: str) -> Value | Malformed:
     match = _ADDRESS.fullmatch(text)
--- a/tools/site.py
+++ b/tools/site.py
@@ -23,9 +23,11 @@
 
     :param managers: How many managers to run.
     :param pools: Number of VMs by pool; the pool ``spare`` holds spare VMs.
+    :param cores: Processor that each manager is told it has.
     """
 
-    def __init__(self, managers=3, pools=None):
+    def __init__(self, managers=3, pools=None, cores=None):
+        self.cores = cores or [1] * managers
         self.pools = pools or POOLS
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rackvalve-site-"))
         self.port = fleets.find_port()
@@ -180,9 +182,9 @@
         found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
         if found.status != 200:
             return None
-        value = base64.b64decode(json.loads(found.body)["value"]).decode()
+        value = json.loads(base64.b64decode(json.loads(found.body)["value"]))
         for manager in self.managers:
-            if manager["vm"] == value.split()[0]:
+            if manager["vm"] == value["process"].split()[0]:
                 return manager
         return None
 
@@ -213,6 +215,7 @@
             "[instance]\n"
             f"vm = {vm}\n"
             "hall = hall-1\n"
+            f"processor_speed = {self.cores[number]}\n"
             "[manager]\n"
             f"front_listen = 127.0.0.1:{front}\n"
             f"ready_listen = 127.0.0.1:{ready}\n"
