--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -79,6 +79,8 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._answering = True
         self._lost = False
+        # Holds in a row that were not answered.
+        self._silent = 0
         # When the last hold was sent.
         self._sent = 0.0
 
@@ -106,9 +108,18 @@
             if isinstance(outcome, clients.Report):
                 self._take_report(outcome)
                 self._wait_for_record()
+                self._silent = 0
             else:
                 self._take_outcome(outcome)
-                gevent.sleep(timing.ORDER_PAUSE_S)
+                gevent.sleep(self._choose_pause())
+
+    def _choose_pause(self) -> float:
+        """Return how long to wait before a silent worker is asked again."""
+        if self._worker.runs:
+            return timing.ORDER_PAUSE_S
+        self._silent += 1
+        longer: float = timing.ORDER_PAUSE_S * 2 ** min(self._silent, 10)
+        return min(timing.SILENT_PAUSE_S, longer)
 
     def _hold(self) -> clients.Report | clients.Outcome:
         now = clocks.read_steady()
@@ -153,11 +164,12 @@
     def _wait_for_record(self) -> None:
         """Let the ends of the last report come into the store first."""
         until = clocks.read_steady() + timing.RECORD_WAIT_S
-        while clocks.read_steady() < until:
+        while True:
             self._worker.acknowledged(self._owner.durable)
-            if not self._worker.unrecorded:
+            left = until - clocks.read_steady()
+            if not self._worker.unrecorded or left <= 0:
                 return
-            gevent.sleep(timing.RECORD_LOOK_S)
+            self._owner.wait_for_commit(left)
 
     def _take_outcome(self, outcome: clients.Outcome) -> None:
         """Act on an answer that is no report."""
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -150,6 +150,13 @@
         """Number of the last write that is in the store."""
         return self._writer.durable
 
+    def wait_for_commit(self, timeout: float) -> None:
+        """Wait until something more may be in the store.
+
+        :param timeout: Longest wait, in seconds.
+        """
+        self._writer.wait(timeout)
+
     def start(self) -> None:
         """Load the jobs and begin, in greenlets of its own."""
         self._spawn(self._run)
@@ -390,11 +397,16 @@
     # -- planning ----------------------------------------------------------
 
     def _plan_forever(self) -> None:
-        checked = 0.0
+        checked = planned = 0.0
         while not self.deposed:
             self._wanted.wait(timing.CHECK_INTERVAL_S)
+            # What comes within a moment is planned together; the first of it
+            # does not wait.
+            planned_for = clocks.read_steady() - planned
+            if planned_for < timing.PLAN_INTERVAL_S:
+                gevent.sleep(timing.PLAN_INTERVAL_S - planned_for)
             self._wanted.clear()
-            now = clocks.read_steady()
+            now = planned = clocks.read_steady()
             if now - checked >= timing.CHECK_INTERVAL_S:
                 checked = now
                 self._check(now)
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -36,11 +36,13 @@
 # After a report with ends the next hold waits this long for their record:
 # before that, the worker would tell the same ends at once.
 RECORD_WAIT_S = 0.2
-RECORD_LOOK_S = 0.01
 # Longest wait for a worker's answer to an order.
 ORDER_TIMEOUT_S = 0.5
 # Pause before a failed order or hold is made again.
 ORDER_PAUSE_S = 0.1
+# Longest pause between two holds of a silent worker that runs nothing.  Most
+# of these are off for good: their VM was moved or maintained.
+SILENT_PAUSE_S = 1.0
 # A worker that has not answered for this long gets no new work.
 FRESHNESS_S = 0.9
 # A worker's entry that is missing for longer than this is taken as gone; the
@@ -53,6 +55,9 @@
 ORDER_SENDERS = 3
 
 # -- planning --------------------------------------------------------------
+# Least time between two plans: a busy owner was woken 235 times a second, and
+# a plan goes through all jobs that wait.  Half the store's time for a write.
+PLAN_INTERVAL_S = 0.01
 # Longest time between two looks for stuck runs and due repetitions.
 CHECK_INTERVAL_S = 0.1
 # How much before its time a repetition may start.
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -62,6 +62,8 @@
         self._on_contact = on_contact
         self._marked: dict[str, tuple[int, Callable[[], Record]]] = {}
         self._in_flight: list[int] = []
+        # Set for a moment after each commit.
+        self._committed = event.Event()
         self._wanted = event.Event()
         self._urgent = event.Event()
         self._number = 0
@@ -86,6 +88,13 @@
         open_marks.extend(self._in_flight)
         return min(open_marks, default=self._number + 1) - 1
 
+    def wait(self, timeout: float) -> None:
+        """Wait for the end of the next commit.
+
+        :param timeout: Longest wait, in seconds.
+        """
+        self._committed.wait(timeout)
+
     def mark(
         self, key: str, make: Callable[[], Record], *, urgent: bool = True
     ) -> None:
@@ -128,6 +137,8 @@
         if not self._commit(records):
             return False
         self._in_flight = []
+        self._committed.set()
+        self._committed.clear()
         for record in records.values():
             if record.written is not None:
                 record.written()
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -44,6 +44,7 @@
         "open_jobs",
         "workers",
         "lives",
+        "members",
         "orders",
         "changed",
         "queues",
@@ -67,6 +68,8 @@
         self.workers: dict[str, workers.WorkerState] = {}
         # The same workers by their VM, once their entries have named it.
         self.lives: dict[str, dict[str, workers.WorkerState]] = {}
+        # And by the pool that they work for.
+        self.members: dict[str, dict[str, workers.WorkerState]] = {}
         # What is to be sent to workers, oldest first.
         self.orders: collections.deque[messages.Order] = collections.deque()
         # Jobs whose record in the store is to be written, in order, and
@@ -148,6 +151,7 @@
         worker = self._worker_of(entry.identity)
         worker.set_entry(entry)
         self.lives.setdefault(entry.vm, {})[entry.identity] = worker
+        self.members.setdefault(entry.pool, {})[entry.identity] = worker
         return worker
 
     def remove_entry(self, identity: str, now: float) -> None:
@@ -328,7 +332,8 @@
         if worker is None:
             return
         if worker.entry is not None:
-            self._forget_life(worker.entry.vm, identity)
+            _forget(self.lives, worker.entry.vm, identity)
+            _forget(self.members, worker.entry.pool, identity)
         for placed in list(worker.runs.values()):
             self.release(placed, now)
 
@@ -366,15 +371,19 @@
         )
         self.release(placed or workers.Placed(state, task, run), now)
 
-    def _forget_life(self, vm: str, identity: str) -> None:
-        lives = self.lives.get(vm, {})
-        lives.pop(identity, None)
-        if not lives:
-            self.lives.pop(vm, None)
-
     def _worker_of(self, identity: str) -> workers.WorkerState:
         found = self.workers.get(identity)
         if found is None:
             found = workers.WorkerState(identity, None, self._inherited_until)
             self.workers[identity] = found
         return found
+
+
+def _forget(
+    index: dict[str, dict[str, workers.WorkerState]], key: str, identity: str
+) -> None:
+    """Take a worker out of an index, and its key with the last one."""
+    found = index.get(key, {})
+    found.pop(identity, None)
+    if not found:
+        index.pop(key, None)
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -132,10 +132,8 @@
     def _view(self, pool: str, now: float) -> placement.PoolView:
         members = [
             worker
-            for worker in self._book.workers.values()
-            if worker.entry is not None
-            and worker.entry.pool == pool
-            and worker.takes_work(now, self._limits.freshness)
+            for worker in self._book.members.get(pool, {}).values()
+            if worker.takes_work(now, self._limits.freshness)
         ]
         view = self._views.setdefault(pool, placement.PoolView([]))
         view.members = members
