Answer on large configurations and narrow links: index queues, compare before reading

Each request to an unknown queue read the whole of it; queues were searched one by one; an answer of 1 MB could not come within 0.8 s on 5 to 10 Mbit/s. Change: the store compares the revision and hands the configuration out only if it changed; queues are found by host and prefix; time limits of the store's answers are for their beginning, with another for the rest.

--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -161,10 +161,22 @@
         self, host: str, path: str, environ: dict[str, Any], now: float
     ) -> Reply:
         """Look whether a newer configuration has the queue."""
-        item = self._store.read(documents.CONFIGURATION_KEY)
-        if not isinstance(item, stores.Item):
+        # Nothing is written: the store only compares the revisions, and hands
+        # the configuration out if it is another one.  It may be large.
+        outcome = self._store.commit(
+            [
+                stores.Condition(
+                    key=documents.CONFIGURATION_KEY,
+                    revision=self._view.revision,
+                )
+            ],
+            [],
+        )
+        if isinstance(outcome, stores.Conflict):
+            for item in outcome.items.values():
+                self._view.take_item(item)
+        elif not isinstance(outcome, stores.Committed):
             return _refuse("no such queue here, and the store is silent")
-        self._view.take_item(item)
         queue = self._find_queue(host, path)
         if queue is None:
             return Reply(
--- a/src/rackvalve/platform/connections.py
+++ b/src/rackvalve/platform/connections.py
@@ -17,6 +17,9 @@
 # A peer that has closed an idle connection is only noticed on the next use;
 # connections idle for longer than this are not used again (seconds).
 IDLE_LIMIT_S = 10.0
+# Most that is read from a connection at once, in bytes; answers of the store
+# have up to 1 MB.
+READ_BLOCK = 65536
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -83,6 +86,7 @@
         *,
         headers: tuple[tuple[str, str], ...] = (),
         timeout: float,
+        body_timeout: float = 0.0,
     ) -> Answer | NoAnswer:
         """Make one call and wait for its whole answer.
 
@@ -90,7 +94,10 @@
         :param path: Path with its query.
         :param body: Body in JSON, empty for none.
         :param headers: Further headers.
-        :param timeout: Longest wait in all, in seconds.
+        :param timeout: Longest wait for the beginning of the answer, in
+            seconds.
+        :param body_timeout: Longest wait for the rest of it, in seconds: a
+            large answer takes long on a narrow link.
         :return: The answer, or why there is none.
         """
         request = self._encode(method, path, body, headers)
@@ -102,7 +109,12 @@
             sock = self._take_connection()
             sent = True
             sock.sendall(request)
-            response = http_response.HTTPSocketResponse(sock, method=method)
+            response = http_response.HTTPSocketResponse(
+                sock, block_size=READ_BLOCK, method=method
+            )
+            if body_timeout and not response.message_complete:
+                limit.close()
+                limit = gevent.Timeout.start_new(body_timeout)
             text = bytes(response.read())
             status = response.status_code
             reusable = not response.should_close()
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -34,6 +34,9 @@
 
 # The store's own limit of conditions, writes and removals in one commit.
 COMMIT_ENTRIES = 32
+# Longest wait for the rest of an answer whose beginning is there (seconds): a
+# page of 1 MB takes 2.7 s on the narrowest link of the users, of 5 Mbit/s.
+BODY_TIMEOUT_S = 4.0
 # The answer to a waiting watch may be this late (seconds); a slow store takes
 # a fifth of a second.
 WATCH_SLACK_S = 0.6
@@ -270,7 +273,12 @@
             f"/kv-watch?path-prefix={_quote(prefix)}&after-rev={after}"
             f"&wait-ms={int(wait * 1000)}"
         )
-        raw = self._watches.exchange("GET", path, timeout=wait + WATCH_SLACK_S)
+        raw = self._watches.exchange(
+            "GET",
+            path,
+            timeout=wait + WATCH_SLACK_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
         self._note("watch", raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
@@ -314,7 +322,11 @@
             }
         )
         raw = self._client.exchange(
-            "POST", "/kv-txn", body, timeout=self.timeout
+            "POST",
+            "/kv-txn",
+            body,
+            timeout=self.timeout,
+            body_timeout=BODY_TIMEOUT_S,
         )
         self._note("commit", raw)
         if isinstance(raw, connections.NoAnswer):
@@ -383,7 +395,13 @@
     def _call(
         self, method: str, path: str, body: bytes = b""
     ) -> connections.Answer | Unavailable:
-        raw = self._client.exchange(method, path, body, timeout=self.timeout)
+        raw = self._client.exchange(
+            method,
+            path,
+            body,
+            timeout=self.timeout,
+            body_timeout=BODY_TIMEOUT_S,
+        )
         self._note(_name_call(path), raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
--- a/src/rackvalve/scheduling/queues.py
+++ b/src/rackvalve/scheduling/queues.py
@@ -74,6 +74,20 @@
     queues: tuple[Queue, ...]
     pools: dict[str, Pool]
     body_limit: int
+    # Queues by host and prefix, and by name: there may be thousands.
+    _by_prefix: dict[str, dict[str, Queue]] = dataclasses.field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+    _by_name: dict[str, Queue] = dataclasses.field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        """Index the queues."""
+        for queue in self.queues:
+            prefixes = self._by_prefix.setdefault(queue.host, {})
+            prefixes.setdefault(queue.prefix, queue)
+            self._by_name.setdefault(queue.name, queue)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of a path.
@@ -81,20 +95,18 @@
         :param host: Host name that the caller gave.
         :param path: Path of the request.
         """
-        best = None
-        for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if best is None or len(queue.prefix) > len(best.prefix):
-                best = queue
-        return best
+        prefixes = self._by_prefix.get(host)
+        if prefixes is None:
+            return None
+        for length in range(len(path), -1, -1):
+            found = prefixes.get(path[:length])
+            if found is not None:
+                return found
+        return None
 
     def queue_by_name(self, name: str) -> Queue | None:
         """Return a queue.
 
         :param name: Its name.
         """
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+        return self._by_name.get(name)
