--- /dev/null
+++ b/features/steps/currency_steps.py
@@ -0,0 +1,186 @@
+"""Steps about the configuration that callers are answered by."""
+
+from __future__ import annotations
+
+import time
+
+import behave
+import gevent
+import msgspec
+
+from rackvalve.manager import front
+from rackvalve.manager import view as views
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import queues
+from rackvalve import telemetry
+
+HOST = "jobs.example"
+KNOWN = "/known/"
+OTHER = "/other/"
+JOB = "00000000000000aa"
+COMPARISON_S = 0.02
+
+
+def make_item(version, *prefixes):
+    routes = [
+        {"name": prefix, "host": HOST, "path-prefix": prefix, "service": "p"}
+        for prefix in prefixes
+    ]
+    payload = msgspec.json.encode({"version": version, "routes": routes})
+    return stores.Item(
+        key=documents.CONFIGURATION_KEY,
+        payload=payload,
+        revision=version,
+        created=1,
+    )
+
+
+class FakeStore:
+    """Holds a configuration and no job; counts comparisons."""
+
+    def __init__(self, item):
+        self.item = item
+        self.silent = False
+        self.comparisons = 0
+
+    def commit(self, conditions, puts, removals=None):
+        (condition,) = conditions
+        assert condition.key == documents.CONFIGURATION_KEY and not puts
+        self.comparisons += 1
+        gevent.sleep(COMPARISON_S)
+        if self.silent:
+            return stores.Unavailable(reason="silent")
+        if condition.revision == self.item.revision:
+            return stores.Committed(revision=self.item.revision)
+        return stores.Conflict(items={self.item.key: self.item})
+
+    def read(self, key):
+        return stores.Missing()
+
+
+@behave.given("a process whose view was confirmed {age:f} s ago")
+def make_front(context, age):
+    item = make_item(1, KNOWN)
+    context.store = FakeStore(item)
+    context.view = views.View()
+    context.view.take_item(item)
+    context.view.note_contact()
+    context.view.note_confirmed(time.monotonic() - age)
+    context.front = front.Front(
+        context.store,
+        context.view,
+        telemetry.Telemetry(),
+        is_leaving=lambda: False,
+    )
+
+
+@behave.given("a newer configuration without the queue in the store")
+def remove_queue(context):
+    context.store.item = make_item(2, OTHER)
+
+
+@behave.given("a newer configuration with another queue in the store")
+def add_queue(context):
+    context.store.item = make_item(2, KNOWN, OTHER)
+
+
+@behave.given("a store that has been silent for {age:f} s")
+def silence(context, age):
+    context.store.silent = True
+    context.view._heard = time.monotonic() - age
+
+
+def ask(context, count, prefix):
+    context.statuses = []
+
+    def call():
+        context.front(
+            {
+                "REQUEST_METHOD": "GET",
+                "HTTP_HOST": HOST,
+                "PATH_INFO": prefix + JOB,
+            },
+            lambda status, headers: context.statuses.append(status[:3]),
+        )
+
+    gevent.joinall([gevent.spawn(call) for _ in range(count)])
+
+
+@behave.when("{count:d} callers ask for the queue that is known")
+@behave.when("{count:d} caller asks for the queue that is known")
+def ask_known(context, count):
+    ask(context, count, KNOWN)
+    assert len(context.statuses) == count
+
+
+@behave.when("1 caller asks for the other queue")
+def ask_other(context):
+    ask(context, 1, OTHER)
+
+
+@behave.then(
+    "it is answered 410 and the store was not asked for the configuration"
+)
+def check_trusted(context):
+    assert context.statuses == ["410"]
+    assert context.store.comparisons == 0
+
+
+@behave.then("all are answered 410 and the revisions were compared once")
+def check_once(context):
+    assert set(context.statuses) == {"410"}
+    assert context.store.comparisons == 1
+
+
+@behave.then("it is answered {status:d}")
+def check_status(context, status):
+    assert context.statuses == [str(status)], context.statuses
+
+
+@behave.then("it is answered 503 at once")
+def check_refused(context):
+    assert context.statuses == ["503"]
+    assert context.store.comparisons == 0
+
+
+@behave.given(
+    "a configuration of {count:d} queues with prefixes within each other"
+)
+def make_many(context, count):
+    names = ["/", "/a/", "/a/b/"] + [f"/q{n}/" for n in range(count - 3)]
+    context.configuration = queues.Configuration(
+        version=1,
+        queues=tuple(
+            queues.Queue(
+                name=name,
+                host=HOST,
+                prefix=name,
+                pool="p",
+                priority=0,
+                attempts=1,
+                stretch=1.0,
+                allowance=0.0,
+                advice=None,
+            )
+            for name in names
+        ),
+        pools={},
+        body_limit=1,
+    )
+
+
+@behave.then("each path leads to the queue with the longest prefix of it")
+def check_prefixes(context):
+    found = context.configuration
+    for path, name in (
+        ("/a/b/x", "/a/b/"),
+        ("/a/x", "/a/"),
+        ("/ab", "/"),
+        ("/q17/x", "/q17/"),
+        ("/q17", "/"),
+    ):
+        assert found.find_queue(HOST, path).name == name, path
+    assert found.find_queue("elsewhere.example", "/a/") is None
+    assert found.queue_by_name("/q17/").prefix == "/q17/"
+    assert found.queue_by_name("none") is None
--- /dev/null
+++ b/src/rackvalve/manager/currency.py
@@ -0,0 +1,82 @@
+"""Confirms that the configuration this process holds is the newest one.
+
+A watch tells of each change, but it may be stuck: cut off in silence, or
+still reading a large configuration over a narrow link.  Then the revisions
+are compared in the store, by one call at a time however many callers wait.
+"""
+
+from __future__ import annotations
+
+import gevent
+from gevent import event
+
+from rackvalve import clocks
+from rackvalve.manager import timing
+from rackvalve.manager import view as views
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+
+
+class Currency:
+    """Compares the configuration held with the store's.
+
+    :param store: The store.
+    :param view: The operator's orders as this process knows them.
+    """
+
+    __slots__ = ("_store", "_view", "_comparison")
+
+    def __init__(self, store: stores.Store, view: views.View) -> None:
+        self._store = store
+        self._view = view
+        # Set when the comparison that is under way has ended.
+        self._comparison: event.Event | None = None
+
+    def confirm(self, since: float, until: float) -> bool:
+        """Make sure that the view was the newest at a time, or later.
+
+        :param since: The time, in seconds.
+        :param until: When to give up, in seconds.
+        :return: Whether it is confirmed; if not, the store does not answer.
+        """
+        while self._view.confirmed < since:
+            now = clocks.read_steady()
+            left = until - now
+            if left <= 0 or self._view.silence(now) > timing.READY_SILENCE_S:
+                return False
+            if self._comparison is not None:
+                self._comparison.wait(left)
+            elif not self._compare():
+                gevent.sleep(min(left, timing.STORE_PAUSE_S))
+        return True
+
+    def _compare(self) -> bool:
+        """Compare once, and take the newer configuration if there is one.
+
+        :return: Whether the store has answered.
+        """
+        ended = self._comparison = event.Event()
+        began = clocks.read_steady()
+        try:
+            # Nothing is written: the store compares the revisions, and hands
+            # the configuration out only if it is another one.
+            outcome = self._store.commit(
+                [
+                    stores.Condition(
+                        key=documents.CONFIGURATION_KEY,
+                        revision=self._view.revision,
+                    )
+                ],
+                [],
+            )
+        finally:
+            self._comparison = None
+            ended.set()
+        if isinstance(outcome, stores.Conflict):
+            for item in outcome.items.values():
+                self._view.take_item(item)
+        elif not isinstance(outcome, stores.Committed):
+            return False
+        self._view.note_contact()
+        self._view.note_confirmed(began)
+        return True
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -1,9 +1,8 @@
 """The callers' side: submit, ask for and cancel jobs, count a queue's.
 
-Every answer is given at once.  A job is accepted when its record is in the
-store, under the condition that the configuration is still the one that it
-was checked against; it is refused only if no write of it can take effect any
-more.
+Every answer is given at once, by a configuration that was the newest a moment
+before.  A job is accepted when its record is in the store; it is refused only
+if no write of it can take effect any more.
 """
 
 from __future__ import annotations
@@ -23,11 +22,11 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
+from rackvalve.manager import currency as currencies
 from rackvalve.manager import recorder as recorders
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.platform import callers
-from rackvalve.platform import documents
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import queues
 from rackvalve import servers
@@ -95,6 +94,7 @@
     ) -> None:
         self._store = store
         self._view = view
+        self._currency = currencies.Currency(store, view)
         self._telemetry = telemetry
         self._is_leaving = is_leaving
         self.active = 0
@@ -144,10 +144,19 @@
             return _refuse("no configuration yet")
         host = environ.get("HTTP_HOST", "")
         path = environ.get("PATH_INFO", "")
+        until = now + _read_budget(environ)
+        # What is found may be a little old; that nothing is found must be
+        # true now.
+        known = self._find_queue(host, path) is not None
+        since = now - timing.VIEW_AGE_S if known else now
+        if not self._currency.confirm(since, until):
+            return _refuse("the newest configuration is not known")
         queue = self._find_queue(host, path)
         if queue is None:
-            return self._answer_unknown(host, path, environ, now)
-        return self._answer_queue(queue, path, environ, now)
+            return Reply(
+                status=http.HTTPStatus.NOT_FOUND, reason="no such queue"
+            )
+        return self._answer_queue(queue, path, environ, until)
 
     def _find_queue(self, host: str, path: str) -> queues.Queue | None:
         configuration = self._view.configuration
@@ -157,39 +166,12 @@
             found = configuration.find_queue(host.rpartition(":")[0], path)
         return found
 
-    def _answer_unknown(
-        self, host: str, path: str, environ: dict[str, Any], now: float
-    ) -> Reply:
-        """Look whether a newer configuration has the queue."""
-        # Nothing is written: the store only compares the revisions, and hands
-        # the configuration out if it is another one.  It may be large.
-        outcome = self._store.commit(
-            [
-                stores.Condition(
-                    key=documents.CONFIGURATION_KEY,
-                    revision=self._view.revision,
-                )
-            ],
-            [],
-        )
-        if isinstance(outcome, stores.Conflict):
-            for item in outcome.items.values():
-                self._view.take_item(item)
-        elif not isinstance(outcome, stores.Committed):
-            return _refuse("no such queue here, and the store is silent")
-        queue = self._find_queue(host, path)
-        if queue is None:
-            return Reply(
-                status=http.HTTPStatus.NOT_FOUND, reason="no such queue"
-            )
-        return self._answer_queue(queue, path, environ, now)
-
     def _answer_queue(
         self,
         queue: queues.Queue,
         path: str,
         environ: dict[str, Any],
-        now: float,
+        until: float,
     ) -> Reply:
         rest = path[len(queue.prefix) :].strip("/")
         if rest and not _IDENTITY.fullmatch(rest):
@@ -198,7 +180,7 @@
             method=environ["REQUEST_METHOD"],
             queue=queue,
             identity=rest,
-            until=now + _read_budget(environ),
+            until=until,
         )
         if not call.identity:
             if call.method != "GET":
@@ -246,23 +228,15 @@
         reason = ""
         while clocks.read_steady() < call.until:
             outcome = self._store.commit(
-                [
-                    stores.Condition(key=key, revision=0),
-                    stores.Condition(
-                        key=documents.CONFIGURATION_KEY,
-                        revision=self._view.revision,
-                    ),
-                ],
+                [stores.Condition(key=key, revision=0)],
                 [stores.Put(key=key, payload=payload)],
             )
             if isinstance(outcome, stores.Committed):
                 return self._accepted(call, outcome.revision)
             if isinstance(outcome, stores.Conflict):
-                if key in outcome.items:
-                    return self._accepted(call, outcome.items[key].revision)
-                reply = self._take_newer(call, outcome)
-                if reply is not None:
-                    return reply
+                found = outcome.items.get(key)
+                if found is not None:
+                    return self._accepted(call, found.revision)
                 continue
             if isinstance(outcome, stores.Unknown):
                 uncertain = True
@@ -285,25 +259,6 @@
         )
         return Reply(status=http.HTTPStatus.OK)
 
-    def _take_newer(
-        self, call: Call, conflict: stores.Conflict
-    ) -> Reply | None:
-        """Take the configuration that came between.
-
-        :return: The answer if the queue is gone, else ``None``.
-        """
-        item = conflict.items.get(documents.CONFIGURATION_KEY)
-        if item is not None:
-            self._view.take_item(item)
-        configuration = self._view.configuration
-        assert configuration is not None
-        if configuration.queue_by_name(call.queue.name) is None:
-            return Reply(
-                status=http.HTTPStatus.NOT_FOUND,
-                reason="the queue was just removed",
-            )
-        return None
-
     # -- asking and cancelling ---------------------------------------------
 
     def _tell_state(self, call: Call) -> Reply:
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -108,7 +108,7 @@
             documents.OPERATOR_PREFIX,
             on_range=self._view.take_range,
             on_changes=self._view.take_changes,
-            on_contact=self._view.note_contact,
+            on_contact=self._note_operator,
         )
         gevent.spawn(operator.run)
         gevent.spawn(self._election.run)
@@ -126,6 +126,11 @@
         server.start()
         return server
 
+    def _note_operator(self) -> None:
+        """Note that the watch over the operator's orders was answered."""
+        self._view.note_contact()
+        self._view.note_confirmed(clocks.read_steady())
+
     def _count_store_call(self, call: str, outcome: str) -> None:
         self._telemetry.store_calls.labels(call, outcome).inc()
 
--- a/src/rackvalve/manager/view.py
+++ b/src/rackvalve/manager/view.py
@@ -14,15 +14,25 @@
 class View:
     """The newest configuration and waves that were seen."""
 
-    __slots__ = ("configuration", "revision", "waves", "_heard")
+    __slots__ = ("configuration", "revision", "waves", "confirmed", "_heard")
 
     def __init__(self) -> None:
         self.configuration: queues.Configuration | None = None
         # Store revision of the configuration.
         self.revision = 0
         self.waves: dict[int, fleet.Wave] = {}
+        # The last time, in seconds, at which this view is known to have been
+        # the newest.
+        self.confirmed = float("-inf")
         self._heard = float("-inf")
 
+    def note_confirmed(self, now: float) -> None:
+        """Note that this view was the newest at a time.
+
+        :param now: The time, in seconds.
+        """
+        self.confirmed = max(self.confirmed, now)
+
     def note_contact(self) -> None:
         """Note that the store has just answered."""
         self._heard = clocks.read_steady()
