A rise of demand is what goes beyond random arrivals; leave workers whose entry has gone

Change: two standard deviations of random arrivals are taken off. Tests: upkeep.feature, jobs.feature.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -80,6 +80,17 @@
       | 2    | 1    | silent              | may     |
       | 2    | 2    | silent              | may not |
 
+  Scenario Outline: Lasting tasks leave a worker whose entry has gone, within bounds
+    Given a lasting job of 3 tasks of which 1 may be away
+    When the entry of the first task's worker is gone for <time> s, and <away> others are silent
+    Then the first task <is> ordered to stop
+
+    Examples:
+      | time | away | is     |
+      | 1.5  | 0    | is not |
+      | 2.5  | 0    | is     |
+      | 2.5  | 1    | is not |
+
   Scenario: Tasks that start together are not all moved before they are at work
     Given a lasting job of 3 tasks of which 1 may be away
     When none of them is known to be at work
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -309,6 +309,27 @@
             placed.run.percent = 0.0
 
 
+@behave.when(
+    "the entry of the first task's worker is gone for {time:f} s, and "
+    "{away:d} others are silent"
+)
+def remove_entry(context, time, away):
+    bench = context.bench
+    bench.book.remove_entry(context.orders[0].worker, bench.now)
+    bench.now += time
+    for worker in bench.book.workers.values():
+        worker.answered = bench.now
+    take_away(context, away, "silent")
+    bench.planner.find_stuck(bench.now)
+
+
+@behave.then("the first task {answer} ordered to stop")
+def check_first_stop(context, answer):
+    stopped = {order.task for order in context.bench.stops()}
+    first = f"{context.orders[0].job}.{context.orders[0].task}"
+    assert stopped == ({first} if answer == "is" else set()), stopped
+
+
 @behave.when("none of them is known to be at work")
 def start_anew(context):
     for order in context.orders:
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -29,10 +29,15 @@
     When the work is done and some time has passed
     Then the pool goes back to 3 VMs
 
-  Scenario: A pool whose demand rises gets what it will need when the VMs come
-    Given a pool of 3 VMs and 40 spare VMs
-    When a job for 1 VM comes each 0.1 s for 0.8 s
-    Then VMs for what will have come in 1.6 s are on their way
+  Scenario Outline: A pool whose demand rises gets what it will need when the VMs come
+    Given a pool of 3 VMs and 150 spare VMs
+    When <jobs> jobs for 1 VM come each 0.1 s for 0.8 s
+    Then VMs for <part> % of what will come in 1.6 s are on their way
+
+    Examples:
+      | jobs | part |
+      | 1    | 10   |
+      | 5    | 60   |
 
   Scenario: A single wide job is no rise
     Given a pool of 8 VMs and 40 spare VMs
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -124,7 +124,9 @@
         self._planner = planners.Planner(
             self._book,
             planners.Limits(
-                freshness=timing.FRESHNESS_S, early=timing.EARLY_S
+                freshness=timing.FRESHNESS_S,
+                early=timing.EARLY_S,
+                entry_grace=timing.ENTRY_GRACE_S,
             ),
         )
         self._roster = rosters.Roster(
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -46,8 +46,8 @@
 # A worker that has not answered for this long gets no new work.
 FRESHNESS_S = 0.9
 # A worker's entry that is missing for longer than this is taken as gone; the
-# platform brings entries back within two seconds of an outage's end.
-ENTRY_GRACE_S = 2.0
+# platform brings entries back about two seconds after an outage's end.
+ENTRY_GRACE_S = 2.2
 # A stop that an earlier owner ordered shows this much after its longest time:
 # holds are answered after half a second at the latest.
 STOP_MARGIN_S = 0.6
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -13,6 +13,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import queues
@@ -37,10 +38,13 @@
     :param freshness: Longest time since a worker's last answer for new work
         to be placed on it, in seconds.
     :param early: How much before its time a repetition may start, seconds.
+    :param entry_grace: Longest time that a worker's entry may be missing
+        while the worker is well, in seconds.
     """
 
     freshness: float
     early: float
+    entry_grace: float
 
 
 class Planner:
@@ -107,7 +111,7 @@
             placed.task.avoid.add(worker.identity)
             worker.suspect_until = max(worker.suspect_until, now + STALL_S)
             reason = "it makes no progress"
-        elif _must_leave(worker, placed):
+        elif self._must_leave(worker, placed, now):
             reason = "its worker leaves"
         else:
             return
@@ -129,6 +133,21 @@
         since = max(run.percent_since, run.confirmed_at)
         return now - since > STALL_S
 
+    def _must_leave(
+        self, worker: workers.WorkerState, placed: workers.Placed, now: float
+    ) -> bool:
+        """Return whether a run is better moved off a worker that will end."""
+        entry = worker.entry
+        if entry is None or not placed.step.lasting:
+            return False
+        if entry.draining:
+            return True
+        if worker.gone_since is None:
+            return False
+        # It serves on, but will end as one does that said so.
+        missing = now - worker.gone_since > self._limits.entry_grace
+        return missing and eviction.may_evict(self._book, placed, now)
+
     def _view(self, pool: str, now: float) -> placement.PoolView:
         members = [
             worker
@@ -330,11 +349,3 @@
             for run in task.runs.values():
                 used[run.worker] += 1
     return used
-
-
-def _must_leave(worker: workers.WorkerState, placed: workers.Placed) -> bool:
-    """Return whether a run is better moved off a worker that drains."""
-    entry = worker.entry
-    if entry is None or not entry.draining:
-        return False
-    return placed.step.lasting
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -32,6 +32,8 @@
 LEAD_S = 1.6
 # The rise is measured over this time, in seconds.
 RISE_WINDOW_S = 0.5
+# So many standard deviations of random arrivals are no rise.
+SCATTER = 2.0
 # VMs beyond that: the loss of one is made good without waiting for a move.
 RESERVE = 1
 # Least VMs of a pool.
@@ -72,7 +74,7 @@
     """What a pool's jobs ask for now, running or waiting.
 
     :param vms: In all, in VMs.
-    :param largest: What waits of the job that waits for most, in VMs.
+    :param largest: By the largest of the jobs that have just come, in VMs.
     """
 
     vms: float
@@ -100,7 +102,7 @@
         self.samples: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
-        # What waits of the job that waits for most, in VMs.
+        # What the largest of the jobs asks for that have just come, in VMs.
         self.largest = 0.0
         # VMs that are vacated for the spare pool.
         self.leaving: set[str] = set()
@@ -135,7 +137,8 @@
     def expected(self, now: float) -> float:
         """Return the demand to come when a VM ordered now is at work, in VMs.
 
-        The rise that one job makes alone does not go on.
+        Only what goes beyond the scatter of jobs that come at random is a
+        rise that goes on.
 
         :param now: Present time, in seconds.
         """
@@ -144,7 +147,8 @@
             if time > now - RISE_WINDOW_S:
                 break
             began, before = time, demand
-        rise = max(0.0, self.demand - before - self.largest)
+        rise = max(0.0, self.demand - before)
+        rise = max(0.0, rise - SCATTER * math.sqrt(rise * self.largest))
         return self.demand + rise * LEAD_S / max(now - began, RISE_WINDOW_S)
 
     @property
@@ -241,7 +245,7 @@
                 del self.moving[vm]
                 self.arrived[vm] = now
 
-    def _measure(self) -> dict[str, Demand]:
+    def _measure(self, now: float) -> dict[str, Demand]:
         """Return the demand of each pool."""
         needs: dict[str, fleet.Room] = {}
         units: dict[str, fleet.Room] = {}
@@ -255,13 +259,15 @@
         largest: dict[str, float] = {}
         for state in self._book.open_jobs.values():
             queue = self._book.queues.get(state.queue)
-            if queue is None or not state.waiting:
+            if queue is None:
                 continue
             pool = queue.pool
-            waiting = _sum_waiting(state)
-            needs[pool] = needs.get(pool, fleet.EMPTY).plus(waiting)
-            own = _count_vms(waiting, units.get(pool))
-            largest[pool] = max(largest.get(pool, 0.0), own)
+            if state.waiting:
+                waiting = _sum_waiting(state)
+                needs[pool] = needs.get(pool, fleet.EMPTY).plus(waiting)
+            if now - state.arrived <= RISE_WINDOW_S:
+                own = _count_vms(_sum_first_step(state), units.get(pool))
+                largest[pool] = max(largest.get(pool, 0.0), own)
         return {
             pool: Demand(
                 vms=_count_vms(need, units.get(pool)),
@@ -272,7 +278,7 @@
 
     def _count(self, now: float) -> None:
         """Count what each pool has and wants."""
-        demands = self._measure()
+        demands = self._measure(now)
         spreads = upkeeps.measure_spreads(self._book)
         for name, pool in self._book.configuration.pools.items():
             if pool.spare:
@@ -419,6 +425,17 @@
     return total
 
 
+def _sum_first_step(state: progress.JobState) -> fleet.Room:
+    """Return the room that all tasks of a job's first step need."""
+    step = state.job.steps[0]
+    need = fleet.need_of(step)
+    return fleet.Room(
+        cpu=need.cpu * step.tasks,
+        memory=need.memory * step.tasks,
+        gpu=need.gpu * step.tasks,
+    )
+
+
 def _count_vms(need: fleet.Room, unit: fleet.Room | None) -> float:
     if unit is None:
         return 0.0
