--- a/standins/site.py
+++ b/standins/site.py
@@ -23,26 +23,33 @@
 
 HOST = "127.0.0.1"
 AWAY_S = 0.3
+# The slowest clock that the platform's pages allow.
+SLOW_RATE = 0.98
 WORKER_PREFIX = "servers/"
 
 
 class Site:
     """Everything that the platform runs."""
 
-    def __init__(self, pools, ports, capacity):
+    def __init__(self, pools, ports, capacity, slow_clocks):
+        self.slow_clocks = slow_clocks
         self.host = HOST
         self.store = keyvalue.Store()
         self.capacity = capacity
         self.journal = []
+        # Ends that were acknowledged.
+        self.known = []
         self.machines = {}
         self.orders = []
         for pool, count in pools.items():
             for _ in range(count):
-                port = ports.pop()
+                port, shown = ports.pop()
                 name = f"m-{port}"
                 self.machines[name] = {
                     "pool": pool,
                     "port": port,
+                    "shown": shown,
+                    "rate": self._choose_rate(),
                     "state": "up",
                     "worker": None,
                 }
@@ -54,11 +61,25 @@
             [time.monotonic(), kind, worker.identity, task, run, detail]
         )
 
+    def note_known(self, worker, row):
+        """Write down that an end was acknowledged."""
+        _, task, run, how, _ = row
+        self.known.append([time.monotonic(), worker.identity, task, run, how])
+
+    def _choose_rate(self):
+        slow = self.slow_clocks and len(self.machines) % 2
+        return SLOW_RATE if slow else 1.0
+
     def start_worker(self, name):
         """Begin a new life on a VM."""
         machine = self.machines[name]
         life = workers.Worker(
-            self, name, machine["pool"], machine["port"], self.capacity
+            self,
+            name,
+            machine["pool"],
+            machine["shown"],
+            self.capacity,
+            machine["rate"],
         )
         life.server = serving.make_server(HOST, machine["port"], life)
         life.server.start()
@@ -93,7 +114,11 @@
         if path == "/-/journal":
             return serving.answer_json(
                 start_response,
-                {"journal": self.journal, "orders": self.orders},
+                {
+                    "journal": self.journal,
+                    "orders": self.orders,
+                    "known": self.known,
+                },
             )
         return self.store(environ, start_response)
 
@@ -157,7 +182,8 @@
     """Serve until killed."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--worker-ports", required=True, help="1,2,3")
+    parser.add_argument("--worker-ports", required=True, help="1:1,2:3")
+    parser.add_argument("--slow-clocks", action="store_true")
     parser.add_argument("--pools", required=True, help="pool=3,other=2")
     parser.add_argument("--cpu", type=int, default=8000)
     options = parser.parse_args()
@@ -168,8 +194,12 @@
         )
     }
     capacity = {"cpu": options.cpu, "mem-mb": 100000, "gpu": 0}
-    ports = [int(port) for port in options.worker_ports.split(",")]
-    site = Site(pools, ports, capacity)
+    # Each port with the one that callers are shown.
+    ports = [
+        tuple(map(int, pair.split(":")))
+        for pair in options.worker_ports.split(",")
+    ]
+    site = Site(pools, ports, capacity, options.slow_clocks)
     serving.make_server(HOST, options.port, site).start()
     serving.serve_until_killed()
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -27,7 +27,9 @@
 class Worker:
     """One life of a worker, as a WSGI application."""
 
-    def __init__(self, site, machine, pool, port, capacity):
+    def __init__(self, site, machine, pool, port, capacity, rate=1.0):
+        # How fast its steady clock runs.
+        self.rate = rate
         self.site = site
         self.identity = f"i-{uuid.uuid4().hex[:10]}"
         self.machine = machine
@@ -64,7 +66,8 @@
         }
 
     def clock(self):
-        return time.monotonic()
+        """Return what its steady clock shows, in seconds."""
+        return time.monotonic() * self.rate
 
     def end(self):
         """End this life; all that runs dies."""
@@ -134,6 +137,9 @@
     def _hold(self, order):
         if "until-ms" in order:
             self._extend(order["until-ms"] / 1000)
+        for row in self.ended:
+            if row[0] <= order["last-seen"]:
+                self.site.note_known(self, row)
         self.ended = [row for row in self.ended if row[0] > order["last-seen"]]
         until = time.monotonic() + order.get("wait-ms", 0) / 1000
         while not self.ended and self.alive:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -115,6 +115,10 @@
         if self.popen.poll() is None:
             self.popen.send_signal(number)
 
+    def hang_up(self):
+        """Tell it that its settings have changed."""
+        self.signal(signal.SIGHUP)
+
     def freeze(self):
         """Freeze it."""
         self.signal(signal.SIGSTOP)
--- a/tools/site.py
+++ b/tools/site.py
@@ -24,10 +24,22 @@
     :param managers: How many managers to run.
     :param pools: Number of VMs by pool; the pool ``spare`` holds spare VMs.
     :param cores: Processor that each manager is told it has.
+    :param make_link: Makes a link to a port and returns the link's port;
+        managers then reach the platform, and each worker, through links.
+    :param slow_clocks: Whether the clocks of half of the workers are slow.
     """
 
-    def __init__(self, managers=3, pools=None, cores=None):
+    def __init__(
+        self,
+        managers=3,
+        pools=None,
+        cores=None,
+        make_link=None,
+        slow_clocks=False,
+    ):
         self.cores = cores or [1] * managers
+        self.make_link = make_link or (lambda port: port)
+        self.slow_clocks = slow_clocks
         self.pools = pools or POOLS
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rackvalve-site-"))
         self.port = fleets.find_port()
@@ -39,6 +51,7 @@
     def start(self):
         """Start all processes and wait until one manager is ready."""
         ports = [fleets.find_port() for _ in range(sum(self.pools.values()))]
+        shown = [f"{port}:{self.make_link(port)}" for port in ports]
         pools = ",".join(f"{pool}={n}" for pool, n in self.pools.items())
         self.platform = fleets.Process(
             "site",
@@ -47,8 +60,9 @@
                 "-m",
                 "standins.site",
                 f"--port={self.port}",
-                "--worker-ports=" + ",".join(map(str, ports)),
+                "--worker-ports=" + ",".join(shown),
                 f"--pools={pools}",
+                *(["--slow-clocks"] if self.slow_clocks else []),
             ],
             str(self.folder / "site.log"),
         )
@@ -172,13 +186,14 @@
         """
         until = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < until:
-            found = self._find_owner()
+            found = self.find_owner()
             if found is not None:
                 return found
             time.sleep(0.05)
         return None
 
-    def _find_owner(self):
+    def find_owner(self):
+        """Return the manager that owns the scheduling now, or ``None``."""
         found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
         if found.status != 200:
             return None
@@ -188,6 +203,23 @@
                 return manager
         return None
 
+    def list_machines(self):
+        """Return the names of all VMs."""
+        listed = self._call(self.port, "GET", "/machines")
+        return [machine["machine"] for machine in listed["machines"]]
+
+    def wait_listening(self, manager):
+        """Wait until a manager that was started again takes calls."""
+
+        def listens():
+            try:
+                fleets.call(manager["ready"], "GET", "/ready", timeout=2.0)
+            except OSError:
+                return False
+            return True
+
+        self._wait(listens, manager["vm"])
+
     def call(self, manager, method, path, body=None, headers=None):
         """Call a manager as a caller would; ``None`` without an answer."""
         if isinstance(body, bytes):
@@ -210,6 +242,7 @@
         vm = f"vm-{number + 1}"
         front, ready = fleets.find_port(), fleets.find_port()
         metrics = fleets.find_port()
+        platform = self.make_link(self.port)
         settings = self.folder / f"{vm}.ini"
         settings.write_text(
             "[instance]\n"
@@ -220,8 +253,8 @@
             f"front_listen = 127.0.0.1:{front}\n"
             f"ready_listen = 127.0.0.1:{ready}\n"
             f"metrics_listen = 127.0.0.1:{metrics}\n"
-            f"store = 127.0.0.1:{self.port}\n"
-            f"machines = 127.0.0.1:{self.port}\n"
+            f"store = 127.0.0.1:{platform}\n"
+            f"machines = 127.0.0.1:{platform}\n"
             "order_pause = 500ms\n"
         )
         process = fleets.Process(
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,51 @@
+"""The command line of the soak."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import sys  # noqa: E402
+
+from tools.soak import runner  # noqa: E402
+
+
+def main(arguments):
+    """Run one seed or several in turn.
+
+    :return: 0 if no promise was broken.
+    """
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--managers", type=int, default=4)
+    options = parser.parse_args(arguments)
+    bad = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        result = runner.Runner(seed, options.seconds, options.managers).run()
+        bad += bool(result.broken)
+        print(
+            json.dumps(
+                {
+                    "seed": seed,
+                    "seconds": options.seconds,
+                    "faults": result.faults,
+                    "accepted": result.accepted,
+                    "calls": result.calls,
+                    "broken": len(result.broken),
+                    "logs": result.folder,
+                }
+            ),
+            flush=True,
+        )
+        for broken in result.broken[:10]:
+            print(f"  {broken.promise}: {broken.detail}", flush=True)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,165 @@
+"""Callers that hand in, ask for and cancel jobs while the site is harmed."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import time
+
+import gevent
+from geventhttpclient import client as http_clients
+
+HOST = "127.0.0.1"
+HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
+FINAL = frozenset({"completed", "failed", "cancelled"})
+TIMEOUT_S = 4.0
+# What a caller may take as an answer that its job is not taken.
+REFUSED = frozenset({429, 503})
+TRIES = 6
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call as its caller saw it.
+
+    :param manager: Number of the manager.
+    :param began: When it was sent, on the monotonic clock.
+    :param ended: When its answer came, or the connection ended.
+    :param status: HTTP status; 0 for no whole answer.
+    :param timed_out: Whether the caller gave up.
+    """
+
+    manager: int
+    began: float
+    ended: float
+    status: int
+    timed_out: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """One job as its caller saw it."""
+
+    identity: str
+    queue: str
+    steps: list
+    accepted: bool = False
+    # Whether each try was answered that the job is not taken.
+    refused: bool = True
+    cancel_sent: bool = False
+    states: list = dataclasses.field(default_factory=list)
+
+
+class Caller:
+    """Hands jobs in one after the other, over connections kept open.
+
+    :param number: Its number; sets the jobs' identifiers.
+    :param seed: The run's seed.
+    :param fronts: Ports of the managers.
+    """
+
+    def __init__(self, number, seed, fronts):
+        self.number = number
+        self.jobs = []
+        self.calls = []
+        self._fronts = fronts
+        self._rng = random.Random(seed * 1000 + number)
+        self._clients = {}
+
+    def run(self, until):
+        """Work until a time on the monotonic clock."""
+        while time.monotonic() < until:
+            job = self._make_job()
+            self.jobs.append(job)
+            self._submit(job)
+            self._look_after(random_choice(self._rng, self.jobs))
+            gevent.sleep(self._rng.uniform(0.02, 0.2))
+
+    def ask(self, job):
+        """Ask for a job's state, at any manager.
+
+        :return: The state, ``gone``, or ``None`` without an answer.
+        """
+        status, body = self._call("GET", job)
+        if status == 200:
+            state = json.loads(body)["state"]
+            job.states.append(state)
+            return state
+        return "gone" if status == 410 else None
+
+    def close(self):
+        """Close all connections."""
+        for client in self._clients.values():
+            client.close()
+
+    def _make_job(self):
+        rng = self._rng
+        steps = []
+        for number in range(rng.choice((1, 1, 2, 3))):
+            step = {"count": rng.randint(1, 4), "cpu": 500}
+            if number:
+                step["after-rev"] = [number - 1]
+            steps.append(step)
+        identity = f"{self.number:04x}{len(self.jobs):012x}"
+        return Job(identity=identity, queue="lookup", steps=steps)
+
+    def _submit(self, job):
+        work = self._rng.choice((20, 100, 400, 900))
+        body = {"spec": f"work_ms={work}", "steps": job.steps}
+        for _ in range(TRIES):
+            status, _ = self._call("POST", job, body)
+            if status == 200:
+                job.accepted = True
+                job.refused = False
+                return
+            if status not in REFUSED:
+                job.refused = False
+            gevent.sleep(self._rng.uniform(0.05, 0.5))
+
+    def _look_after(self, job):
+        if not job.accepted:
+            return
+        if self._rng.random() < 0.1:
+            job.cancel_sent = True
+            self._call("DELETE", job)
+        else:
+            self.ask(job)
+
+    def _call(self, method, job, body=None):
+        manager = self._rng.randrange(len(self._fronts))
+        text = b"" if body is None else json.dumps(body).encode()
+        began = time.monotonic()
+        status, answer, timed_out = 0, b"", False
+        try:
+            response = self._client(manager).request(
+                method, f"/{job.queue}/{job.identity}", text, HEADERS
+            )
+            answer = bytes(response.read())
+            status = response.status_code
+        except TimeoutError:
+            timed_out = True
+        except (OSError, ValueError):
+            # Cut or refused; the checks decide whether it may be.
+            status = 0
+        if not status:
+            self._clients.pop(manager).close()
+        self.calls.append(
+            Call(manager, began, time.monotonic(), status, timed_out)
+        )
+        return status, answer
+
+    def _client(self, manager):
+        if manager not in self._clients:
+            self._clients[manager] = http_clients.HTTPClient(
+                HOST,
+                self._fronts[manager],
+                connection_timeout=TIMEOUT_S,
+                network_timeout=TIMEOUT_S,
+            )
+        return self._clients[manager]
+
+
+def random_choice(rng, items):
+    """Return one of the newest items."""
+    return rng.choice(items[-8:])
--- /dev/null
+++ b/tools/soak/checks.py
@@ -0,0 +1,178 @@
+"""The promises, checked on what callers and workers have seen."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from tools.soak import callers
+
+# A killed manager's connections may be seen to end this much earlier or later
+# than its death was noted, in seconds.
+CUT_SLACK_S = 0.25
+# A call that begins less than this before a planned exit, in seconds, may
+# come too late to be read.
+LATE_CALL_S = 0.1
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Absence:
+    """A time without one of the managers.
+
+    :param manager: Its number.
+    :param began: When its process ended, on the monotonic clock.
+    :param ended: When it listened again.
+    :param planned: Whether it ended after SIGTERM.
+    """
+
+    manager: int
+    began: float
+    ended: float
+    planned: bool
+
+    def excuses(self, call):
+        """Return whether a call may be cut off for it."""
+        if call.manager != self.manager:
+            return False
+        if call.began > self.ended + CUT_SLACK_S:
+            return False
+        if self.planned:
+            return call.began >= self.began - LATE_CALL_S
+        return call.ended >= self.began - CUT_SLACK_S
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Broken:
+    """A promise that was not kept.
+
+    :param promise: Its name.
+    :param detail: What was seen.
+    """
+
+    promise: str
+    detail: str
+
+
+def check_all(jobs, calls, absences, journal, orders):
+    """Return every broken promise.
+
+    :param jobs: All jobs, with the states that were seen last.
+    :param calls: All calls.
+    :param absences: Times without one of the managers.
+    :param journal: Rows of what workers did, oldest first.
+    :param orders: Orders to VMs.
+    """
+    return [
+        *check_runs(jobs, journal),
+        *check_jobs(jobs, journal),
+        *check_calls(calls, absences),
+        *check_orders(orders),
+    ]
+
+
+def check_runs(jobs, journal):
+    """Each task runs once at a time, in its turn, not again once done."""
+    running = collections.defaultdict(set)
+    done, known = set(), set()
+    by_identity = {job.identity: job for job in jobs}
+    for _, kind, worker, task, run, detail in journal:
+        if kind == "start":
+            if running[task]:
+                yield Broken(
+                    promise="one run at a time",
+                    detail=f"{task}: {run} on {worker} beside {running[task]}",
+                )
+            if task in known:
+                yield Broken(
+                    promise="not again once done",
+                    detail=f"{task}: run {run} on {worker}",
+                )
+            yield from _check_turn(by_identity, task, done)
+            running[task].add((worker, run))
+        elif kind == "end":
+            running[task].discard((worker, run))
+            if detail == "done":
+                done.add(task)
+        elif detail == "done":
+            known.add(task)
+
+
+def _check_turn(by_identity, task, done):
+    identity, _, step, _ = task.split(".")
+    job = by_identity.get(identity)
+    if job is None:
+        yield Broken(promise="only what was handed in", detail=task)
+        return
+    for earlier in job.steps[int(step)].get("after-rev", []):
+        for index in range(job.steps[earlier]["count"]):
+            if f"{identity}.0.{earlier}.{index}" not in done:
+                yield Broken(
+                    promise="steps in order",
+                    detail=f"{task} before {earlier}.{index}",
+                )
+
+
+def check_jobs(jobs, journal):
+    """What was accepted ends; what was refused never runs."""
+    started = collections.Counter(
+        row[3].split(".")[0] for row in journal if row[1] == "start"
+    )
+    good = {row[3] for row in journal if row[1] == "end" and row[5] == "done"}
+    for job in jobs:
+        last = job.states[-1] if job.states else None
+        if job.accepted:
+            wanted = {"completed"}
+            if job.cancel_sent:
+                wanted.add("cancelled")
+            if last not in wanted:
+                yield Broken(
+                    promise="what is accepted ends",
+                    detail=f"{job.identity}: {job.states[-5:]}",
+                )
+        elif job.refused and started[job.identity]:
+            yield Broken(promise="refused did not run", detail=job.identity)
+        yield from _check_states(job)
+        if "completed" in job.states:
+            yield from _check_tasks(job, good)
+
+
+def _check_states(job):
+    for earlier, later in zip(job.states, job.states[1:], strict=False):
+        back = earlier in callers.FINAL and later != earlier
+        if back or (earlier == "running" and later == "queued"):
+            yield Broken(
+                promise="states never go back",
+                detail=f"{job.identity}: {earlier} then {later}",
+            )
+
+
+def _check_tasks(job, good):
+    for number, step in enumerate(job.steps):
+        for index in range(step["count"]):
+            task = f"{job.identity}.0.{number}.{index}"
+            if task not in good:
+                yield Broken(
+                    promise="completed means every task is done", detail=task
+                )
+
+
+def check_calls(calls, absences):
+    """A call is cut off only where its manager was killed, or is gone."""
+    for call in calls:
+        if call.status or call.timed_out:
+            continue
+        if not any(absence.excuses(call) for absence in absences):
+            yield Broken(
+                promise="a planned stop cuts nothing off",
+                detail=f"manager {call.manager}, {call}",
+            )
+
+
+def check_orders(orders):
+    """A VM is moved or maintained only when nothing runs on it."""
+    for time, path, machine, holder, fence, running in orders:
+        if running:
+            yield Broken(
+                promise="VMs leave empty",
+                detail=f"{machine} {path} by {holder} {fence}, {running} run",
+            )
--- /dev/null
+++ b/tools/soak/plan.py
@@ -0,0 +1,97 @@
+"""Draws the faults of a run from its seed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+# Kinds of faults, with their weight and their least and greatest length in
+# seconds.
+KINDS = {
+    "manager killed": (3, 0.3, 2.0),
+    "manager frozen": (3, 0.5, 6.0),
+    "manager stopped": (3, 0.1, 1.0),
+    "manager reloaded": (1, 0.0, 0.0),
+    "owner killed": (3, 0.3, 2.0),
+    "owner frozen": (3, 0.5, 6.0),
+    "owner stopped": (2, 0.1, 1.0),
+    "all killed": (1, 0.3, 1.0),
+    "store link delayed": (1, 0.5, 4.0),
+    "store link silent": (3, 0.5, 6.0),
+    "store link one way": (2, 0.5, 5.0),
+    "store link reset": (2, 0.1, 3.0),
+    "worker link delayed": (1, 0.5, 4.0),
+    "worker link silent": (3, 0.5, 6.0),
+    "worker link one way": (3, 0.5, 5.0),
+    "worker link reset": (2, 0.1, 2.0),
+    "worker crashed": (3, 0.0, 0.0),
+    "worker late": (2, 0.5, 3.0),
+    "store busy": (2, 0.3, 3.0),
+    "store silent": (2, 0.3, 3.0),
+    "store slow": (2, 0.5, 4.0),
+    "store lost": (2, 0.3, 2.5),
+    "store forgets": (2, 0.0, 0.0),
+    "owner robbed": (2, 0.0, 0.0),
+    "configuration": (3, 0.0, 0.0),
+    "wave": (1, 0.0, 0.0),
+}
+# Mean time between two faults, in seconds; their lengths make them overlap.
+MEAN_GAP_S = 1.2
+# The last fault begins this long before the end, in seconds.
+QUIET_END_S = 2.0
+# Part of the faults that come twice, the second time soon after the first.
+TWICE = 0.25
+TWICE_GAP_S = 0.6
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Fault:
+    """One fault.
+
+    :param at: When it begins, in seconds from the start.
+    :param kind: A key of :data:`KINDS`.
+    :param length: How long it lasts, in seconds.
+    :param draw: Chooses what is hit, from 0 to 1.
+    """
+
+    at: float
+    kind: str
+    length: float
+    draw: float
+
+    @property
+    def until(self):
+        """When it ends, in seconds from the start."""
+        return self.at + self.length
+
+
+def draw_faults(seed, seconds):
+    """Return the faults of a run, by their beginning.
+
+    :param seed: The run's seed.
+    :param seconds: Its length.
+    """
+    rng = random.Random(seed)
+    kinds = list(KINDS)
+    weights = [KINDS[kind][0] for kind in kinds]
+    found = []
+    at = rng.uniform(0.2, 1.0)
+    while at < seconds - QUIET_END_S:
+        kind = rng.choices(kinds, weights)[0]
+        fault = _draw_fault(rng, kind, at)
+        found.append(fault)
+        if rng.random() < TWICE:
+            later = at + rng.uniform(0, TWICE_GAP_S)
+            found.append(_draw_fault(rng, kind, later))
+        at += rng.expovariate(1 / MEAN_GAP_S)
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def _draw_fault(rng, kind, at):
+    _, least, most = KINDS[kind]
+    return Fault(
+        at=at,
+        kind=kind,
+        length=rng.uniform(least, most),
+        draw=rng.random(),
+    )
