Bound the volume of logs and never wait for their reader

The soak notes its faults beside the logs, asks the stand-in for the owner by its control path, and ends its processes when it is told to end.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -2,7 +2,8 @@
 
 Each line has a stable event name, the time, the program, VM and hall, and
 the fields of the event.  :data:`EVENTS` names every event and its meaning;
-the reference page is made from it.
+the reference page is made from it.  The volume of each event is bounded, and
+writing never waits for who reads the lines.
 """
 
 from __future__ import annotations
@@ -16,6 +17,10 @@
 from absl.logging import converter
 import msgspec
 
+from rackvalve import _log_budget as log_budgets
+from rackvalve import _log_outlet as log_outlets
+from rackvalve import clocks
+
 EVENTS: dict[str, str] = {
     "program.started": "The program listens.",
     "program.stopping": "A planned stop began.",
@@ -75,6 +80,7 @@
     "vms.failed": "A call to the platform's interface to VMs failed.",
     "call.answered": "A caller got another answer than success.",
     "task.failed": "A task met an unexpected error and goes on.",
+    "logs.left_out": "Lines were not written; says how many of which event.",
 }
 
 _LEVELS = {
@@ -84,6 +90,11 @@
     "error": logging.ERROR,
 }
 
+# Stands for lines that a slow reader did not take, whatever their event.
+_SLOW_READER = "slow reader"
+
+_budget = log_budgets.LogBudget()
+
 Field = str | int | float | bool | None | list[str]
 
 
@@ -123,12 +134,15 @@
     :param program: Name of the program.
     :param vm: Identity of the VM.
     :param hall: Data hall of the VM.
-    :param stream: Where the lines go.
+    :param stream: Where the lines go; nothing waits for its reader.
     """
+    outlet = log_outlets.LogOutlet(
+        stream.fileno(), lambda: _budget.note_left_out(_SLOW_READER)
+    )
     # The programs' settings come from a file; absl's flags stay unused.
     flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = stream
+    handler.python_handler.stream = outlet
     handler.setFormatter(
         _JsonFormatter({"program": program, "vm": vm, "hall": hall})
     )
@@ -160,12 +174,33 @@
     :param event: A name of :data:`EVENTS`.
     :param fields: The event's fields.
     """
-    level = converter.absl_to_standard(logging.ERROR)
-    logging.get_absl_logger().log(
-        level, event, extra={"fields": fields}, exc_info=True
-    )
+    _write(logging.ERROR, event, fields, with_exception=True)
 
 
-def _write(level: int, event: str, fields: dict[str, Field]) -> None:
+def _write(
+    level: int,
+    event: str,
+    fields: dict[str, Field],
+    *,
+    with_exception: bool = False,
+) -> None:
+    now = clocks.read_steady()
+    left_out = _budget.report(now)
+    if left_out:
+        counts: list[str] = [f"{name}: {n}" for name, n in left_out.items()]
+        _hand_over(logging.WARNING, "logs.left_out", {"lines": counts})
+    if _budget.take(event, now):
+        _hand_over(level, event, fields, with_exception=with_exception)
+
+
+def _hand_over(
+    level: int,
+    event: str,
+    fields: dict[str, Field],
+    *,
+    with_exception: bool = False,
+) -> None:
     standard = converter.absl_to_standard(level)
-    logging.get_absl_logger().log(standard, event, extra={"fields": fields})
+    logging.get_absl_logger().log(
+        standard, event, extra={"fields": fields}, exc_info=with_exception
+    )
--- a/standins/site.py
+++ b/standins/site.py
@@ -175,6 +175,8 @@
         if "crash" in order:
             self.end_worker(order["crash"])
             gevent.spawn_later(AWAY_S, self.start_worker, order["crash"])
+        if "peek" in order:
+            return {"item": self.store.items.get(order["peek"])}
         return {}
 
 
--- a/tools/site.py
+++ b/tools/site.py
@@ -194,10 +194,11 @@
 
     def find_owner(self):
         """Return the manager that owns the scheduling now, or ``None``."""
-        found = fleets.call(self.port, "GET", "/kv-key?key=owner/scheduling")
-        if found.status != 200:
+        # The store itself may be harmed just now.
+        found = self.order({"peek": "owner/scheduling"})
+        if not found or found["item"] is None:
             return None
-        value = json.loads(base64.b64decode(json.loads(found.body)["value"]))
+        value = json.loads(base64.b64decode(found["item"]["value"]))
         for manager in self.managers:
             if manager["vm"] == value["process"].split()[0]:
                 return manager
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -8,11 +8,15 @@
 
 import argparse  # noqa: E402
 import json  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 
 from tools.soak import runner  # noqa: E402
 
 
+EXIT_ENDED = 143
+
+
 def main(arguments):
     """Run one seed or several in turn.
 
@@ -24,6 +28,8 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--managers", type=int, default=4)
     options = parser.parse_args(arguments)
+    # The processes that a run has started end with it.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_ENDED))
     bad = 0
     for seed in range(options.seed, options.seed + options.seeds):
         result = runner.Runner(seed, options.seconds, options.managers).run()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,6 +9,7 @@
 
 import gevent
 from geventhttpclient import client as http_clients
+from geventhttpclient import response as http_response
 
 HOST = "127.0.0.1"
 HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
@@ -28,6 +29,7 @@
     :param ended: When its answer came, or the connection ended.
     :param status: HTTP status; 0 for no whole answer.
     :param timed_out: Whether the caller gave up.
+    :param error: Why there was no whole answer.
     """
 
     manager: int
@@ -35,6 +37,7 @@
     ended: float
     status: int
     timed_out: bool = False
+    error: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,7 +133,7 @@
         manager = self._rng.randrange(len(self._fronts))
         text = b"" if body is None else json.dumps(body).encode()
         began = time.monotonic()
-        status, answer, timed_out = 0, b"", False
+        status, answer, timed_out, error = 0, b"", False, ""
         try:
             response = self._client(manager).request(
                 method, f"/{job.queue}/{job.identity}", text, HEADERS
@@ -139,13 +142,13 @@
             status = response.status_code
         except TimeoutError:
             timed_out = True
-        except (OSError, ValueError):
+        except (OSError, http_response.HTTPParseError) as found:
             # Cut or refused; the checks decide whether it may be.
-            status = 0
+            error = repr(found)
         if not status:
             self._clients.pop(manager).close()
         self.calls.append(
-            Call(manager, began, time.monotonic(), status, timed_out)
+            Call(manager, began, time.monotonic(), status, timed_out, error)
         )
         return status, answer
 
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -141,6 +141,7 @@
     def _apply_at(self, fault, began):
         gevent.sleep(max(0.0, began + fault.at - time.monotonic()))
         self._applied += 1
+        self._note(fault.kind, fault.length)
         subject, _, how = fault.kind.partition(" ")
         if fault.kind == "all killed":
             gevent.joinall(
@@ -163,6 +164,13 @@
         else:
             self._order_as_operator(fault)
 
+    def _note(self, *words):
+        """Write down what was done, and when, beside the processes' logs."""
+        with open(self.site.folder / "faults.txt", "a") as out:
+            print(
+                f"{time.time():.3f} {time.monotonic():.3f}", *words, file=out
+            )
+
     def _harm_manager(self, subject, how, fault):
         if how == "robbed":
             self.site.revoke("owner/scheduling")
@@ -175,6 +183,7 @@
         process = self.site.managers[number]["process"]
         if number in self._down:
             return
+        self._note("manager", number, how)
         if how == "killed":
             self._kill(number, fault.length)
         elif how == "stopped":
