Hold a VM only for the rest of the pause; take over after one second

Change: the record says how long ago each order was answered, the next owner waits for the rest of the pause; an order on its way counts in full. The owner's lease is one second, renewed each 0.25 s, and a renewal is waited for 0.4 s: its answer may be lost, its effect not. Tests: upkeep.feature, a new scenario.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -10,6 +10,7 @@
 from rackvalve.manager import caretaker
 from rackvalve.manager import view
 from rackvalve.platform import machines
+from rackvalve.platform import store as stores
 from rackvalve import telemetry
 
 
@@ -47,7 +48,7 @@
 
 
 def make_caretaker(context, jumps, answers):
-    clock = {"now": 100.0}
+    clock = context.clock = {"now": 100.0}
     bench = benches.Bench(["w0"])
     writer = FakeWriter(clock, jumps)
     context.machines = FakeMachines(answers, writer)
@@ -72,6 +73,51 @@
     make_caretaker(context, [5.0], [])
 
 
+@behave.given("an owner whose order to a VM was answered 2 seconds ago")
+def order_earlier(context):
+    make_caretaker(context, [], [])
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        context.caretaker._order(
+            "w0", lambda: context.machines.maintain("w0", 1, 7)
+        )
+        context.clock["now"] += 2.0
+        context.caretaker._ordered["w1"] = None
+        context.payload = context.caretaker._make_ordered().payload
+
+
+@behave.when("another owner takes over, with a pause of 3 seconds")
+def take_over(context):
+    make_caretaker(context, [], [])
+    item = stores.Item(
+        key=caretaker.ORDERS_KEY,
+        payload=context.payload,
+        revision=1,
+        created=1,
+    )
+    context.held = {}
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        context.caretaker.load((item,))
+        for tenths in range(40):
+            context.caretaker._release_held(context.clock["now"])
+            for vm in context.caretaker._upkeep.held:
+                context.held[vm] = tenths / 10
+            context.clock["now"] += 0.1
+
+
+@behave.then("it leaves that VM alone for 1 second more")
+def check_rest(context):
+    assert 0.8 <= context.held["w0"] <= 1.0, context.held
+
+
+@behave.then("a VM whose order is on its way for 3 seconds")
+def check_whole_pause(context):
+    assert 2.8 <= context.held["w1"] <= 3.0, context.held
+
+
 @behave.given("an interface to VMs whose first 2 answers are lost")
 def lose_answers(context):
     lost = machines.Unavailable(reason="no answer in time")
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -93,6 +93,12 @@
     When it gives an order to a VM
     Then it asks the store again before the order is sent
 
+  Scenario: The next owner leaves a VM alone for the rest of the pause
+    Given an owner whose order to a VM was answered 2 seconds ago
+    When another owner takes over, with a pause of 3 seconds
+    Then it leaves that VM alone for 1 second more
+    And a VM whose order is on its way for 3 seconds
+
   Scenario: An order to a VM without an answer is given again, not to another VM
     Given an interface to VMs whose first 2 answers are lost
     When it gives an order to a VM
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -25,9 +25,6 @@
 # The VMs that were given orders lately; written before each order, under the
 # condition of the ownership.  The next owner leaves them alone for a while.
 ORDERS_KEY = PREFIX + "ordered"
-# How long an order may come to the platform after the store was told of it,
-# in seconds.
-ORDER_DELAY_S = timing.CONFIRMATION_S + timing.MACHINES_TIMEOUT_S
 
 
 Outcome = clients.Ordered | clients.Rejected | clients.Unavailable
@@ -76,11 +73,13 @@
         self._on_change = on_change
         self._upkeep = upkeeps.Upkeep(book)
         self._sizing = sizings.Sizing(book, self._upkeep)
-        self._held_until = clocks.read_steady() + order_pause
-        # What was ordered longer ago keeps no next owner waiting.
-        self._remembered = order_pause + ORDER_DELAY_S
-        # VMs that were given orders lately, with the time.
-        self._ordered: dict[str, float] = {}
+        self._order_pause = order_pause
+        # VMs that an earlier owner has given orders to, and until when they
+        # are left alone.
+        self._held: dict[str, float] = {}
+        # VMs that were given orders lately, with the time of the answer;
+        # ``None`` while an order may be on its way.
+        self._ordered: dict[str, float | None] = {}
         self._listed = float("-inf")
         self._sizes_logged = float("-inf")
         self._recorded: dict[int, _Record] = {}
@@ -93,9 +92,7 @@
         self._take_waves()
         for item in items:
             if item.key == ORDERS_KEY:
-                self._upkeep.held = frozenset(
-                    msgspec.json.decode(item.payload, type=list[str])
-                )
+                self._hold_ordered(item.payload)
                 continue
             number = item.key.removeprefix(PREFIX)
             record = msgspec.json.decode(item.payload, type=_Record)
@@ -112,11 +109,29 @@
             )
             if now - self._listed >= interval:
                 self._list()
-            if now >= self._held_until:
-                self._upkeep.held = frozenset()
+            self._release_held(now)
             self._step(now)
             gevent.sleep(timing.CARE_INTERVAL_S)
 
+    def _hold_ordered(self, payload: bytes) -> None:
+        """Leave alone what an earlier owner has ordered, for the pause.
+
+        The record says how long ago each order was answered when it was
+        written, which was before this owner took over.
+        """
+        now = clocks.read_steady()
+        ages = msgspec.json.decode(payload, type=dict[str, float])
+        self._held = {
+            vm: now + self._order_pause - age for vm, age in ages.items()
+        }
+        self._release_held(now)
+
+    def _release_held(self, now: float) -> None:
+        self._held = {
+            vm: until for vm, until in self._held.items() if now < until
+        }
+        self._upkeep.held = frozenset(self._held)
+
     def _take_waves(self) -> None:
         for wave in self._view.waves.values():
             if self._upkeep.add_wave(wave, clocks.read_steady()):
@@ -198,10 +213,8 @@
         # A process that was frozen meanwhile asks again: the answer is old.
         while clocks.read_steady() - began > timing.CONFIRMATION_S:
             began = clocks.read_steady()
-            self._remember_ordered(vm, began)
-            self._writer.mark(
-                ORDERS_KEY, functools.partial(_make_ordered, self._ordered)
-            )
+            self._ordered[vm] = None
+            self._writer.mark(ORDERS_KEY, self._make_ordered)
             write = self._writer.number
             while self._writer.durable < write:
                 gevent.sleep(timing.CARE_INTERVAL_S / 10)
@@ -219,22 +232,31 @@
         for _ in range(timing.VM_ORDER_TRIES):
             self._confirm_ownership(vm)
             outcome = send()
-            if isinstance(outcome, clients.Ordered):
-                return outcome
             if isinstance(outcome, clients.Unavailable):
                 uncertain = True
-            elif not uncertain:
-                return outcome
+            else:
+                self._ordered[vm] = clocks.read_steady()
+                if not uncertain or isinstance(outcome, clients.Ordered):
+                    return outcome
             gevent.sleep(timing.VM_ORDER_PAUSE_S)
         return outcome
 
-    def _remember_ordered(self, vm: str, now: float) -> None:
-        self._ordered = {
-            known: time
-            for known, time in self._ordered.items()
-            if now - time < self._remembered
+    def _make_ordered(self) -> writers.Record:
+        """Make the record of VMs that the next owner leaves alone.
+
+        A VM whose order was answered longer ago than the pause is left out;
+        one whose order never was stays until this owner ends.
+        """
+        now = clocks.read_steady()
+        ages = {
+            vm: 0.0 if time is None else now - time
+            for vm, time in self._ordered.items()
+        }
+        recent = {
+            vm: age for vm, age in ages.items() if age < self._order_pause
         }
-        self._ordered[vm] = now
+        self._ordered = {vm: self._ordered[vm] for vm in recent}
+        return writers.Record(payload=msgspec.json.encode(recent))
 
     def _maintain(self, order: upkeeps.MaintainVm) -> None:
         """Have a VM maintained, once the store knows of it."""
@@ -316,7 +338,3 @@
 
 def _make_record(record: _Record) -> writers.Record:
     return writers.Record(payload=msgspec.json.encode(record))
-
-
-def _make_ordered(ordered: dict[str, float]) -> writers.Record:
-    return writers.Record(payload=msgspec.json.encode(sorted(ordered)))
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -254,7 +254,9 @@
 
         :return: Why the ownership is lost, empty if it is not.
         """
-        renewed = self._store.renew_lease(self._lease)
+        renewed = self._store.renew_lease(
+            self._lease, timing.RENEWAL_TIMEOUT_S
+        )
         if isinstance(renewed, stores.Unavailable):
             return ""
         owner.note_contact(clocks.read_steady())
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -17,10 +17,13 @@
 WRITE_DELAY_S = 0.06
 
 # -- ownership -------------------------------------------------------------
-# Length of the owner's lease: the store gives one second at the least; half
-# a second more bears two lost renewals.
-OWNER_LEASE_S = 1.5
-OWNER_RENEWAL_S = 0.4
+# Length of the owner's lease: the least that the store gives.  It is what a
+# lost owner costs without starts.
+OWNER_LEASE_S = 1.0
+# Pause between two renewals, and the longest wait for an answer to one: two
+# in a row may be lost, and a slow store answers within 0.24 s.
+OWNER_RENEWAL_S = 0.25
+RENEWAL_TIMEOUT_S = 0.4
 # An owner that hears nothing from the store goes on extending the leases of
 # what runs for this long.  With the lease itself that bears outages of 8 s;
 # longer lengthens the wait for proof after a change of owner.
@@ -83,9 +86,8 @@
 # How often the platform's list of VMs is read, with a wave under way or not.
 LIST_BUSY_INTERVAL_S = 0.4
 LIST_INTERVAL_S = 2.0
-# An order to a VM is given this long after the store was asked at most: less
-# than the owner's lease, within which no other process can have taken over
-# and waited for its own pause.
+# An order to a VM is given this long after the store was asked at most.  No
+# other process gives that VM orders within its own pause.
 CONFIRMATION_S = 0.9
 # An order without an answer is given again after this pause, so many times.
 VM_ORDER_PAUSE_S = 0.3
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -362,13 +362,15 @@
             return lease
         return Lease(identity=lease.lease, duration=lease.ttl_ms / 1000)
 
-    def renew_lease(self, identity: int) -> bool | Unavailable:
+    def renew_lease(self, identity: int, timeout: float) -> bool | Unavailable:
         """Renew a lease.
 
         :param identity: Its number.
+        :param timeout: Longest wait for an answer, in seconds: a renewal whose
+            answer is lost has taken effect, and the next one must not be late.
         :return: Whether it still runs.
         """
-        answer = self._call("POST", f"/kv-keep/{identity}")
+        answer = self._call("POST", f"/kv-keep/{identity}", timeout=timeout)
         if isinstance(answer, Unavailable):
             return answer
         return answer.status == STATUS_OK
@@ -393,13 +395,18 @@
             self._on_call(call, "no answer")
 
     def _call(
-        self, method: str, path: str, body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        timeout: float | None = None,
     ) -> connections.Answer | Unavailable:
         raw = self._client.exchange(
             method,
             path,
             body,
-            timeout=self.timeout,
+            timeout=self.timeout if timeout is None else timeout,
             body_timeout=BODY_TIMEOUT_S,
         )
         self._note(_name_call(path), raw)
