rackvalve explain job: what became of a job and why, from log lines alone

The command reads the lines of all managers, prints the job's own, its verdict, and what explains the longest pauses. Also: the processes of tests have a module of their own. Tests: explain.feature.

--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,33 @@
+Feature: From a job's identifier to its cause, from log lines alone
+
+  Scenario Outline: What became of a job, and why
+    Given the log lines of <case>
+    When the job is explained
+    Then the verdict is "<verdict>"
+    And a cause says "<cause>"
+    And no cause says "<other>"
+
+    Examples:
+      | case                       | verdict        | cause                                                    | other           |
+      | a job refused everywhere   | never accepted | vm-2 had lost the store since 1.5 s before: no answer    | vm-3            |
+      | a task that always fails   | failed         | aa.0.0.1 failed 2 times on several workers: w1, w2       | ownership       |
+      | a cancelled job            | cancelled      | a caller asked vm-2 to cancel it                         | nothing         |
+      | a job late by its worker   | completed      | vm-1: dependency.lost (worker w1, reason silent          | w9              |
+      | a job late by its owner    | completed      | vm-3: ownership.taken (fence 9)                          | asked for       |
+      | a job late for want of room | completed     | pool p asked for 12.5 VMs and had 4                      | pool q          |
+      | a job that never started   | accepted       | nothing happened for 8.0 s after job.taken               | dependency.lost |
+      | another job                | no line        | give the lines of all VMs                                | vm-1            |
+
+  Scenario: The command prints timeline, verdict and causes
+    Given the log lines of a job late by its worker
+    When the operator's command explains it from a file
+    Then it ends with 0 and prints its verdict and its causes
+
+  Scenario: The command says when it knows nothing of a job
+    Given the log lines of another job
+    When the operator's command explains it from a file
+    Then it ends with 3
+
+  Scenario: Lines that are no events are counted, and lines before a brace passed over
+    Given lines with text before the brace, broken ones and an empty one
+    Then 1 event is read and 2 lines are counted as unread
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,197 @@
+"""Steps about explaining jobs from log lines."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import behave
+
+from rackvalve.explain import events
+from rackvalve.explain import story as stories
+
+JOB = "aa"
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+def line(time, event, vm="vm-1", **fields):
+    return json.dumps({"time": time, "event": event, "vm": vm, **fields})
+
+
+def accept(time):
+    return [
+        line(time, "job.accepted", "vm-2", job=JOB, queue="q"),
+        line(time + 0.02, "job.taken", job=JOB, queue="q"),
+    ]
+
+
+def order(time, task="0.0.0", run=1, worker="w1", vm="vm-1"):
+    return line(
+        time, "run.ordered", vm, job=JOB, task=task, run=run, worker=worker
+    )
+
+
+def end(time, cause="done", task="0.0.0", run=1, worker="w1", vm="vm-1"):
+    return line(
+        time,
+        "run.ended",
+        vm,
+        task=f"{JOB}.{task}",
+        run=run,
+        worker=worker,
+        cause=cause,
+    )
+
+
+def finish(time, phase="completed", reason="all tasks are done"):
+    return line(time, "job.ended", job=JOB, phase=phase, reason=reason)
+
+
+def lose(time, vm, dependency, **fields):
+    return line(time, "dependency.lost", vm, dependency=dependency, **fields)
+
+
+def size(time, pool, demand, have):
+    return line(time, "pool.size", pool=pool, demand=demand, have=have)
+
+
+CASES = {
+    "a job refused everywhere": [
+        lose(1.0, "vm-2", "store", reason="no answer in time"),
+        lose(1.0, "vm-3", "store", reason="no answer in time"),
+        line(
+            2.5,
+            "call.answered",
+            "vm-2",
+            method="POST",
+            path=f"/q/{JOB}",
+            status=503,
+            reason="the store does not answer this process",
+            silence=1.7,
+            version=4,
+        ),
+    ],
+    "a task that always fails": [
+        *accept(1.0),
+        order(1.1, "0.0.1"),
+        end(1.6, "failed", "0.0.1"),
+        line(1.7, "ownership.taken", "vm-9", fence=3),
+        order(1.8, "0.0.1", 2, "w2"),
+        end(2.3, "failed", "0.0.1", 2, "w2"),
+        finish(2.4, "failed", "task 0.0.1 failed 2 times"),
+    ],
+    "a cancelled job": [
+        *accept(1.0),
+        line(1.5, "job.cancel_recorded", "vm-2", job=JOB),
+        finish(1.6, "cancelled", "its caller cancelled it"),
+    ],
+    "a job late by its worker": [
+        *accept(1.0),
+        order(1.1),
+        lose(2.0, "vm-1", "worker", worker="w9", reason="silent"),
+        lose(2.0, "vm-1", "worker", worker="w1", reason="silent"),
+        order(6.2, run=2, worker="w2"),
+        end(7.0, run=2, worker="w2"),
+        finish(7.1),
+    ],
+    "a job late by its owner": [
+        *accept(1.0),
+        line(3.2, "ownership.taken", "vm-3", fence=9),
+        size(3.5, "p", 3.0, 4),
+        order(3.6, vm="vm-3"),
+        end(4.0, vm="vm-3"),
+        finish(4.1),
+    ],
+    "a job late for want of room": [
+        *accept(1.0),
+        size(2.0, "p", 9.5, 4),
+        size(2.0, "q", 1.0, 4),
+        size(3.0, "p", 12.5, 4),
+        order(3.6),
+        end(4.0),
+        finish(4.1),
+    ],
+    "a job that never started": [
+        *accept(1.0),
+        lose(2.0, "vm-1", "worker", worker="w9", reason="silent"),
+        size(9.02, "p", 1.0, 4),
+    ],
+    "another job": [line(1.0, "job.accepted", job="bb", queue="q")],
+}
+
+
+@behave.given("the log lines of {case}")
+def take_lines(context, case):
+    context.lines = CASES[case]
+
+
+@behave.when("the job is explained")
+def explain(context):
+    read = events.read_lines(reversed(context.lines))
+    assert not read.unread
+    context.story = stories.tell(JOB, read)
+
+
+@behave.then('the verdict is "{verdict}"')
+def check_verdict(context, verdict):
+    assert context.story.verdict.startswith(verdict), context.story.verdict
+
+
+@behave.then('a cause says "{text}"')
+def check_cause(context, text):
+    assert any(text in cause for cause in context.story.causes), context.story
+
+
+@behave.then('no cause says "{text}"')
+def check_no_cause(context, text):
+    assert not any(text in cause for cause in context.story.causes)
+
+
+@behave.when("the operator's command explains it from a file")
+def run_command(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".log") as out:
+        out.write("\n".join(context.lines))
+        out.flush()
+        context.done = subprocess.run(
+            [
+                str(pathlib.Path(sys.executable).parent / "rackvalve"),
+                "explain",
+                "job",
+                JOB,
+                out.name,
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+
+@behave.then("it ends with 0 and prints its verdict and its causes")
+def check_printed(context):
+    assert context.done.returncode == 0, context.done
+    for text in ("completed", "dependency.lost", "run.ordered"):
+        assert text in context.done.stdout, context.done.stdout
+
+
+@behave.then("it ends with {code:d}")
+def check_code(context, code):
+    assert context.done.returncode == code, context.done
+
+
+@behave.given("lines with text before the brace, broken ones and an empty one")
+def take_broken(context):
+    context.read = events.read_lines(
+        ["12.5 vm-1 " + line(1.0, "job.taken"), "{broken", "no event", ""]
+    )
+
+
+@behave.then(
+    "{count:d} event is read and {unread:d} lines are counted as unread"
+)
+def check_read(context, count, unread):
+    assert len(context.read.events) == count
+    assert context.read.unread == unread
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -13,6 +13,7 @@
 
 from tools import campaign as campaigns
 from tools import fleet as fleets
+from tools import processes
 
 POOL = "alarms"
 
@@ -31,7 +32,7 @@
     addresses = [f"{fleets.HOST}:{p}" for p in fleet.targets.values()]
     for entry in fleet.entries:
         entry.entry.kill()
-        entry.entry = fleets.Process(
+        entry.entry = processes.Process(
             f"{entry.vm}-naive",
             [
                 sys.executable,
--- a/src/rackvalve/cli/program.py
+++ b/src/rackvalve/cli/program.py
@@ -16,10 +16,11 @@
 from rackvalve.burn import objectives
 from rackvalve.burn import pages
 from rackvalve.cli import client as clients
+from rackvalve.cli import explanation
 from rackvalve.cli import output
 from rackvalve.cli import shell
 from rackvalve.configuration import operators
-from rackvalve.settings import explanation
+from rackvalve.settings import explanation as settings_explanation
 from rackvalve.settings import reader
 from rackvalve import version
 
@@ -77,7 +78,7 @@
 
     def handle(self) -> int:
         """Print all."""
-        self.line(explanation.explain_all())
+        self.line(settings_explanation.explain_all())
         return EXIT_OK
 
 
@@ -449,6 +450,7 @@
 _COMMANDS: tuple[type[command.Command], ...] = (
     SettingsCheck,
     SettingsExplain,
+    explanation.ExplainJob,
     Status,
     Why,
     Drain,
--- /dev/null
+++ b/src/rackvalve/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Why a job was refused, late, failed or lost, from log lines alone."""
--- /dev/null
+++ b/src/rackvalve/explain/events.py
@@ -0,0 +1,81 @@
+"""Log lines as events."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+
+import msgspec
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Event:
+    """One log line.
+
+    :param time: When it was written, seconds since 1970.
+    :param name: Name of the event.
+    :param vm: VM of the process that wrote it.
+    :param fields: All fields of the line.
+    """
+
+    time: float
+    name: str
+    vm: str
+    fields: dict[str, Any]
+
+    def get(self, field: str) -> Any:
+        """Return a field, or an empty text if the line has none.
+
+        :param field: Its name.
+        """
+        return self.fields.get(field, "")
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Lines:
+    """What was read.
+
+    :param events: The events, oldest first.
+    :param unread: How many lines were no events.
+    """
+
+    events: tuple[Event, ...]
+    unread: int
+
+
+def read_lines(lines: Iterable[str]) -> Lines:
+    """Read log lines of any number of processes.
+
+    What stands before a line's first brace is passed over: collectors put
+    times and names there.
+
+    :param lines: The lines, in any order.
+    """
+    found: list[Event] = []
+    unread = 0
+    for line in lines:
+        event = _read_line(line)
+        if event is not None:
+            found.append(event)
+        elif line.strip():
+            unread += 1
+    found.sort(key=lambda event: event.time)
+    return Lines(events=tuple(found), unread=unread)
+
+
+def _read_line(line: str) -> Event | None:
+    _, brace, rest = line.partition("{")
+    try:
+        fields = msgspec.json.decode(brace + rest, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return None
+    time, name = fields.get("time"), fields.get("event")
+    if not isinstance(time, (int, float)) or not isinstance(name, str):
+        return None
+    return Event(
+        time=float(time),
+        name=name,
+        vm=str(fields.get("vm", "")),
+        fields=fields,
+    )
--- a/tools/experiments/entry.py
+++ b/tools/experiments/entry.py
@@ -7,6 +7,7 @@
 
 from tools.experiments import figures
 from tools import fleet as fleets
+from tools import processes
 
 POOL = "alarms"
 LATENCY_SECONDS = 3
@@ -33,7 +34,7 @@
 def _start_passthrough(fleet):
     port = fleets.find_port()
     addresses = [f"{fleets.HOST}:{port}" for port in fleet.targets.values()]
-    process = fleets.Process(
+    process = processes.Process(
         "passthrough",
         [sys.executable, "-m", "tools.passthrough", "--port", str(port)]
         + addresses,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,7 +8,6 @@
 import pathlib
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import time
@@ -21,6 +20,7 @@
 from rackvalve.configuration import document
 from rackvalve.fleet import record
 from rackvalve.keyvalue import packing
+from tools import processes
 
 BIN = pathlib.Path(sys.executable).parent
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -84,50 +84,6 @@
     return str(uuid_utils.uuid7())
 
 
-class Process:
-    """One started process."""
-
-    def __init__(self, name, command, log):
-        self.name = name
-        self.command = command
-        self.log = log
-        self.popen = None
-
-    def start(self):
-        """Start it."""
-        with open(self.log, "ab") as out:
-            self.popen = subprocess.Popen(
-                self.command, stdout=out, stderr=out, cwd=ROOT
-            )
-
-    def kill(self):
-        """Kill it without warning."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def terminate(self, timeout=30.0):
-        """Ask it to stop, and return its exit code."""
-        self.signal(signal.SIGTERM)
-        return self.popen.wait(timeout)
-
-    def signal(self, number):
-        """Send a signal."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def hang_up(self):
-        """Tell it that its settings have changed."""
-        self.signal(signal.SIGHUP)
-
-    def freeze(self):
-        """Freeze it."""
-        self.signal(signal.SIGSTOP)
-
-    def resume(self):
-        """Let it go on."""
-        self.signal(signal.SIGCONT)
-
-
 @dataclasses.dataclass(slots=True)
 class EntryVm:
     """One entry VM and the ports of its programs."""
@@ -139,9 +95,9 @@
     steward_port: int
     admin_port: int
     settings: str = ""
-    entry: Process | None = None
-    steward: Process | None = None
-    admin: Process | None = None
+    entry: processes.Process | None = None
+    steward: processes.Process | None = None
+    admin: processes.Process | None = None
 
 
 class Fleet:
@@ -465,7 +421,7 @@
         pathlib.Path(entry.settings).write_text("\n".join(lines) + "\n")
 
     def _spawn(self, name, command):
-        process = Process(
+        process = processes.Process(
             name, [str(word) for word in command], self.folder / f"{name}.log"
         )
         process.start()
--- a/tools/site.py
+++ b/tools/site.py
@@ -10,6 +10,7 @@
 import time
 
 from tools import fleet as fleets
+from tools import processes
 
 POOLS = {"lookups": 3, "rebuilds": 2, "spare": 1}
 QUEUES = {"lookup": "lookups", "rebuild": "rebuilds"}
@@ -53,7 +54,7 @@
         ports = [fleets.find_port() for _ in range(sum(self.pools.values()))]
         shown = [f"{port}:{self.make_link(port)}" for port in ports]
         pools = ",".join(f"{pool}={n}" for pool, n in self.pools.items())
-        self.platform = fleets.Process(
+        self.platform = processes.Process(
             "site",
             [
                 sys.executable,
@@ -258,7 +259,7 @@
             f"machines = 127.0.0.1:{platform}\n"
             "order_pause = 500ms\n"
         )
-        process = fleets.Process(
+        process = processes.Process(
             vm,
             [str(fleets.BIN / "rackvalve-manager"), str(settings)],
             str(self.folder / f"{vm}.log"),
