Let runs end on VMs that are not needed, and where little is left of them

A VM that is only not needed can wait; one of a wave may wait while a run's progress says it ends within 3 s. Test: upkeep.feature.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -10,6 +10,7 @@
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
@@ -194,6 +195,36 @@
     assert not context.upkeep.decide(context.bench.now)
 
 
+@behave.given(
+    "a worker on which a run has worked for {age:d} s and is at {percent:d} %"
+)
+def make_run(context, age, percent):
+    context.bench = benches.Bench(["w1"])
+    context.bench.add(definition.Step(cpu=1))
+    (order,) = context.bench.start_all()
+    context.bench.placed(order).run.percent = float(percent)
+    context.bench.now += age
+
+
+@behave.when("its VM is to leave for {reason}")
+def vacate(context, reason):
+    patience = {
+        "maintenance": upkeep.PATIENCE_S,
+        "surplus": sizing.PATIENCE_S,
+    }
+    eviction.vacate(
+        context.bench.book,
+        context.bench.book.workers["w1"],
+        patience[reason],
+        context.bench.now,
+    )
+
+
+@behave.then("the run {answer} ordered to stop")
+def check_vacated(context, answer):
+    assert len(context.bench.stops()) == (answer == "is")
+
+
 @behave.when("an owner that had ordered 1 VM and finished 2 is replaced")
 def restore(context):
     ordered, *done = context.vms[:3]
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -7,6 +7,19 @@
     And no VM was maintained with work on it
     And the wave is complete only after the last of them
 
+  Scenario Outline: A run on a VM that leaves is stopped only if it will go on for long
+    Given a worker on which a run has worked for <age> s and is at <percent> %
+    When its VM is to leave for <reason>
+    Then the run <is> ordered to stop
+
+    Examples:
+      | age | percent | reason      | is     |
+      | 4   | 10      | maintenance | is not |
+      | 6   | 10      | maintenance | is     |
+      | 6   | 80      | maintenance | is not |
+      | 6   | 0       | maintenance | is     |
+      | 60  | 10      | surplus     | is not |
+
   Scenario: A VM whose worker has a new life is vacated by that life
     Given a pool of 2 VMs and a wave over all of them that bears 1 away
     When the platform's list still names the old life of a VM that has work
--- a/src/rackvalve/scheduling/eviction.py
+++ b/src/rackvalve/scheduling/eviction.py
@@ -14,6 +14,9 @@
 # A worker that has not answered for longer is taken to be away, in seconds;
 # holds are answered after half a second at the latest.
 SILENCE_S = 1.0
+# A run that will end within this time is let end, however long it has run
+# (seconds): to start it anew elsewhere takes longer than to wait.
+REST_S = 3.0
 
 
 def is_at_work(book: books.Book, task: progress.Task, now: float) -> bool:
@@ -65,6 +68,19 @@
     return away < max(1, placed.step.most_away)
 
 
+def estimate_rest(run: progress.Run, now: float) -> float:
+    """Return how long a run will go on, by its progress, in seconds.
+
+    :param run: The run.
+    :param now: Present time, in seconds.
+    :return: Infinity while no progress is known.
+    """
+    if run.confirmed_at is None or run.percent <= 0:
+        return float("inf")
+    worked = now - run.confirmed_at
+    return worked * (100 - run.percent) / run.percent
+
+
 def vacate(
     book: books.Book, worker: workers.WorkerState, patience: float, now: float
 ) -> bool:
@@ -84,7 +100,9 @@
         if placed.step.lasting:
             leave = may_evict(book, placed, now)
         else:
-            leave = now - run.since > patience
+            leave = (
+                now - run.since > patience and estimate_rest(run, now) > REST_S
+            )
         if leave:
             book.stop(placed.state, placed.task, run, "its VM is to leave")
     return not worker.runs
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -39,8 +39,8 @@
 RESERVE = 1
 # Least VMs of a pool.
 LEAST = 3
-# Work that does not last is given this long to end on a VM that leaves.
-PATIENCE_S = 5.0
+# Work that does not last is let end on a VM that is only not needed.
+PATIENCE_S = float("inf")
 # A VM that has just come to a pool stays for this long, in seconds.
 STAY_S = 3.0
 SURPLUS = "surplus"
