Let others stand in for VMs that a wave has closed; close more once it is late

And a pool went without what was closed. Change: closed VMs do not count as what a pool has, so others come meanwhile; past three quarters of its time a wave may close two thirds of a pool. Tests: upkeep.feature, two scenarios.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -271,6 +271,51 @@
     context.names = names
 
 
+@behave.given(
+    "a pool of {count:d} VMs, all of them busy, and {spares:d} spare VMs"
+)
+def make_busy_pool(context, count, spares):
+    make_sizing(context, count, spares)
+    # As many VMs as the pool keeps for this demand.
+    busy = int((count - sizing.RESERVE) / sizing.HEADROOM)
+    context.bench.add(definition.Step(tasks=busy, cpu=WIDE.cpu))
+    context.bench.start_all()
+    assert not step_sizing(context, 1.0)
+
+
+@behave.when("a wave closes {count:d} of its VMs")
+def close_vms(context, count):
+    wave = fleet.Wave(
+        number=1,
+        vms=tuple(context.names[:count]),
+        duration=60.0,
+        most_away=count,
+    )
+    context.upkeep.add_wave(wave, context.bench.now)
+    context.upkeep.waves[1].closed.update(wave.vms)
+    context.moves = step_sizing(context, 0.5)
+
+
+@behave.then(
+    "{few:d} of its VMs are closed at once while it is in time, and {many:d} "
+    "later"
+)
+def check_late(context, few, many):
+    state = context.upkeep.waves[1]
+    bench = context.bench
+    for vm in context.vms:
+        # So that no VM is empty and ordered at once.
+        bench.add(definition.Step(cpu=1), identity=f"{vm:0>16}")
+    bench.start_all()
+    aim = state.began + upkeep.AIM * state.wave.duration
+    bench.now = aim - 0.5
+    context.upkeep.decide(bench.now)
+    assert len(state.closed) == few, state.closed
+    bench.now = aim + 0.5
+    context.upkeep.decide(bench.now)
+    assert len(state.closed) == many, state.closed
+
+
 def step_sizing(context, seconds):
     """Let time pass and collect the moves."""
     moves = []
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -35,6 +35,15 @@
     When 3 of the VMs were ordered lately by another owner
     Then only the other VM is maintained
 
+  Scenario: Other VMs stand in for those that a wave has closed
+    Given a pool of 10 VMs, all of them busy, and 4 spare VMs
+    When a wave closes 2 of its VMs
+    Then 2 VMs move to the pool
+
+  Scenario: A wave that is late closes more of a pool at once
+    Given a pool of 9 VMs and a wave over all of them that bears 9 away
+    Then 3 of its VMs are closed at once while it is in time, and 6 later
+
   Scenario: A pool that lacks room gets spare VMs, and gives them back later
     Given a pool of 3 VMs and 4 spare VMs
     When work for 5 VMs waits
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -95,7 +95,6 @@
         "wanted",
         "have",
         "spread",
-        "away",
     )
 
     def __init__(self) -> None:
@@ -111,8 +110,6 @@
         self.have = 0
         # Least VMs on which each lasting step has a place for all its tasks.
         self.spread = 0
-        # VMs that a wave has closed or taken away.
-        self.away = 0
 
     def note(self, demand: Demand, now: float) -> None:
         """Take a sample.
@@ -158,7 +155,7 @@
         if not self.spread:
             return LEAST
         # What leaves a VM needs a place that the others do not have.
-        return max(LEAST, self.spread + max(RESERVE, self.away))
+        return max(LEAST, self.spread + RESERVE)
 
     def peak(self) -> float:
         """Return the greatest demand of the window, in VMs."""
@@ -282,14 +279,17 @@
             size = self.pools.setdefault(name, PoolSize())
             size.note(demands.get(name, NO_DEMAND), now)
             size.spread = spreads.get(name, 0)
-            size.away = self._count_away(name)
             size.have = self._count_have(name, size)
             size.wanted = _count_wanted(size, now)
         for name in self.pools.keys() - self._book.configuration.pools.keys():
             del self.pools[name]
 
     def _count_have(self, name: str, size: PoolSize) -> int:
-        """Count the VMs that work for a pool, or soon will."""
+        """Count the VMs that work for a pool, or soon will.
+
+        Those that a wave has closed take no work; others stand in for them.
+        """
+        maintained = self._upkeep.leaving()
         coming = sum(1 for move in self.moving.values() if move.pool == name)
         working = sum(
             1
@@ -297,18 +297,11 @@
             if vm.pool == name
             and vm.identity not in self.moving
             and vm.identity not in size.leaving
+            and vm.identity not in maintained
             and self._is_sound(vm)
         )
         return coming + working
 
-    def _count_away(self, name: str) -> int:
-        """Count the VMs of a pool that a wave has closed or taken away."""
-        found = 0
-        for vm in self._upkeep.leaving():
-            listed = self._upkeep.vms.get(vm)
-            found += listed is not None and listed.pool == name
-        return found
-
     def _is_sound(self, vm: upkeeps.Vm) -> bool:
         """Return whether a VM works, or is away for a moment only."""
         worker = self._book.workers.get(vm.worker)
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -23,8 +23,10 @@
 CYCLE_S = 5.0
 # Aim to be done after this part of the time that the operator gives.
 AIM = 0.75
-# Part of a pool that may be closed or away at once.
+# Part of a pool that may be closed or away at once; and once the wave is late,
+# since a pool that lacks VMs gets others meanwhile.
 POOL_PART = 0.34
+LATE_PART = 0.67
 # Work that does not last is given this long to end by itself, in seconds.
 PATIENCE_S = 5.0
 # An order that was refused is given again after this pause, in seconds.
@@ -284,11 +286,13 @@
         ]
         open_vms.sort(key=self._cost)
         spreads = measure_spreads(self._book)
+        late = now > state.began + AIM * state.wave.duration
+        part = LATE_PART if late else POOL_PART
         for vm in open_vms:
             busy = len(state.closed) + len(state.ordered.keys() - state.closed)
             if busy >= wanted:
                 return
-            if self._may_close(vm, spreads):
+            if self._may_close(vm, spreads, part):
                 state.closed.add(vm)
 
     def _count_wanted(self, state: WaveState, left: int, now: float) -> int:
@@ -305,7 +309,9 @@
         ]
         return sum(1 for run in placed if run.step.lasting), len(placed)
 
-    def _may_close(self, vm: str, spreads: dict[str, int]) -> bool:
+    def _may_close(
+        self, vm: str, spreads: dict[str, int], part: float
+    ) -> bool:
         listed = self.vms.get(vm)
         if listed is None:
             return True
@@ -323,7 +329,7 @@
         if len(members) - away <= spreads.get(listed.pool, 0):
             # What leaves the VM would find no place; the pool grows first.
             return False
-        return away < max(1, int(POOL_PART * len(members)))
+        return away < max(1, int(part * len(members)))
 
     def _is_leaving(self, vm: str) -> bool:
         return any(
