--- a/tools/experiments/jobs.py
+++ b/tools/experiments/jobs.py
@@ -94,11 +94,12 @@
     """Hand in jobs while owners are killed; read what workers did."""
     site = sites.Site(3, {"lookups": 4, "rebuilds": 2, "spare": 1})
     accept_times: list[float] = []
+    accepted: list[float] = []
     kills: list[float] = []
     owned = time.monotonic()
     try:
         site.start()
-        _hand_in(site, accept_times, kills)
+        _hand_in(site, accept_times, accepted, kills)
         owned = kills[-1] if kills else owned
         states = [
             site.wait_final("lookup", f"{number + 1:016x}")
@@ -118,6 +119,7 @@
         unit="ms",
         n=len(accept_times),
     )
+    yield from _judge_starts(journal, accepted)
     yield from _judge_jobs(journal, states, kills)
     yield figures.Figure(
         figure="store.calls_per_job",
@@ -131,6 +133,25 @@
     yield figures.Figure(figure="manager.rss_mb", value=memory, unit="MB", n=1)
 
 
+def _judge_starts(journal, accepted):
+    """Yield the times from a job's acceptance to its first start."""
+    first: dict[str, float] = {}
+    for time_seen, kind, _, task, *_ in journal:
+        if kind == "start":
+            first.setdefault(task.split(".")[0], time_seen)
+    waits = sorted(
+        max(0.0, first[f"{number + 1:016x}"] - time_accepted)
+        for number, time_accepted in enumerate(accepted)
+    )
+    for share in (50, 99):
+        yield figures.Figure(
+            figure=f"jobs.start_p{share}_ms",
+            value=waits[len(waits) * share // 100] * 1000,
+            unit="ms",
+            n=len(waits),
+        )
+
+
 def _judge_jobs(journal, states, kills):
     """Yield what callers and workers saw of the jobs and of the kills."""
     starts = [row for row in journal if row[1] == "start"]
@@ -145,7 +166,7 @@
     )
 
 
-def _hand_in(site, accept_times, kills):
+def _hand_in(site, accept_times, accepted, kills):
     for number in range(JOBS):
         killed = None
         if number % JOBS_PER_KILL == JOBS_PER_KILL - 1:
@@ -157,7 +178,8 @@
         others = [one for one in site.managers if one is not killed]
         began = time.monotonic()
         site.submit("lookup", STEPS, "work_ms=20", manager=others[0])
-        accept_times.append(time.monotonic() - began)
+        accepted.append(time.monotonic())
+        accept_times.append(accepted[-1] - began)
         if killed is not None:
             gevent.sleep(RESTART_S)
             killed["process"].start()
