--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -1,4 +1,4 @@
-"""Steps about waves, sizes of pools, shared workers and admission."""
+"""Steps about waves, shared workers and admission."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 
 from features import job_bench as benches
 from features import job_models as models
+from features import vm_bench as vms
 from rackvalve.jobs import definition
-from rackvalve.jobs import progress
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
@@ -18,31 +18,7 @@
 from rackvalve.scheduling import sizing
 from rackvalve.scheduling import upkeep
 
-OTHER = "other"
-SPARE = "spare"
 AWAY_S = 1.0
-WIDE = fleet.Room(cpu=4, memory=4, gpu=0)
-
-
-def make_pools(book, *names):
-    book.set_configuration(
-        dataclasses.replace(
-            models.CONFIGURATION,
-            pools={
-                name: queues.Pool(name=name, guarded=True, spare=name == SPARE)
-                for name in (models.POOL, SPARE, *names)
-            },
-        )
-    )
-
-
-def list_vm(identity, pool=models.POOL, worker=None, up=True):
-    return upkeep.Vm(
-        identity=identity,
-        pool=pool,
-        up=up,
-        worker=identity if worker is None else worker,
-    )
 
 
 @behave.given(
@@ -52,14 +28,14 @@
 def make_wave(context, count, most):
     context.vms = [f"w{number}" for number in range(count)]
     context.bench = benches.Bench(context.vms)
-    make_pools(context.bench.book)
+    vms.make_pools(context.bench.book)
     context.upkeep = upkeep.Upkeep(context.bench.book)
     context.wave = fleet.Wave(
         number=1, vms=tuple(context.vms), duration=60.0, most_away=most
     )
     context.upkeep.add_wave(context.wave, context.bench.now)
     context.upkeep.take_list(
-        [list_vm(vm) for vm in context.vms], context.bench.now
+        [vms.list_vm(vm) for vm in context.vms], context.bench.now
     )
     context.most = most
 
@@ -139,7 +115,7 @@
         worker.closing = upkeep.CLOSED if vm in care.leaving() else ""
     care.take_list(
         [
-            list_vm(vm, worker=life, up=vm not in context.back)
+            vms.list_vm(vm, worker=life, up=vm not in context.back)
             for vm, life in context.lives.items()
         ],
         bench.now,
@@ -186,7 +162,7 @@
     orders = bench.start_all()
     assert len(orders) == 2
     context.upkeep.take_list(
-        [list_vm(vm, worker=f"old-{vm}") for vm in context.vms], bench.now
+        [vms.list_vm(vm, worker=f"old-{vm}") for vm in context.vms], bench.now
     )
 
 
@@ -257,45 +233,6 @@
     assert found == set(context.vms[3:]), found
 
 
-@behave.given("a pool of {count:d} VMs and {spares:d} spare VMs")
-def make_sizing(context, count, spares):
-    names = [f"w{number}" for number in range(count)]
-    context.bench = benches.Bench(names, capacity=WIDE)
-    make_pools(context.bench.book)
-    context.upkeep = upkeep.Upkeep(context.bench.book)
-    context.sizing = sizing.Sizing(context.bench.book, context.upkeep)
-    context.listed = {name: list_vm(name) for name in names}
-    for number in range(spares):
-        vm = f"s{number}"
-        context.listed[vm] = list_vm(vm, pool=SPARE, worker="")
-    context.names = names
-
-
-@behave.given(
-    "a pool of {count:d} VMs, all of them busy, and {spares:d} spare VMs"
-)
-def make_busy_pool(context, count, spares):
-    make_sizing(context, count, spares)
-    # As many VMs as the pool keeps for this demand.
-    busy = int((count - sizing.RESERVE) / sizing.HEADROOM)
-    context.bench.add(definition.Step(tasks=busy, cpu=WIDE.cpu))
-    context.bench.start_all()
-    assert not step_sizing(context, 1.0)
-
-
-@behave.when("a wave closes {count:d} of its VMs")
-def close_vms(context, count):
-    wave = fleet.Wave(
-        number=1,
-        vms=tuple(context.names[:count]),
-        duration=60.0,
-        most_away=count,
-    )
-    context.upkeep.add_wave(wave, context.bench.now)
-    context.upkeep.waves[1].closed.update(wave.vms)
-    context.moves = step_sizing(context, 0.5)
-
-
 @behave.then(
     "{few:d} of its VMs are closed at once while it is in time, and {many:d} "
     "later"
@@ -316,93 +253,6 @@
     assert len(state.closed) == many, state.closed
 
 
-def step_sizing(context, seconds):
-    """Let time pass and collect the moves."""
-    moves = []
-    until = context.bench.now + seconds
-    while context.bench.now < until:
-        context.bench.now += 0.1
-        context.upkeep.take_list(
-            list(context.listed.values()), context.bench.now
-        )
-        for name in context.names:
-            context.bench.report(name, context.bench.rows(name))
-        moves.extend(context.sizing.decide(context.bench.now))
-    return moves
-
-
-@behave.when("work for {count:d} VMs waits")
-def want_room(context, count):
-    context.state = context.bench.add(
-        definition.Step(tasks=count, cpu=WIDE.cpu)
-    )
-    context.moves = step_sizing(context, 0.5)
-
-
-@behave.then("{count:d} VMs move to the pool")
-def check_grown(context, count):
-    assert len(context.moves) == count
-    assert {move.pool for move in context.moves} == {models.POOL}
-    for move in context.moves:
-        context.listed[move.vm] = list_vm(move.vm)
-        context.names.append(move.vm)
-        context.bench.numbers[move.vm] = 0
-        context.bench.book.set_entry(
-            models.FakeWorker(
-                models.World(), move.vm, models.Rules(), 1.0
-            ).entry()
-        )
-
-
-@behave.when("the work is done and some time has passed")
-def finish_work(context):
-    context.bench.book.cancel_job(benches.IDENTITY, context.bench.now)
-    context.moves = step_sizing(
-        context, sizing.PEAK_WINDOW_S + sizing.STAY_S + 1.0
-    )
-
-
-@behave.then("the pool goes back to {count:d} VMs")
-def check_shrunk(context, count):
-    assert {move.pool for move in context.moves} == {SPARE}, context.moves
-    assert len(context.names) - len(context.moves) == count
-    assert count == sizing.LEAST
-
-
-@behave.when("a job for {count:d} VMs comes")
-def add_wide_job(context, count):
-    step_sizing(context, sizing.RISE_WINDOW_S)
-    context.bench.add(definition.Step(tasks=count, cpu=WIDE.cpu))
-    step_sizing(context, 0.1)
-
-
-@behave.then("the pool is expected to need {count:d} VMs")
-def check_not_rising(context, count):
-    size = context.sizing.pools[models.POOL]
-    assert size.expected(context.bench.now) == count
-
-
-@behave.when("{count:d} jobs for 1 VM come each 0.1 s for 0.8 s")
-def add_rising_work(context, count):
-    context.moves = step_sizing(context, sizing.RISE_WINDOW_S)
-    began = context.bench.now
-    for number in range(8 * count):
-        context.bench.add(
-            definition.Step(cpu=WIDE.cpu), identity=f"{number:016x}"
-        )
-        if number % count == count - 1:
-            context.moves.extend(step_sizing(context, 0.1))
-    context.come = 8 * count
-    context.rate = context.come / (context.bench.now - began)
-
-
-@behave.then("VMs for {part:d} % of what will come in 1.6 s are on their way")
-def check_expected(context, part):
-    ordered = len(context.names) + len(context.moves)
-    coming = context.come + part / 100 * context.rate * sizing.LEAD_S
-    assert abs(ordered - coming) <= 5, (ordered, coming)
-
-
 @behave.when(
     "a lasting step of {count:d} small tasks runs there, at most {most:d} on "
     "a worker"
@@ -414,97 +264,12 @@
     assert len(context.bench.start_all()) == count
 
 
-@behave.then(
-    "the pool goes back to {count:d} VMs and each of the {tasks:d} tasks has "
-    "a place"
-)
-def check_spread(context, count, tasks):
-    bench, gone = context.bench, set()
-    for _ in range(8):
-        gone |= {
-            move.vm for move in step_sizing(context, sizing.PEAK_WINDOW_S)
-        }
-        for order in bench.stops():
-            bench.book.orders.remove(order)
-            placed = bench.placed_run(order)
-            bench.book.release(placed, bench.now)
-        for name in gone:
-            bench.book.workers[name].closing = sizing.SURPLUS
-        bench.start_all()
-    assert len(context.names) - len(gone) == count, gone
-    placed = [run for t in context.state.tasks.values() for run in t.runs]
-    assert len(placed) == tasks and not context.state.waiting
-
-
 @behave.then("at most 1 VM is closed at a time")
 def check_closed_at_once(context):
     context.upkeep.decide(context.bench.now)
     assert len(context.upkeep.leaving()) == 1
 
 
-@behave.when("it gives a VM away and at once lacks room")
-def give_and_want(context):
-    moves = step_sizing(context, sizing.PEAK_WINDOW_S + 1.0)
-    assert moves
-    context.gone = {move.vm for move in moves}
-    context.bench.add(definition.Step(tasks=6, cpu=WIDE.cpu))
-    context.moves = step_sizing(context, 0.5)
-
-
-@behave.then("the worker of that VM is closed and is not taken back")
-def check_closed(context):
-    assert context.gone <= context.sizing.departing()
-    for vm in context.gone:
-        assert context.bench.book.workers[vm].closing == sizing.SURPLUS
-        assert not context.bench.book.workers[vm].takes_work(
-            context.bench.now, 10.0
-        )
-
-
-@behave.when("work for {count:d} VMs has just ended there")
-def end_work(context, count):
-    context.bench.add(definition.Step(tasks=count, cpu=WIDE.cpu))
-    step_sizing(context, sizing.RISE_WINDOW_S)
-    context.bench.book.cancel_job(benches.IDENTITY, context.bench.now)
-
-
-@behave.when("another pool lacks room")
-def want_elsewhere(context):
-    queue = dataclasses.replace(models.QUEUE, name="other-queue", pool=OTHER)
-    book = context.bench.book
-    make_pools(book, OTHER)
-    book.set_configuration(
-        dataclasses.replace(book.configuration, queues=(models.QUEUE, queue))
-    )
-    book.set_entry(
-        dataclasses.replace(
-            book.workers[context.names[0]].entry,
-            identity="o0",
-            vm="o0",
-            pool=OTHER,
-        )
-    )
-    context.listed["o0"] = list_vm("o0", pool=OTHER)
-    context.bench.numbers["o0"] = 0
-    context.names.append("o0")
-    state = progress.JobState(
-        "f" * 16,
-        "other-queue",
-        definition.Job(
-            spec="x", steps=(definition.Step(tasks=8, cpu=WIDE.cpu),)
-        ),
-        context.bench.now,
-    )
-    book.add_job(state, context.bench.now, context.bench.now, 0.0)
-    context.moves = step_sizing(context, 1.0)
-
-
-@behave.then("empty VMs of the first pool move to the other")
-def check_direct(context):
-    assert len(context.moves) == 6 - sizing.LEAST
-    assert {move.pool for move in context.moves} == {OTHER}
-
-
 @behave.given(
     "a serving task with a limit of {limit:d} ms beside a filling task"
 )
--- /dev/null
+++ b/features/vm_bench.py
@@ -0,0 +1,66 @@
+"""A pool of VMs with waves and sizes, for steps about them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from features import job_bench as benches
+from features import job_models as models
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import sizing
+from rackvalve.scheduling import upkeep
+
+OTHER = "other"
+SPARE = "spare"
+WIDE = fleet.Room(cpu=4, memory=4, gpu=0)
+
+
+def make_pools(book, *names):
+    book.set_configuration(
+        dataclasses.replace(
+            models.CONFIGURATION,
+            pools={
+                name: queues.Pool(name=name, guarded=True, spare=name == SPARE)
+                for name in (models.POOL, SPARE, *names)
+            },
+        )
+    )
+
+
+def list_vm(identity, pool=models.POOL, worker=None, up=True):
+    return upkeep.Vm(
+        identity=identity,
+        pool=pool,
+        up=up,
+        worker=identity if worker is None else worker,
+    )
+
+
+def make_sizing(context, count, spares):
+    """Give a context a book, waves and sizes of a pool and spare VMs."""
+    names = [f"w{number}" for number in range(count)]
+    context.bench = benches.Bench(names, capacity=WIDE)
+    make_pools(context.bench.book)
+    context.upkeep = upkeep.Upkeep(context.bench.book)
+    context.sizing = sizing.Sizing(context.bench.book, context.upkeep)
+    context.listed = {name: list_vm(name) for name in names}
+    for number in range(spares):
+        vm = f"s{number}"
+        context.listed[vm] = list_vm(vm, pool=SPARE, worker="")
+    context.names = names
+
+
+def step_sizing(context, seconds):
+    """Let time pass and collect the moves."""
+    moves = []
+    until = context.bench.now + seconds
+    while context.bench.now < until:
+        context.bench.now += 0.1
+        context.upkeep.take_list(
+            list(context.listed.values()), context.bench.now
+        )
+        for name in context.names:
+            context.bench.report(name, context.bench.rows(name))
+        moves.extend(context.sizing.decide(context.bench.now))
+    return moves
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -28,18 +29,30 @@
 POLL_S = 0.02
 HOST = "127.0.0.1"
 KEYS_TRIED = 8
+# Below those of outgoing connections, which begin at 32768 on Linux.
+PORTS = range(15000, 32000)
 _taken: set[int] = set()
+# Tests that run side by side must not draw the same ports.
+_random = random.SystemRandom()
 
 
 def find_port() -> int:
-    """Return a free port that this process has not handed out yet."""
+    """Return a free port that this process has not handed out yet.
+
+    Ports that the system gives to outgoing connections are left out: one of
+    these may take a port between this look and the start of its server.
+    """
     while True:
+        port = _random.choice(PORTS)
+        if port in _taken:
+            continue
         with socket.socket() as sock:
-            sock.bind((HOST, 0))
-            port = sock.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return port
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 def call(port, method, path, body=b"", headers=None, timeout=30.0):
