--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -6,6 +6,7 @@
 import pathlib
 
 import behave
+import gevent
 
 from rackvalve import _log_budget as log_budgets
 from rackvalve import _log_outlet as log_outlets
@@ -61,6 +62,8 @@
 def end_reader(context):
     stop_reader(context)
     os.close(context.reader)
+    # gevent's close takes effect in the next turn of its loop.
+    gevent.sleep(0)
 
 
 @behave.when("2 MB of lines are written to it")
