--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -25,7 +25,6 @@
         )
         self.handler = reports.Handler(
             self.book,
-            early=0.0,
             lease=timing.WORKER_LEASE_S,
             settling=0.0,
         )
@@ -33,7 +32,6 @@
             self.book,
             planners.Limits(
                 freshness=timing.FRESHNESS_S,
-                early=0.0,
                 entry_grace=timing.ENTRY_GRACE_S,
             ),
         )
@@ -87,7 +85,7 @@
             definition.Job(spec="x", steps=tuple(steps), **fields),
             self.now,
         )
-        self.book.add_job(state, self.now, self.now, 0.0)
+        self.book.add_job(state, self.now, self.now)
         return state
 
     def plan(self):
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -46,7 +46,6 @@
         )
         self.handler = reports.Handler(
             self.book,
-            early=0.0,
             lease=timing.WORKER_LEASE_S,
             settling=0.0,
         )
@@ -54,7 +53,6 @@
             self.book,
             planners.Limits(
                 freshness=timing.FRESHNESS_S,
-                early=0.0,
                 entry_grace=timing.ENTRY_GRACE_S,
             ),
         )
@@ -69,7 +67,7 @@
                 stored = self.store.progress.get(identity)
                 if stored is not None:
                     records.read_progress(state, stored, now)
-                self.book.add_job(state, now, now, 0.0)
+                self.book.add_job(state, now, now)
         for identity in self.store.cancels:
             self.book.cancel_job(identity, now)
         for life in self.lives.values():
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -162,7 +162,7 @@
     context.bench = benches.Bench([])
     state = records.read_definition("queue", benches.IDENTITY, defined)
     records.read_progress(state, payload, context.bench.now)
-    context.bench.book.add_job(state, 1000.0, 1000.0, 0.0)
+    context.bench.book.add_job(state, 1000.0, 1000.0)
     assert not state.waiting, "may still run"
     context.before = order.run
     context.state = state
@@ -445,7 +445,7 @@
 def check_due(context):
     state, start = context.state, context.bench.now
     for seconds, expected in ((0, 0), (4.9, 0), (5.1, 1), (15.1, 2), (99, 3)):
-        state.open_steps(start + seconds, 0.0)
+        state.open_steps(start + seconds)
         assert len(state.opened) == expected, (seconds, state.opened)
 
 
--- a/features/steps/sizing_steps.py
+++ b/features/steps/sizing_steps.py
@@ -194,7 +194,7 @@
         ),
         context.bench.now,
     )
-    book.add_job(state, context.bench.now, context.bench.now, 0.0)
+    book.add_job(state, context.bench.now, context.bench.now)
     context.moves = vms.step_sizing(context, 1.0)
 
 
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -206,16 +206,15 @@
             if run.stage is Stage.PLANNED
         ]
 
-    def open_steps(self, wall: float, early: float) -> None:
+    def open_steps(self, wall: float) -> None:
         """Let the tasks of steps wait whose turn has come.
 
         :param wall: Present time, seconds since 1970.
-        :param early: How much before its time a repetition may start.
         """
         if self.is_final or self.cancel_wanted:
             return
         for repetition in range(max(1, self.job.repetitions)):
-            if not self._is_due(repetition, wall, early):
+            if not self._is_due(repetition, wall):
                 return
             for number in range(len(self.job.steps)):
                 self._open_step(repetition, number)
@@ -287,11 +286,11 @@
             if not task.done and not task.runs:
                 self.waiting[name] = None
 
-    def _is_due(self, repetition: int, wall: float, early: float) -> bool:
+    def _is_due(self, repetition: int, wall: float) -> bool:
         if not self.job.repetitions:
             return True
         due = self.job.first_run + repetition * self.job.interval
-        return wall >= due - early
+        return wall >= due
 
     def _has(self, name: definition.TaskName) -> bool:
         return (
--- a/src/rackvalve/manager/intake.py
+++ b/src/rackvalve/manager/intake.py
@@ -8,7 +8,6 @@
 from rackvalve import errors
 from rackvalve.jobs import records
 from rackvalve import logs
-from rackvalve.manager import timing
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import book as books
 
@@ -85,7 +84,7 @@
                 "document.rejected", key=defined.key, reason=error.reason
             )
             return
-        self._book.add_job(state, now, clocks.read_wall(), timing.EARLY_S)
+        self._book.add_job(state, now, clocks.read_wall())
         logs.write_event(
             "job.taken",
             job=identity,
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -117,7 +117,6 @@
         )
         self._handler = reports.Handler(
             self._book,
-            early=timing.EARLY_S,
             lease=timing.WORKER_LEASE_S,
             settling=rules.stop_time + timing.STOP_MARGIN_S,
         )
@@ -125,7 +124,6 @@
             self._book,
             planners.Limits(
                 freshness=timing.FRESHNESS_S,
-                early=timing.EARLY_S,
                 entry_grace=timing.ENTRY_GRACE_S,
             ),
         )
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -63,8 +63,6 @@
 PLAN_INTERVAL_S = 0.01
 # Longest time between two looks for stuck runs and due repetitions.
 CHECK_INTERVAL_S = 0.1
-# How much before its time a repetition may start.
-EARLY_S = 0.0
 
 # -- admission -------------------------------------------------------------
 # Pause when no step waits for an admission.
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -88,14 +88,13 @@
         self.queues = {queue.name: queue for queue in configuration.queues}
 
     def add_job(
-        self, state: progress.JobState, now: float, wall: float, early: float
+        self, state: progress.JobState, now: float, wall: float
     ) -> None:
         """Take a job that was accepted, with what its record says.
 
         :param state: The job.
         :param now: Present time, in seconds.
         :param wall: Present time, seconds since 1970.
-        :param early: How much before its time a repetition may start.
         """
         if state.identity in self.jobs:
             return
@@ -107,7 +106,7 @@
             for run in task.runs.values():
                 worker = self._worker_of(run.worker)
                 worker.add(workers.Placed(state, task, run))
-        state.open_steps(wall, early)
+        state.open_steps(wall)
 
     def cancel_job(self, identity: str, wall: float) -> None:
         """End a job at its caller's wish and stop its runs.
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -37,13 +37,11 @@
 
     :param freshness: Longest time since a worker's last answer for new work
         to be placed on it, in seconds.
-    :param early: How much before its time a repetition may start, seconds.
     :param entry_grace: Longest time that a worker's entry may be missing
         while the worker is well, in seconds.
     """
 
     freshness: float
-    early: float
     entry_grace: float
 
 
@@ -73,7 +71,7 @@
         waiting: dict[str, list[progress.JobState]] = {}
         for state in self._book.open_jobs.values():
             if state.job.repetitions:
-                state.open_steps(wall, self._limits.early)
+                state.open_steps(wall)
             queue = self._book.queues.get(state.queue)
             if state.waiting and queue is not None:
                 waiting.setdefault(queue.pool, []).append(state)
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -46,23 +46,20 @@
     """Applies reports to a book.
 
     :param book: The book.
-    :param early: How much before its time a repetition may start, seconds.
     :param lease: Length of a lease on a worker, in seconds.
     :param settling: How long a stop takes at most, in seconds.
     """
 
-    __slots__ = ("_book", "_early", "_lease", "_settling", "ended")
+    __slots__ = ("_book", "_lease", "_settling", "ended")
 
     def __init__(
         self,
         book: books.Book,
         *,
-        early: float,
         lease: float,
         settling: float,
     ) -> None:
         self._book = book
-        self._early = early
         self._lease = lease
         self._settling = settling
         # Ends that were handled and not yet logged.
@@ -160,7 +157,7 @@
             self._book.stop(state, task, run, "another run is done")
         if state.is_final:
             return
-        state.open_steps(wall, self._early)
+        state.open_steps(wall)
         state.finish_if_done(wall)
         self._book.mark(state)
 
