--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -90,7 +90,7 @@
 
     def plan(self):
         """Plan, record, and have all starts confirmed."""
-        self.planner.find_stuck(self.now)
+        self.planner.stop_and_release(self.now)
         self.planner.plan(self.now, self.now)
         for state in self.book.jobs.values():
             planned = state.list_planned()
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -98,7 +98,7 @@
     def plan(self) -> None:
         if self.deposed:
             return
-        self.planner.find_stuck(self.world.now)
+        self.planner.stop_and_release(self.world.now)
         self.planner.plan(self.world.now, self.world.now)
         if not self.rules.record:
             for identity in list(self.book.changed):
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -138,7 +138,7 @@
                     )
                 )
             bench.report(name, running)
-    bench.planner.find_stuck(bench.now)
+    bench.planner.stop_and_release(bench.now)
 
 
 @behave.then("a stop is ordered")
@@ -320,7 +320,7 @@
     for worker in bench.book.workers.values():
         worker.answered = bench.now
     take_away(context, away, "silent")
-    bench.planner.find_stuck(bench.now)
+    bench.planner.stop_and_release(bench.now)
 
 
 @behave.then("the first task {answer} ordered to stop")
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -419,7 +419,7 @@
         if configuration is not None:
             if configuration.version != self._book.configuration.version:
                 self._book.set_configuration(configuration)
-        self._planner.find_stuck(now)
+        self._planner.stop_and_release(now)
         self._roster.forget_gone(now)
         self._recorder.publish_waiting(now)
         self._recorder.collect(now, clocks.read_wall())
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -61,7 +61,8 @@
 # Least time between two plans: a busy owner was woken 235 times a second, and
 # a plan goes through all jobs that wait.  Half the store's time for a write.
 PLAN_INTERVAL_S = 0.01
-# Longest time between two looks for stuck runs and due repetitions.
+# Longest time between two looks for runs to stop or release, and for due
+# repetitions.
 CHECK_INTERVAL_S = 0.1
 
 # -- admission -------------------------------------------------------------
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -84,8 +84,11 @@
             planned += self._plan_pool(view, states, now)
         return planned
 
-    def find_stuck(self, now: float) -> None:
-        """Stop runs that get nowhere and free what is proved over.
+    def stop_and_release(self, now: float) -> None:
+        """Release runs that are proved over; stop those with no use here.
+
+        A run has none if its job has ended, if it makes no progress, or if it
+        lasts and its worker leaves.
 
         :param now: Present time, in seconds.
         """
