The adapter decodes no longer what nothing reads

Gone: whether a pool's workers refuse what does not fit, the hall and the clock of a worker's entry, hall and labels of a listed VM. One thing differs: a document in which just such a field has a wrong type is now taken.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -43,7 +43,6 @@
                     pool=models.POOL,
                     host="",
                     port=0,
-                    hall="",
                     vm=name,
                     rack=(racks or {}).get(name, "r"),
                     labels=frozenset((labels or {}).get(name, ())),
--- a/features/job_models.py
+++ b/features/job_models.py
@@ -27,7 +27,7 @@
 CONFIGURATION = queues.Configuration(
     version=1,
     queues=(QUEUE,),
-    pools={POOL: queues.Pool(name=POOL, guarded=True, spare=False)},
+    pools={POOL: queues.Pool(name=POOL, spare=False)},
     body_limit=1000,
 )
 CAPACITY = fleet.Room(cpu=4, memory=4, gpu=0)
@@ -117,7 +117,6 @@
             pool=POOL,
             host="",
             port=0,
-            hall="",
             vm=self.identity,
             rack="",
             labels=frozenset(),
--- a/features/vm_bench.py
+++ b/features/vm_bench.py
@@ -21,7 +21,7 @@
         dataclasses.replace(
             models.CONFIGURATION,
             pools={
-                name: queues.Pool(name=name, guarded=True, spare=name == SPARE)
+                name: queues.Pool(name=name, spare=name == SPARE)
                 for name in (models.POOL, SPARE, *names)
             },
         )
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -47,7 +47,6 @@
 
 class _WireService(msgspec.Struct, rename="kebab"):
     name: str
-    admission_check: bool = False
     spare: bool = False
 
 
@@ -75,13 +74,11 @@
     addr: str
     # The platform calls a pool of workers a service.
     service: str = ""
-    zone: str = ""
     state: str = ""
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
     machine: str = ""
     remaining_ms: float | None = None
-    clock_ms: float = 0.0
 
 
 class _WireWave(msgspec.Struct, rename="kebab"):
@@ -103,11 +100,7 @@
         version=wire.version,
         queues=tuple(_read_queue(route) for route in wire.routes),
         pools={
-            service.name: queues.Pool(
-                name=service.name,
-                guarded=service.admission_check,
-                spare=service.spare,
-            )
+            service.name: queues.Pool(name=service.name, spare=service.spare)
             for service in wire.services
         },
         body_limit=wire.limits.max_body_bytes,
@@ -132,7 +125,6 @@
         pool=wire.service,
         host=host,
         port=int(port),
-        hall=wire.zone,
         vm=wire.machine,
         rack=rack,
         labels=frozenset(wire.labels),
--- a/src/rackvalve/platform/machines.py
+++ b/src/rackvalve/platform/machines.py
@@ -37,16 +37,12 @@
     :param identity: Its name, which stays with it.
     :param pool: Its pool.
     :param condition: What state it is in.
-    :param hall: Its data hall.
-    :param labels: Its kind and its rack.
     :param worker: Identity of the worker that lives on it, empty for none.
     """
 
     identity: str
     pool: str
     condition: Condition
-    hall: str
-    labels: tuple[str, ...]
     worker: str
 
 
@@ -79,8 +75,6 @@
     machine: str
     pool: str = ""
     state: str = "down"
-    zone: str = ""
-    labels: list[str] = []
     id: str | None = None
 
 
@@ -209,7 +203,5 @@
         identity=wire.machine,
         pool=wire.pool,
         condition=condition,
-        hall=wire.zone,
-        labels=tuple(wire.labels),
         worker=wire.id or "",
     )
--- a/src/rackvalve/scheduling/fleet.py
+++ b/src/rackvalve/scheduling/fleet.py
@@ -74,7 +74,6 @@
     :param pool: The pool that it works for.
     :param host: IP number.
     :param port: Port.
-    :param hall: Its data hall.
     :param vm: The VM that it lives on.
     :param rack: The VM's rack.
     :param labels: All labels.
@@ -87,7 +86,6 @@
     pool: str
     host: str
     port: int
-    hall: str
     vm: str
     rack: str
     labels: frozenset[str]
--- a/src/rackvalve/scheduling/queues.py
+++ b/src/rackvalve/scheduling/queues.py
@@ -51,12 +51,10 @@
     """VMs that run the same queues.
 
     :param name: Its name.
-    :param guarded: Whether its workers refuse what does not fit.
     :param spare: Whether its VMs are off and wait for another pool.
     """
 
     name: str
-    guarded: bool
     spare: bool
 
 
--- a/tools/experiments/jobs.py
+++ b/tools/experiments/jobs.py
@@ -60,7 +60,6 @@
         pool="p",
         host="",
         port=0,
-        hall="",
         vm=f"m{number}",
         rack="",
         labels=frozenset(),
