Sizing: the module says how VMs are given back

It said one at a time; all that lies beyond the need is given up at once, and more while another pool lacks VMs.

--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -1,8 +1,9 @@
 """How many VMs each pool holds: enough for its work, the others are spare.
 
 A VM in a pool is paid for, one in the spare pool is not.  Moving one takes
-seconds, so a pool keeps what its recent peak asked for, and gives VMs back
-one at a time once it has not needed them for a while.
+seconds, so a pool keeps what its recent peak asked for.  It gives up all that
+it has beyond that, and what lies beyond its present need as soon as another
+pool lacks VMs.  Each of these moves once no work is left on it.
 """
 
 from __future__ import annotations
