Explain: shorter functions, and no constant that nothing uses

Events of the site and of one worker have sets of their own, the first event of a name and a task's name are found in one place each.

--- a/src/rackvalve/explain/story.py
+++ b/src/rackvalve/explain/story.py
@@ -12,17 +12,12 @@
 # What happened this long before a pause may be its cause, in seconds: leases
 # on workers last 4 s.
 BEFORE_S = 5.0
-REFUSED_FROM = 500
 # Events that concern all jobs.
-_SITE_EVENTS = frozenset(
-    {
-        "ownership.taken",
-        "ownership.lost",
-        "ownership.resigned",
-        "dependency.lost",
-        "worker.over",
-    }
+_OWNERSHIP_EVENTS = frozenset(
+    {"ownership.taken", "ownership.lost", "ownership.resigned"}
 )
+# Events that concern the jobs that run on the worker they name.
+_WORKER_EVENTS = frozenset({"dependency.lost", "worker.over"})
 
 Event = log_events.Event
 
@@ -65,19 +60,10 @@
     """
     own = tuple(event for event in lines.events if _concerns(event, job))
     if not own:
-        return Story(
-            job=job,
-            timeline=(),
-            verdict="no line names this job",
-            causes=(
-                "no manager that these lines are of has accepted, refused or "
-                "scheduled it; give the lines of all VMs",
-            ),
-        )
-    ended = next((e for e in own if e.name == "job.ended"), None)
-    accepted = next((e for e in own if e.name == "job.accepted"), None)
-    if accepted is None and not any(e.name == "job.taken" for e in own):
+        return _tell_unknown(job)
+    if not any(e.name in ("job.accepted", "job.taken") for e in own):
         return _tell_refused(job, own, lines)
+    ended = _find_first(own, "job.ended")
     if ended is None:
         return _tell_open(job, own, lines)
     if ended.get("phase") == "failed":
@@ -95,6 +81,22 @@
     )
 
 
+def _find_first(own: tuple[Event, ...], name: str) -> Event | None:
+    return next((event for event in own if event.name == name), None)
+
+
+def _tell_unknown(job: str) -> Story:
+    return Story(
+        job=job,
+        timeline=(),
+        verdict="no line names this job",
+        causes=(
+            "no manager that these lines are of has accepted, refused or "
+            "scheduled it; give the lines of all VMs",
+        ),
+    )
+
+
 def _tell_refused(
     job: str, own: tuple[Event, ...], lines: log_events.Lines
 ) -> Story:
@@ -128,8 +130,8 @@
     if last is None or last.name != "dependency.lost":
         return []
     return [
-        f"{event.vm} had lost the store since {_ago(event, last)} before: "
-        f"{last.get('reason')}"
+        f"{event.vm} had lost the store since {event.time - last.time:.1f} s "
+        f"before: {last.get('reason')}"
     ]
 
 
@@ -149,7 +151,7 @@
 
 
 def _tell_cancelled(job: str, own: tuple[Event, ...]) -> Story:
-    recorded = next((e for e in own if e.name == "job.cancel_recorded"), None)
+    recorded = _find_first(own, "job.cancel_recorded")
     cause = (
         "no line says who asked for it; give the lines of all VMs"
         if recorded is None
@@ -213,13 +215,12 @@
         f"nothing happened for {pause.seconds:.1f} s after "
         f"{pause.began.name} ({describe(pause.began)})"
     ]
-    for event in around:
-        if event.name not in _SITE_EVENTS:
-            continue
-        if event.name in ("dependency.lost", "worker.over"):
-            if event.get("worker") not in workers:
-                continue
-        causes.append(f"{event.vm}: {event.name} ({describe(event)})")
+    causes.extend(
+        f"{event.vm}: {event.name} ({describe(event)})"
+        for event in around
+        if event.name in _OWNERSHIP_EVENTS
+        or (event.name in _WORKER_EVENTS and event.get("worker") in workers)
+    )
     causes.extend(_find_want_of_room(pause, own, around))
     return causes
 
@@ -230,11 +231,7 @@
     for event in own:
         if event.time > time:
             break
-        task = str(event.get("task"))
-        key = (
-            task.split(".", 1)[-1] if task.count(".") > 2 else task,
-            event.get("run"),
-        )
+        key = (_name_task(event), event.get("run"))
         if event.name == "run.ordered":
             running[key] = event.get("worker")
         elif event.name == "run.ended":
@@ -242,6 +239,15 @@
     return set(running.values())
 
 
+def _name_task(event: Event) -> str:
+    """Return the name of an event's task within its job.
+
+    Some events name it with the job before it.
+    """
+    task = str(event.get("task"))
+    return task.split(".", 1)[-1] if task.count(".") > 2 else task
+
+
 def _find_want_of_room(
     pause: Pause, own: tuple[Event, ...], around: list[Event]
 ) -> list[str]:
@@ -273,7 +279,3 @@
     return ", ".join(
         f"{name} {event.get(name)}" for name in names if event.get(name) != ""
     )
-
-
-def _ago(event: Event, earlier: Event) -> str:
-    return f"{event.time - earlier.time:.1f} s"
