--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -33,6 +33,8 @@
 from rackvalve import telemetry as telemetries
 
 _IDENTITY = re.compile(r"[0-9a-fA-F]{16}")
+# Most characters of a path in a log line: callers choose its length.
+_PATH_SHOWN = 200
 _STATES = {
     progress.Phase.QUEUED: callers.State.QUEUED,
     progress.Phase.RUNNING: callers.State.RUNNING,
@@ -109,24 +111,30 @@
             reply = self._answer(environ, began)
         finally:
             self.active -= 1
+        self._note_answer(environ, reply, began)
+        headers = self._make_headers(reply)
+        start_response(f"{reply.status.value} {reply.status.phrase}", headers)
+        return [reply.body]
+
+    def _note_answer(
+        self, environ: dict[str, Any], reply: Reply, began: float
+    ) -> None:
+        """Count an answer; log it if it is not the ordinary one."""
         method = environ["REQUEST_METHOD"]
         taken = clocks.read_steady() - began
         self._telemetry.calls.labels(method, int(reply.status)).inc()
         self._telemetry.call_seconds.labels(method).observe(taken)
-        headers = self._make_headers(reply)
         if reply.reason:
             logs.write_event(
                 "call.answered",
                 method=method,
-                path=environ.get(servers.TARGET_KEY, "")[:200],
+                path=environ.get(servers.TARGET_KEY, "")[:_PATH_SHOWN],
                 status=int(reply.status),
                 reason=reply.reason,
                 version=_read_version(self._view),
                 silence=round(self._view.silence(began), 3),
                 seconds=round(taken, 4),
             )
-        start_response(f"{reply.status.value} {reply.status.phrase}", headers)
-        return [reply.body]
 
     def _make_headers(self, reply: Reply) -> Headers:
         headers = [("Content-Type", "application/json")]
@@ -163,7 +171,7 @@
             return Reply(
                 status=http.HTTPStatus.NOT_FOUND, reason="no such queue"
             )
-        return self._answer_queue(queue, path, environ, until)
+        return self._answer_path(queue, path, environ, until)
 
     def _find_queue(self, host: str, path: str) -> queues.Queue | None:
         configuration = self._view.configuration
@@ -173,7 +181,7 @@
             found = configuration.find_queue(host.rpartition(":")[0], path)
         return found
 
-    def _answer_queue(
+    def _answer_path(
         self,
         queue: queues.Queue,
         path: str,
@@ -196,6 +204,9 @@
                     reason="a queue can only be counted",
                 )
             return self._count(call)
+        return self._answer_job(call, environ)
+
+    def _answer_job(self, call: Call, environ: dict[str, Any]) -> Reply:
         if call.method == "POST":
             return self._submit(call, environ)
         if call.method == "GET":
