--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -26,7 +26,6 @@
 # condition of the ownership.  The next owner leaves them alone for a while.
 ORDERS_KEY = PREFIX + "ordered"
 
-
 Outcome = clients.Ordered | clients.Rejected | clients.Unavailable
 
 
@@ -103,16 +102,18 @@
         while True:
             self._take_waves()
             now = clocks.read_steady()
-            busy = self._upkeep.is_busy
-            interval = (
-                timing.LIST_BUSY_INTERVAL_S if busy else timing.LIST_INTERVAL_S
-            )
-            if now - self._listed >= interval:
+            if now - self._listed >= self._choose_list_interval():
                 self._list()
             self._release_held(now)
             self._step(now)
             gevent.sleep(timing.CARE_INTERVAL_S)
 
+    def _choose_list_interval(self) -> float:
+        """Return how often the VMs are listed now, in seconds."""
+        if self._upkeep.is_busy:
+            return timing.LIST_BUSY_INTERVAL_S
+        return timing.LIST_INTERVAL_S
+
     def _hold_ordered(self, payload: bytes) -> None:
         """Leave alone what an earlier owner has ordered, for the pause.
 
@@ -279,12 +280,8 @@
         )
         if isinstance(outcome, clients.Ordered):
             self._upkeep.note_ordered(order, now)
-            return
-        for_good = (
-            isinstance(outcome, clients.Rejected)
-            and outcome.reason in clients.FINAL_REASONS
-        )
-        self._upkeep.note_refused(order, now, for_good=for_good)
+        else:
+            self._upkeep.note_refused(order, now, for_good=_is_final(outcome))
 
     def _move(self, order: sizings.MoveVm) -> None:
         """Move a VM to another pool."""
@@ -336,5 +333,13 @@
             )
 
 
+def _is_final(outcome: clients.Rejected | clients.Unavailable) -> bool:
+    """Return whether an order that was not taken never will be."""
+    return (
+        isinstance(outcome, clients.Rejected)
+        and outcome.reason in clients.FINAL_REASONS
+    )
+
+
 def _make_record(record: _Record) -> writers.Record:
     return writers.Record(payload=msgspec.json.encode(record))
