--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -33,6 +33,7 @@
 REQUEST_KEY = PREFIX + "request"
 # Candidates try at different times, so that one wins without conflict.
 CANDIDACY_SPREAD_S = 0.02
+_HELD_BY_ANOTHER = "another process holds the ownership key"
 
 
 class Election:
@@ -196,6 +197,7 @@
         return request is not None and request.revision > owner.fence
 
     def _campaign(self) -> None:
+        """Take the free ownership, after larger VMs had their turn."""
         wait = candidacy.count_wait(self._standing)
         gevent.sleep(wait + random.uniform(0, CANDIDACY_SPREAD_S))
         if self._holder is not None or self._resigned:
@@ -209,9 +211,11 @@
             [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
         )
         fence = self._find_fence(outcome, payload)
-        if fence is None or self._resigned:
-            return
-        self._lease = lease.identity
+        if fence is not None and not self._resigned:
+            self._begin_owning(fence, lease.identity)
+
+    def _begin_owning(self, fence: int, lease: int) -> None:
+        self._lease = lease
         logs.write_event("ownership.taken", fence=fence)
         self._telemetry.ownership.labels("taken").inc()
         self._owner = self._make_owner(fence)
@@ -219,6 +223,7 @@
             self._owner.start()
 
     def _find_fence(self, outcome: object, payload: bytes) -> int | None:
+        """Return the fencing token if the key is this process's."""
         if isinstance(outcome, stores.Committed):
             return outcome.revision
         if isinstance(outcome, stores.Unknown):
@@ -229,17 +234,13 @@
         return None
 
     def _keep(self) -> None:
+        """Stay the owner, unless another should be or already is."""
         owner = self._owner
         assert owner is not None
         if self._is_asked(owner):
             self._hand_over("a larger VM has asked for it")
             return
-        reason = owner.deposed
-        if not reason and self._holder is not None:
-            if self._holder.created > owner.fence:
-                reason = "another process holds the ownership key"
-        if not reason:
-            reason = self._renew(owner)
+        reason = self._find_successor(owner) or self._renew(owner)
         if reason:
             owner.stop(reason)
             logs.write_warning(
@@ -249,6 +250,17 @@
             self._owner = None
             self._changed.set()
 
+    def _find_successor(self, owner: owners.Owner) -> str:
+        """Look whether another owner is known already.
+
+        :return: What shows it, empty if none is known.
+        """
+        if owner.deposed:
+            return owner.deposed
+        if self._holder is not None and self._holder.created > owner.fence:
+            return _HELD_BY_ANOTHER
+        return ""
+
     def _renew(self, owner: owners.Owner) -> str:
         """Renew the lease.
 
@@ -272,7 +284,7 @@
             self._holder = found
             if found.created == owner.fence:
                 return ""
-            return "another process holds the ownership key"
+            return _HELD_BY_ANOTHER
         if isinstance(found, stores.Missing):
             return "the ownership key was removed"
         return ""
