Sizing: functions are verbs, and say what VMs leave for

VMs that are vacated go to the pool that lacks most, or else to the spare one; comments told of the spare one only.

--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -36,7 +36,7 @@
 # So many standard deviations of random arrivals are no rise; with two, large
 # pools came late (trials).
 SCATTER = 1.0
-# VMs beyond that: the loss of one is made good without waiting for a move.
+# VMs beyond all this: the loss of one is made good without waiting for a move.
 RESERVE = 1
 # Least VMs of a pool.
 LEAST = 3
@@ -105,7 +105,7 @@
         )
         # What the largest of the jobs asks for that have just come, in VMs.
         self.largest = 0.0
-        # VMs that are vacated for the spare pool.
+        # VMs that are vacated to leave the pool.
         self.leaving: set[str] = set()
         self.wanted = 0
         self.have = 0
@@ -133,7 +133,7 @@
         """The newest sample, in VMs."""
         return self.samples[-1][1] if self.samples else 0.0
 
-    def expected(self, now: float) -> float:
+    def expect(self, now: float) -> float:
         """Return the demand to come when a VM ordered now is at work, in VMs.
 
         Only what goes beyond the scatter of jobs that come at random is a
@@ -181,7 +181,7 @@
         self.arrived: dict[str, float] = {}
 
     def leaving(self) -> set[str]:
-        """Return the VMs that are vacated for the spare pool."""
+        """Return the VMs that are vacated to leave their pools."""
         return set().union(*(pool.leaving for pool in self.pools.values()))
 
     def decide(self, now: float) -> list[MoveVm]:
@@ -189,7 +189,7 @@
 
         :param now: Present time, in seconds.
         """
-        spare = self._spare_pool()
+        spare = self._find_spare_pool()
         if spare is None or not self._upkeep.vms:
             return []
         self._settle(now)
@@ -224,7 +224,7 @@
             self.pools[pool].have += 1
         return MoveVm(vm=vm, pool=pool)
 
-    def _spare_pool(self) -> str | None:
+    def _find_spare_pool(self) -> str | None:
         for name, pool in self._book.configuration.pools.items():
             if pool.spare:
                 return name
@@ -317,15 +317,16 @@
             while size.lacks and size.leaving:
                 size.leaving.pop()
                 size.have += 1
-        spares = self._spares(spare)
+        spares = self._list_spares(spare)
         while spares:
-            name = self._most_lacking()
+            name = self._find_most_lacking()
             if name is None:
                 break
             orders.append(self._begin(spares.pop(0), name))
         return orders
 
-    def _most_lacking(self) -> str | None:
+    def _find_most_lacking(self) -> str | None:
+        """Return the pool that lacks most VMs, if one lacks any."""
         best = max(
             self.pools, key=lambda name: self.pools[name].lacks, default=None
         )
@@ -333,7 +334,7 @@
             return None
         return best
 
-    def _spares(self, spare: str) -> list[str]:
+    def _list_spares(self, spare: str) -> list[str]:
         """Return VMs that may come from the spare pool, best first."""
         leaving = self._upkeep.leaving()
         later = self._upkeep.later()
@@ -384,13 +385,17 @@
         return [vm for _, vm in ranked]
 
     def _vacate(self, size: PoolSize, spare: str, now: float) -> list[MoveVm]:
+        """Vacate VMs that leave a pool; move those on which nothing is left.
+
+        They go to the pool that lacks most, or else to the spare one.
+        """
         orders = []
         for vm in list(size.leaving):
             if vm not in self._upkeep.vms:
                 size.leaving.discard(vm)
             elif self._upkeep.vacate(vm, SURPLUS, PATIENCE_S, now):
                 size.leaving.discard(vm)
-                pool = self._most_lacking() or spare
+                pool = self._find_most_lacking() or spare
                 orders.append(self._begin(vm, pool))
         return orders
 
@@ -400,7 +405,7 @@
     wanted = math.ceil(size.demand * HEADROOM) + RESERVE
     if size.demand > size.have - RESERVE:
         wanted = math.ceil(size.demand * GROWTH) + RESERVE
-    wanted = max(wanted, math.ceil(size.expected(now)) + RESERVE)
+    wanted = max(wanted, math.ceil(size.expect(now)) + RESERVE)
     return max(size.least, wanted)
 
 
@@ -429,6 +434,7 @@
 
 
 def _count_vms(need: fleet.Room, unit: fleet.Room | None) -> float:
+    """Return how many VMs a need fills, by what it asks for most."""
     if unit is None:
         return 0.0
     return max(
@@ -439,5 +445,6 @@
 
 
 def _count_cost(worker: workers.WorkerState) -> tuple[int, int]:
+    """Return how many lasting runs, and runs in all, a worker has."""
     lasting = sum(1 for placed in worker.runs.values() if placed.step.lasting)
     return lasting, len(worker.runs)
