--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -402,9 +402,9 @@
             self._wanted.wait(timing.CHECK_INTERVAL_S)
             # What comes within a moment is planned together; the first of it
             # does not wait.
-            planned_for = clocks.read_steady() - planned
-            if planned_for < timing.PLAN_INTERVAL_S:
-                gevent.sleep(timing.PLAN_INTERVAL_S - planned_for)
+            since_plan = clocks.read_steady() - planned
+            if since_plan < timing.PLAN_INTERVAL_S:
+                gevent.sleep(timing.PLAN_INTERVAL_S - since_plan)
             self._wanted.clear()
             now = planned = clocks.read_steady()
             if now - checked >= timing.CHECK_INTERVAL_S:
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -195,15 +195,22 @@
         if self._front_listener is not None:
             # Connections that are open are served on.
             self._front_listener.close()
+        self._wait_for_calls(began + grace - timing.END_MARGIN_S)
+        self._ended.set()
+
+    def _wait_for_calls(self, until: float) -> None:
+        """Wait until no call was under way for a while.
+
+        :param until: When to give up, in seconds.
+        """
         quiet_since = clocks.read_steady()
-        while clocks.read_steady() - began < grace - timing.END_MARGIN_S:
+        while clocks.read_steady() < until:
             now = clocks.read_steady()
             if self._front.active:
                 quiet_since = now
             elif now - quiet_since >= timing.LAST_CALLS_S:
-                break
+                return
             gevent.sleep(timing.LAST_CALLS_S / 4)
-        self._ended.set()
 
     def _reload(self) -> None:
         settings, faults = reader.check_file(self._path, catalog.MANAGER_KEYS)
