--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
+from features import job_cores as cores
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
-from rackvalve.manager import timing
-from rackvalve.scheduling import book as books
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import planner as planners
-from rackvalve.scheduling import reports
 
 IDENTITY = "00000000000000aa"
 
@@ -20,21 +17,9 @@
 
     def __init__(self, names, capacity=None, racks=None, labels=None):
         self.now = 1000.0
-        self.book = books.Book(
-            models.CONFIGURATION, inherited_lease=5.0, now=self.now
-        )
-        self.handler = reports.Handler(
-            self.book,
-            lease=timing.WORKER_LEASE_S,
-            settling=0.0,
-        )
-        self.planner = planners.Planner(
-            self.book,
-            planners.Limits(
-                freshness=timing.FRESHNESS_S,
-                entry_grace=timing.ENTRY_GRACE_S,
-            ),
-        )
+        made = cores.make_cores(self.now, inherited_lease=5.0)
+        self.book, self.handler = made.book, made.handler
+        self.planner = made.planner
         self.numbers = dict.fromkeys(names, 0)
         for name in names:
             self.book.set_entry(
--- /dev/null
+++ b/features/job_cores.py
@@ -0,0 +1,50 @@
+"""The product's book, reports and planner, put together for tests."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from features import job_models as models
+from rackvalve.manager import timing
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import planner as planners
+from rackvalve.scheduling import reports
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Cores:
+    """What decides over jobs, as an owner has it.
+
+    :param book: The book.
+    :param handler: Applies reports to it.
+    :param planner: Plans over it.
+    """
+
+    book: books.Book
+    handler: reports.Handler
+    planner: planners.Planner
+
+
+def make_cores(now: float, inherited_lease: float) -> Cores:
+    """Make the cores of an owner that has just taken over.
+
+    :param now: Present time, in seconds.
+    :param inherited_lease: How long runs of the owner before may go on, in
+        seconds.
+    """
+    book = books.Book(
+        models.CONFIGURATION, inherited_lease=inherited_lease, now=now
+    )
+    return Cores(
+        book=book,
+        handler=reports.Handler(
+            book, lease=timing.WORKER_LEASE_S, settling=0.0
+        ),
+        planner=planners.Planner(
+            book,
+            planners.Limits(
+                freshness=timing.FRESHNESS_S,
+                entry_grace=timing.ENTRY_GRACE_S,
+            ),
+        ),
+    )
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -11,16 +11,14 @@
 
 import random
 
+from features import job_cores as cores
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve.manager import owner as owners
 from rackvalve.manager import timing
-from rackvalve.scheduling import book as books
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import planner as planners
-from rackvalve.scheduling import reports
 
 
 class ActingOwner:
@@ -41,21 +39,9 @@
         self.planned: list[messages.Order] = []
         self.uncertain: set[tuple[str, str, int]] = set()
         lease = owners.INHERITED_LEASE_S if rules.proof else 0.0
-        self.book = books.Book(
-            models.CONFIGURATION, inherited_lease=lease, now=world.now
-        )
-        self.handler = reports.Handler(
-            self.book,
-            lease=timing.WORKER_LEASE_S,
-            settling=0.0,
-        )
-        self.planner = planners.Planner(
-            self.book,
-            planners.Limits(
-                freshness=timing.FRESHNESS_S,
-                entry_grace=timing.ENTRY_GRACE_S,
-            ),
-        )
+        made = cores.make_cores(world.now, inherited_lease=lease)
+        self.book, self.handler = made.book, made.handler
+        self.planner = made.planner
         self.refresh()
 
     def refresh(self) -> None:
