--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -17,7 +17,11 @@
 TIMEOUT_S = 4.0
 # What a caller may take as an answer that its job is not taken.
 REFUSED = frozenset({429, 503})
+# How often a caller hands a job in before it gives up.
 TRIES = 6
+# A caller looks after one of so many of its newest jobs.
+RECENT = 8
+CANCELLED_PART = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,7 +82,7 @@
             job = self._make_job()
             self.jobs.append(job)
             self._submit(job)
-            self._look_after(random_choice(self._rng, self.jobs))
+            self._look_after(self._rng.choice(self.jobs[-RECENT:]))
             gevent.sleep(self._rng.uniform(0.02, 0.2))
 
     def ask(self, job):
@@ -125,44 +129,39 @@
     def _look_after(self, job):
         if not job.accepted:
             return
-        if self._rng.random() < 0.1:
+        if self._rng.random() < CANCELLED_PART:
             job.cancel_sent = True
             self._call("DELETE", job)
         else:
             self.ask(job)
 
     def _call(self, method, job, body=None):
+        """Call any manager, and note the call.
+
+        :return: The HTTP status, 0 for no whole answer, and the body.
+        """
         manager = self._rng.randrange(len(self._fronts))
         text = b"" if body is None else json.dumps(body).encode()
         began = time.monotonic()
-        status, answer, timed_out, error = 0, b"", False, ""
-        refused = False
+        call = Call(manager, began, began, 0)
+        answer = b""
         try:
             response = self._client(manager).request(
                 method, f"/{job.queue}/{job.identity}", text, HEADERS
             )
             answer = bytes(response.read())
-            status = response.status_code
+            call.status = response.status_code
         except TimeoutError:
-            timed_out = True
+            call.timed_out = True
         except (OSError, http_response.HTTPParseError) as found:
             # Cut or refused; the checks decide whether it may be.
-            error = repr(found)
-            refused = isinstance(found, ConnectionRefusedError)
-        if not status:
+            call.error = repr(found)
+            call.refused = isinstance(found, ConnectionRefusedError)
+        if not call.status:
             self._clients.pop(manager).close()
-        self.calls.append(
-            Call(
-                manager,
-                began,
-                time.monotonic(),
-                status,
-                timed_out,
-                error,
-                refused,
-            )
-        )
-        return status, answer
+        call.ended = time.monotonic()
+        self.calls.append(call)
+        return call.status, answer
 
     def _client(self, manager):
         if manager not in self._clients:
@@ -173,8 +172,3 @@
                 network_timeout=TIMEOUT_S,
             )
         return self._clients[manager]
-
-
-def random_choice(rng, items):
-    """Return one of the newest items."""
-    return rng.choice(items[-8:])
