Merge the tidying of the product

Read as a newcomer would; behaviour unchanged. Changes to tests were read: calls follow renamed and shortened functions, no assertion or expectation changed.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
+from features import job_cores as cores
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
-from rackvalve.manager import timing
-from rackvalve.scheduling import book as books
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
-from rackvalve.scheduling import planner as planners
-from rackvalve.scheduling import reports
 
 IDENTITY = "00000000000000aa"
 
@@ -20,23 +17,9 @@
 
     def __init__(self, names, capacity=None, racks=None, labels=None):
         self.now = 1000.0
-        self.book = books.Book(
-            models.CONFIGURATION, inherited_lease=5.0, now=self.now
-        )
-        self.handler = reports.Handler(
-            self.book,
-            early=0.0,
-            lease=timing.WORKER_LEASE_S,
-            settling=0.0,
-        )
-        self.planner = planners.Planner(
-            self.book,
-            planners.Limits(
-                freshness=timing.FRESHNESS_S,
-                early=0.0,
-                entry_grace=timing.ENTRY_GRACE_S,
-            ),
-        )
+        made = cores.make_cores(self.now, inherited_lease=5.0)
+        self.book, self.handler = made.book, made.handler
+        self.planner = made.planner
         self.numbers = dict.fromkeys(names, 0)
         for name in names:
             self.book.set_entry(
@@ -45,7 +28,6 @@
                     pool=models.POOL,
                     host="",
                     port=0,
-                    hall="",
                     vm=name,
                     rack=(racks or {}).get(name, "r"),
                     labels=frozenset((labels or {}).get(name, ())),
@@ -87,12 +69,12 @@
             definition.Job(spec="x", steps=tuple(steps), **fields),
             self.now,
         )
-        self.book.add_job(state, self.now, self.now, 0.0)
+        self.book.add_job(state, self.now, self.now)
         return state
 
     def plan(self):
         """Plan, record, and have all starts confirmed."""
-        self.planner.find_stuck(self.now)
+        self.planner.stop_and_release(self.now)
         self.planner.plan(self.now, self.now)
         for state in self.book.jobs.values():
             planned = state.list_planned()
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -117,7 +117,6 @@
         )
         self._handler = reports.Handler(
             self._book,
-            early=timing.EARLY_S,
             lease=timing.WORKER_LEASE_S,
             settling=rules.stop_time + timing.STOP_MARGIN_S,
         )
@@ -125,7 +124,6 @@
             self._book,
             planners.Limits(
                 freshness=timing.FRESHNESS_S,
-                early=timing.EARLY_S,
                 entry_grace=timing.ENTRY_GRACE_S,
             ),
         )
@@ -404,9 +402,9 @@
             self._wanted.wait(timing.CHECK_INTERVAL_S)
             # What comes within a moment is planned together; the first of it
             # does not wait.
-            planned_for = clocks.read_steady() - planned
-            if planned_for < timing.PLAN_INTERVAL_S:
-                gevent.sleep(timing.PLAN_INTERVAL_S - planned_for)
+            since_plan = clocks.read_steady() - planned
+            if since_plan < timing.PLAN_INTERVAL_S:
+                gevent.sleep(timing.PLAN_INTERVAL_S - since_plan)
             self._wanted.clear()
             now = planned = clocks.read_steady()
             if now - checked >= timing.CHECK_INTERVAL_S:
@@ -421,7 +419,7 @@
         if configuration is not None:
             if configuration.version != self._book.configuration.version:
                 self._book.set_configuration(configuration)
-        self._planner.find_stuck(now)
+        self._planner.stop_and_release(now)
         self._roster.forget_gone(now)
         self._recorder.publish_waiting(now)
         self._recorder.collect(now, clocks.read_wall())
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -61,10 +61,9 @@
 # Least time between two plans: a busy owner was woken 235 times a second, and
 # a plan goes through all jobs that wait.  Half the store's time for a write.
 PLAN_INTERVAL_S = 0.01
-# Longest time between two looks for stuck runs and due repetitions.
+# Longest time between two looks for runs to stop or release, and for due
+# repetitions.
 CHECK_INTERVAL_S = 0.1
-# How much before its time a repetition may start.
-EARLY_S = 0.0
 
 # -- admission -------------------------------------------------------------
 # Pause when no step waits for an admission.
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -37,13 +37,11 @@
 
     :param freshness: Longest time since a worker's last answer for new work
         to be placed on it, in seconds.
-    :param early: How much before its time a repetition may start, seconds.
     :param entry_grace: Longest time that a worker's entry may be missing
         while the worker is well, in seconds.
     """
 
     freshness: float
-    early: float
     entry_grace: float
 
 
@@ -73,7 +71,7 @@
         waiting: dict[str, list[progress.JobState]] = {}
         for state in self._book.open_jobs.values():
             if state.job.repetitions:
-                state.open_steps(wall, self._limits.early)
+                state.open_steps(wall)
             queue = self._book.queues.get(state.queue)
             if state.waiting and queue is not None:
                 waiting.setdefault(queue.pool, []).append(state)
@@ -86,8 +84,11 @@
             planned += self._plan_pool(view, states, now)
         return planned
 
-    def find_stuck(self, now: float) -> None:
-        """Stop runs that get nowhere and free what is proved over.
+    def stop_and_release(self, now: float) -> None:
+        """Release runs that are proved over; stop those with no use here.
+
+        A run has none if its job has ended, if it makes no progress, or if it
+        lasts and its worker leaves.
 
         :param now: Present time, in seconds.
         """
