--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -59,7 +59,8 @@
 
 # -- planning --------------------------------------------------------------
 # Least time between two plans: a busy owner was woken 235 times a second, and
-# a plan goes through all jobs that wait.  Half the store's time for a write.
+# a plan goes through all jobs that wait.  A start waits about as long for its
+# record in the store anyway.
 PLAN_INTERVAL_S = 0.01
 # Longest time between two looks for runs to stop or release, and for due
 # repetitions.
