--- a/standins/site.py
+++ b/standins/site.py
@@ -12,6 +12,7 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import dataclasses  # noqa: E402
 import json  # noqa: E402
 import time  # noqa: E402
 
@@ -22,14 +23,44 @@
 from standins import worker as workers  # noqa: E402
 
 HOST = "127.0.0.1"
+# How long a VM is away for a move, its maintenance or a crash, in seconds.
 AWAY_S = 0.3
 # The slowest clock that the platform's pages allow.
 SLOW_RATE = 0.98
 WORKER_PREFIX = "servers/"
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Machine:
+    """A VM.
+
+    :param pool: Its pool.
+    :param port: Port on which its worker listens.
+    :param shown: Port that the worker's callers are shown.
+    :param rate: How fast its workers' steady clocks run.
+    :param waves: Waves for which it was maintained.
+    :param state: What the platform's list says of it.
+    :param worker: The life on it, if there is one.
+    """
+
+    pool: str
+    port: int
+    shown: int
+    rate: float
+    waves: set = dataclasses.field(default_factory=set)
+    state: str = "up"
+    worker: workers.Worker | None = None
+
+
 class Site:
-    """Everything that the platform runs."""
+    """Everything that the platform runs.
+
+    :param pools: Number of VMs by pool.
+    :param ports: Ports of the workers, each with the one that callers are
+        shown.
+    :param capacity: What each VM has.
+    :param slow_clocks: Whether the clocks of half of the workers are slow.
+    """
 
     def __init__(self, pools, ports, capacity, slow_clocks):
         self.slow_clocks = slow_clocks
@@ -45,15 +76,9 @@
             for _ in range(count):
                 port, shown = ports.pop()
                 name = f"m-{port}"
-                self.machines[name] = {
-                    "pool": pool,
-                    "port": port,
-                    "shown": shown,
-                    "rate": self._choose_rate(),
-                    "waves": set(),
-                    "state": "up",
-                    "worker": None,
-                }
+                self.machines[name] = Machine(
+                    pool=pool, port=port, shown=shown, rate=self._choose_rate()
+                )
                 self.start_worker(name)
 
     def note(self, kind, worker, task, run, detail):
@@ -77,15 +102,15 @@
         life = workers.Worker(
             self,
             name,
-            machine["pool"],
-            machine["shown"],
+            machine.pool,
+            machine.shown,
             self.capacity,
-            machine["rate"],
+            machine.rate,
         )
-        life.server = serving.make_server(HOST, machine["port"], life)
+        life.server = serving.make_server(HOST, machine.port, life)
         life.server.start()
-        machine["worker"] = life
-        machine["state"] = "up"
+        machine.worker = life
+        machine.state = "up"
         self.store.put(
             WORKER_PREFIX + life.identity,
             json.dumps(life.describe()).encode(),
@@ -93,13 +118,13 @@
 
     def end_worker(self, name):
         """End the life on a VM."""
-        life = self.machines[name]["worker"]
+        life = self.machines[name].worker
         if life is None:
             return
         life.end()
         life.server.stop(timeout=0)
         self.store.remove(WORKER_PREFIX + life.identity)
-        self.machines[name]["worker"] = None
+        self.machines[name].worker = None
 
     def __call__(self, environ, start_response):
         path = environ["PATH_INFO"]
@@ -128,15 +153,13 @@
             "machines": [
                 {
                     "machine": name,
-                    "pool": machine["pool"],
-                    "state": machine["state"],
+                    "pool": machine.pool,
+                    "state": machine.state,
                     "zone": "hall-1",
                     "labels": ["a", "r1"],
                     "capacity": self.capacity,
                     "id": (
-                        machine["worker"].identity
-                        if machine["worker"]
-                        else None
+                        machine.worker.identity if machine.worker else None
                     ),
                 }
                 for name, machine in self.machines.items()
@@ -148,7 +171,7 @@
         machine = self.machines.get(order["machine"])
         if machine is None:
             return "400 Unknown", {}
-        if machine["state"] != "up":
+        if machine.state != "up":
             return "409 Busy", {"reason": "busy"}
         if self._is_done(machine, order):
             return "200 OK", {}
@@ -159,30 +182,30 @@
                 order["machine"],
                 environ["HTTP_LEASE_HOLDER"],
                 int(environ["HTTP_FENCING_TOKEN"]),
-                len(machine["worker"].running),
+                len(machine.worker.running),
             ]
         )
         self.end_worker(order["machine"])
-        machine["state"] = "moving" if "pool" in order else "upkeep"
-        machine["pool"] = order.get("pool", machine["pool"])
+        machine.state = "moving" if "pool" in order else "upkeep"
+        machine.pool = order.get("pool", machine.pool)
         if "wave" in order:
-            machine["waves"].add(order["wave"])
+            machine.waves.add(order["wave"])
         gevent.spawn_later(AWAY_S, self.start_worker, order["machine"])
         return "200 OK", {}
 
     def _is_done(self, machine, order):
         """Return whether an order that comes again was carried out before."""
         if "wave" in order:
-            return order["wave"] in machine["waves"]
-        return order["pool"] == machine["pool"]
+            return order["wave"] in machine.waves
+        return order["pool"] == machine.pool
 
     def _obey(self, order):
         if "put" in order:
             self.store.put(order["put"], json.dumps(order["value"]).encode())
         if "fault" in order:
             machine = self.machines[order["machine"]]
-            if machine["worker"] is not None:
-                machine["worker"].fault = order["fault"]
+            if machine.worker is not None:
+                machine.worker.fault = order["fault"]
         if "crash" in order:
             self.end_worker(order["crash"])
             gevent.spawn_later(AWAY_S, self.start_worker, order["crash"])
@@ -207,7 +230,6 @@
         )
     }
     capacity = {"cpu": options.cpu, "mem-mb": 100000, "gpu": 0}
-    # Each port with the one that callers are shown.
     ports = [
         tuple(map(int, pair.split(":")))
         for pair in options.worker_ports.split(",")
