--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,8 +14,10 @@
 from tools.soak import regressions  # noqa: E402
 from tools.soak import runner  # noqa: E402
 
-
+# What a shell shows for a process that SIGTERM has ended.
 EXIT_ENDED = 143
+# Broken promises of a run that are printed.
+SHOWN_MOST = 10
 
 
 def main(arguments):
@@ -23,6 +25,20 @@
 
     :return: 0 if no promise was broken.
     """
+    options = read_options(arguments)
+    # The processes that a run has started end with it.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_ENDED))
+    seconds = options.minutes * 60
+    bad = 0
+    for seed, managers in list_runs(options):
+        result = runner.Runner(seed, seconds, managers).run()
+        bad += bool(result.broken)
+        print_result(seed, seconds, result)
+    return 1 if bad else 0
+
+
+def read_options(arguments):
+    """Read the command line."""
     parser = argparse.ArgumentParser(prog="soak")
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many")
@@ -33,31 +49,7 @@
         action="store_true",
         help="run the seeds that once failed",
     )
-    options = parser.parse_args(arguments)
-    # The processes that a run has started end with it.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_ENDED))
-    seconds = options.minutes * 60
-    bad = 0
-    for seed, managers in list_runs(options):
-        result = runner.Runner(seed, seconds, managers).run()
-        bad += bool(result.broken)
-        print(
-            json.dumps(
-                {
-                    "seed": seed,
-                    "seconds": seconds,
-                    "faults": result.faults,
-                    "accepted": result.accepted,
-                    "calls": result.calls,
-                    "broken": len(result.broken),
-                    "logs": result.folder,
-                }
-            ),
-            flush=True,
-        )
-        for broken in result.broken[:10]:
-            print(f"  {broken.promise}: {broken.detail}", flush=True)
-    return 1 if bad else 0
+    return parser.parse_args(arguments)
 
 
 def list_runs(options):
@@ -68,5 +60,21 @@
     return [(seed, options.managers) for seed in seeds]
 
 
+def print_result(seed, seconds, result):
+    """Print a run's figures as one JSON line, and what it has broken."""
+    figures = {
+        "seed": seed,
+        "seconds": seconds,
+        "faults": result.faults,
+        "accepted": result.accepted,
+        "calls": result.calls,
+        "broken": len(result.broken),
+        "logs": result.folder,
+    }
+    print(json.dumps(figures), flush=True)
+    for broken in result.broken[:SHOWN_MOST]:
+        print(f"  {broken.promise}: {broken.detail}", flush=True)
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
