--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -201,6 +201,16 @@
     assert len(context.bench.stops()) == (answer == "is")
 
 
+def collect_orders(context, tenths):
+    """Let time pass, and return the VMs that were ordered meanwhile."""
+    found = set()
+    for _ in range(tenths):
+        context.bench.now += 0.1
+        for order in context.upkeep.decide(context.bench.now):
+            found.add(order.vm)
+    return found
+
+
 @behave.when("an owner that had ordered 1 VM and finished 2 is replaced")
 def restore(context):
     ordered, *done = context.vms[:3]
@@ -210,11 +220,7 @@
 
 @behave.then("the ordered VM is ordered again and the finished ones are not")
 def check_restored(context):
-    found = set()
-    for _ in range(3):
-        context.bench.now += 0.1
-        for order in context.upkeep.decide(context.bench.now):
-            found.add(order.vm)
+    found = collect_orders(context, 3)
     assert found == context.expected, found
 
 
@@ -225,11 +231,7 @@
 
 @behave.then("only the other VM is maintained")
 def check_held(context):
-    found = set()
-    for _ in range(50):
-        context.bench.now += 0.1
-        for order in context.upkeep.decide(context.bench.now):
-            found.add(order.vm)
+    found = collect_orders(context, 50)
     assert found == set(context.vms[3:]), found
 
 
