--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -24,7 +24,6 @@
 from tools import processes
 
 BIN = pathlib.Path(sys.executable).parent
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
 HOST = "127.0.0.1"
