--- a/src/rackvalve/manager/candidacy.py
+++ b/src/rackvalve/manager/candidacy.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-# A VM of less than this part of the owner's processor counts as smaller.
-# Handing over costs half a second without starts; less is not worth it.
+# The owner is asked to hand over by a VM with so many times its processor.
+# Handing over costs half a second without starts; for less it is not worth it.
 WORTHWHILE = 1.5
 # How long the smallest VM waits before it takes a free ownership, in seconds:
 # a larger one needs three calls to the store, of 4 ms each.
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -20,8 +20,9 @@
 # Length of the owner's lease: the least that the store gives.  It is what a
 # lost owner costs without starts.
 OWNER_LEASE_S = 1.0
-# Pause between two renewals, and the longest wait for an answer to one: two
-# in a row may be lost, and a slow store answers within 0.24 s.
+# Pause between two renewals, and the longest wait for an answer to one: one
+# renewal may not arrive, any number of answers may be lost, and a slow store
+# answers within 0.24 s.
 OWNER_RENEWAL_S = 0.25
 RENEWAL_TIMEOUT_S = 0.4
 # An owner that hears nothing from the store goes on extending the leases of
