--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -31,7 +31,10 @@
     Regression(seed=200, managers=6, cause=_LATE),
     Regression(seed=201, managers=6, cause=_LATE),
     Regression(seed=1015, managers=6, cause=_REFUSED),
+    Regression(seed=1022, managers=6, cause=_REFUSED),
+    Regression(seed=1024, managers=6, cause=_REFUSED),
     Regression(seed=2015, managers=4, cause=_REFUSED),
+    Regression(seed=2023, managers=4, cause=_REFUSED),
     Regression(
         seed=2018,
         managers=4,
