Log a stored holder of the ownership that does not decode

Read again: the error was turned into 'unknown holder' without a line, so that nobody could have seen why no larger VM asks for the ownership. Only the line is new.

--- a/src/rackvalve/manager/candidacy.py
+++ b/src/rackvalve/manager/candidacy.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from rackvalve import logs
+
 # The owner is asked to hand over by a VM with so many times its processor.
 # Handing over costs half a second without starts; for less it is not worth it.
 WORTHWHILE = 1.5
@@ -48,7 +50,10 @@
     """
     try:
         return msgspec.json.decode(payload, type=Holder)
-    except msgspec.DecodeError:
+    except msgspec.DecodeError as error:
+        logs.write_warning(
+            "document.rejected", key="owner/", reason=str(error)
+        )
         return None
 
 
