--- /dev/null
+++ b/tools/emulator/vms.py
@@ -0,0 +1,157 @@
+"""VMs of an emulated fleet and the workers that live on them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A run on a worker.
+
+    :param task: Full name of the task.
+    :param number: Number of the run.
+    :param ends: When it is done; infinity for one that lasts.
+    :param began: When it began.
+    """
+
+    task: str
+    number: int
+    began: float
+    ends: float
+
+    def row(self, now: float) -> messages.RunningRow:
+        """Return what a worker tells of the run.
+
+        :param now: Present time, in seconds.
+        """
+        percent = 100.0
+        if self.ends != float("inf"):
+            length = max(0.01, self.ends - self.began)
+            percent = min(99.0, 100 * (now - self.began) / length)
+        return messages.RunningRow(
+            task=self.task,
+            run=self.number,
+            checkpoint="",
+            percent=percent,
+            load=0.0,
+        )
+
+
+class Worker:
+    """One life of a worker.
+
+    :param identity: Its identity.
+    """
+
+    __slots__ = ("identity", "runs", "ended", "numbers", "lease", "reported")
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.runs: dict[tuple[str, int], Run] = {}
+        # Ends that were not told yet.
+        self.ended: list[messages.EndedRow] = []
+        self.numbers = 0
+        self.lease = float("inf")
+        self.reported = float("-inf")
+
+    def end(self, run: Run, ending: messages.Ending) -> None:
+        """End a run and keep its end until it is told.
+
+        :param run: The run.
+        :param ending: How it ends.
+        """
+        if self.runs.pop((run.task, run.number), None) is None:
+            return
+        self.numbers += 1
+        self.ended.append(
+            messages.EndedRow(
+                number=self.numbers,
+                task=run.task,
+                run=run.number,
+                ending=ending,
+                cause=ending.value,
+                checkpoint="",
+            )
+        )
+
+
+class Vm:
+    """A VM.
+
+    :param name: Its name.
+    :param rack: Its rack.
+    :param hall: Its data hall.
+    :param pool: Its first pool.
+    """
+
+    __slots__ = (
+        "name",
+        "rack",
+        "hall",
+        "pool",
+        "condition",
+        "lives",
+        "worker",
+        "slow_until",
+        "slowness",
+    )
+
+    def __init__(self, name: str, rack: int, hall: int, pool: str) -> None:
+        self.name = name
+        self.rack = rack
+        self.hall = hall
+        self.pool = pool
+        self.condition = fleet.Condition.UP
+        self.lives = 0
+        self.worker: Worker | None = None
+        self.slow_until = float("-inf")
+        self.slowness = 1.0
+
+    def begin_life(self) -> Worker:
+        """Start a new worker."""
+        self.lives += 1
+        self.condition = fleet.Condition.UP
+        self.worker = Worker(f"{self.name}-{self.lives}")
+        return self.worker
+
+    @property
+    def up(self) -> bool:
+        """Whether it is neither moved nor maintained."""
+        return self.condition is fleet.Condition.UP
+
+    def list_entry(self) -> fleet.Vm:
+        """Return what the platform tells of it."""
+        condition = self.condition
+        if self.up and self.worker is None:
+            condition = fleet.Condition.DOWN
+        return fleet.Vm(
+            identity=self.name,
+            pool=self.pool,
+            condition=condition,
+            worker=self.worker.identity if self.worker else "",
+            hall=f"h{self.hall}",
+        )
+
+    def entry(self, capacity: fleet.Room) -> fleet.Entry:
+        """Return what its worker says of itself.
+
+        :param capacity: What it has.
+        """
+        assert self.worker is not None
+        return fleet.Entry(
+            identity=self.worker.identity,
+            pool=self.pool,
+            host="",
+            port=0,
+            vm=self.name,
+            rack=f"r{self.rack}",
+            hall=f"h{self.hall}",
+            labels=frozenset(),
+            capacity=capacity,
+            draining=False,
+            remaining=None,
+        )
