Decide by what is lost, out of reach or slow; waves use spare VMs first

Cause: what ran on a crashed VM waited 4.4 s for the end of its lease though the platform lists the VM as down within 0.4 s; such VMs, and silent ones, counted as VMs of their pool, so that nobody stood in for them; a slow worker was never noticed (nothing set its slowness); a VM that had just come could not leave for 3 s; a wave closed VMs at one pace, whether pools were short or not.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -30,6 +30,7 @@
                     port=0,
                     vm=name,
                     rack=(racks or {}).get(name, "r"),
+                    hall="h",
                     labels=frozenset((labels or {}).get(name, ())),
                     capacity=capacity or models.CAPACITY,
                     draining=False,
--- a/features/job_models.py
+++ b/features/job_models.py
@@ -119,6 +119,7 @@
             port=0,
             vm=self.identity,
             rack="",
+            hall="h",
             labels=frozenset(),
             capacity=CAPACITY,
             draining=False,
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,244 @@
+"""Steps about what is lost, out of reach or slow."""
+
+from __future__ import annotations
+
+import behave
+
+from features import job_models as models
+from features import vm_bench as vms
+from rackvalve.jobs import definition
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import upkeep
+
+# Half of a VM, so that two tasks fill one.
+HALF = vms.WIDE.cpu // 2
+TICK_S = 0.1
+# Progress of a run a second, in percent.
+USUAL_RATE = 50
+
+
+@behave.given(
+    "a pool of {count:d} VMs, a job of {tasks:d} tasks on them, and "
+    "{spares:d} spare VMs"
+)
+def make_working_pool(context, count, tasks, spares):
+    vms.make_sizing(context, count, spares)
+    context.state = context.bench.add(
+        definition.Step(tasks=tasks, cpu=HALF, estimate=2.0)
+    )
+    context.bench.start_all()
+    context.silent = set()
+    context.moves = []
+    context.list_read = None
+
+
+def runs_of(context, name):
+    return list(context.bench.book.workers[name].runs.values())
+
+
+def busiest(context):
+    """Return the VM with most runs, the first of them."""
+    return max(context.names, key=lambda name: len(runs_of(context, name)))
+
+
+def pass_time(context, seconds):
+    """Let VMs be listed, workers answer, and everything be decided."""
+    bench = context.bench
+    until = bench.now + seconds
+    while bench.now < until:
+        bench.now += TICK_S
+        read = bench.now if context.list_read is None else context.list_read
+        context.upkeep.take_list(list(context.listed.values()), read)
+        for name in context.names:
+            if name not in context.silent:
+                bench.report(name, bench.rows(name))
+        context.silence.look(bench.now)
+        context.moves.extend(context.sizing.decide(bench.now))
+        for order in context.bench.start_all():
+            assert order.worker not in context.silent, order
+
+
+def silence_one(context, **listed):
+    context.lost = busiest(context)
+    context.silent = {context.lost}
+    context.tasks = [placed.task for placed in runs_of(context, context.lost)]
+    assert len(context.tasks) == 2
+    for placed in runs_of(context, context.lost):
+        context.bench.book.workers[context.lost].note_extension(
+            context.bench.now, 4.0
+        )
+        assert placed.run.worker == context.lost
+    context.listed[context.lost] = vms.list_vm(context.lost, **listed)
+    # Room for them elsewhere.
+    context.bench.book.set_entry(
+        models.FakeWorker(
+            models.World(), "another", models.Rules(), 1.0
+        ).entry()
+    )
+    context.names.append("another")
+    context.bench.numbers["another"] = 0
+    context.listed["another"] = vms.list_vm("another")
+
+
+@behave.when(
+    "the worker of one VM is silent and the VM is listed as {condition}"
+)
+def silence_listed(context, condition):
+    off = condition == "off"
+    silence_one(context, **({"lost": True, "worker": ""} if off else {}))
+
+
+@behave.when(
+    "the worker of one VM is silent and an old list says that it is off"
+)
+def silence_old_list(context):
+    context.list_read = context.bench.now - 1.0
+    silence_one(context, lost=True, worker="")
+
+
+@behave.then("its tasks run on the other VMs within 1 s")
+def check_elsewhere(context):
+    pass_time(context, 1.0)
+    for task in context.tasks:
+        (run,) = task.runs.values()
+        assert run.worker != context.lost, run.worker
+
+
+@behave.then("its tasks run on no other VM within 1 s")
+def check_kept(context):
+    pass_time(context, 1.0)
+    for task in context.tasks:
+        (run,) = task.runs.values()
+        assert run.worker == context.lost, run.worker
+
+
+@behave.when("the workers of {count:d} VMs are silent for 2 s")
+def silence_many(context, count):
+    pass_time(context, 0.5)
+    assert not context.moves, context.moves
+    context.silent = set(context.names[:count])
+    pass_time(context, 2.0)
+
+
+@behave.then("{count:d} VMs are ordered, for what runs, growth and a reserve")
+def check_ordered(context, count):
+    coming = [move for move in context.moves if move.pool == models.POOL]
+    assert len(coming) == count, context.moves
+
+
+@behave.when("2 VMs of a hall with 4 of the spare VMs are silent for 2 s")
+def silence_hall(context):
+    pass_time(context, 0.5)
+    context.cut = {"s0", "s1", "s2", "s3"}
+    for name in context.names[:2]:
+        entry = context.bench.book.workers[name].entry
+        context.bench.book.set_entry(
+            fleet.Entry(
+                **{
+                    field: getattr(entry, field)
+                    for field in entry.__slots__
+                    if field != "hall"
+                },
+                hall="cut",
+            )
+        )
+    for name in context.cut:
+        context.listed[name] = vms.list_vm(
+            name, pool=vms.SPARE, worker="", hall="cut"
+        )
+    context.silent = set(context.names[:2])
+    pass_time(context, 2.0)
+
+
+@behave.then("2 VMs of other halls move to the pool")
+def check_other_halls(context):
+    moved = {move.vm for move in context.moves}
+    assert len(moved) == 2, moved
+    assert not moved & context.cut, moved
+
+
+@behave.when(
+    "the runs of one worker get on at {speed:d} % of the others' speed"
+)
+def slow_one(context, speed):
+    bench = context.bench
+    context.slow = busiest(context)
+    for tick in range(1, 11):
+        bench.now += TICK_S
+        for name in context.names:
+            part = speed / 100 if name == context.slow else 1.0
+            percent = int(USUAL_RATE * tick * TICK_S * part)
+            for placed in runs_of(context, name):
+                placed.run.percent = percent - 1
+            bench.report(name, bench.rows(name))
+        bench.planner.stop_and_release(bench.now)
+
+
+@behave.then("{count:d} of its 2 runs are stopped to start elsewhere")
+def check_stopped(context, count):
+    stopped = [
+        placed
+        for name in context.names
+        for placed in runs_of(context, name)
+        if placed.run.stop_wanted
+    ]
+    assert len(runs_of(context, context.slow)) == 2
+    assert len(stopped) == count, stopped
+    assert {placed.run.worker for placed in stopped} <= {context.slow}
+
+
+@behave.when("pools are short")
+def make_short(context):
+    context.short = True
+
+
+@behave.then("no VM is closed while the wave can still be in time, but later")
+def check_waits(context):
+    (state,) = context.upkeep.waves.values()
+    began = context.bench.now
+    closed_at = None
+    while closed_at is None:
+        context.bench.now += TICK_S
+        context.upkeep.decide(context.bench.now, short=True)
+        if state.closed:
+            closed_at = context.bench.now - began
+    aim = upkeep.AIM * state.wave.duration
+    needed = -(-len(state.wave.vms) // state.wave.most_away) * upkeep.CYCLE_S
+    assert abs(closed_at - (aim - needed)) <= 2 * TICK_S, closed_at
+
+
+@behave.when("a wave over the spare VMs bears 5 away and has much time")
+def begin_spare_wave(context):
+    spares = tuple(name for name in context.listed if name.startswith("s"))
+    wave = fleet.Wave(number=1, vms=spares, duration=1000.0, most_away=5)
+    context.upkeep.add_wave(wave, context.bench.now)
+    context.upkeep.take_list(list(context.listed.values()), context.bench.now)
+    context.orders = context.upkeep.decide(context.bench.now)
+
+
+@behave.then("{count:d} VMs are maintained at once")
+def check_maintained(context, count):
+    assert len(context.orders) == count, context.orders
+
+
+@behave.when("a new owner takes over and 2 of them were ordered just before")
+def restore_wave(context):
+    context.ordered = context.vms[:2]
+    context.upkeep.restore(1, context.ordered, [])
+    context.upkeep.held = frozenset(context.ordered)
+
+
+@behave.then("no other VM is maintained before those are back")
+def check_counted(context):
+    bench, wave = context.bench, context.upkeep
+    bench.now += 30.0
+    assert not wave.decide(bench.now)
+    # The platform carries the orders out only now.
+    wave.held = frozenset()
+    wave.take_list(
+        [vms.list_vm(vm, up=vm not in context.ordered) for vm in context.vms],
+        bench.now,
+    )
+    assert not wave.decide(bench.now)
+    wave.take_list([vms.list_vm(vm) for vm in context.vms], bench.now)
+    assert wave.decide(bench.now)
--- a/features/vm_bench.py
+++ b/features/vm_bench.py
@@ -8,6 +8,7 @@
 from features import job_models as models
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import queues
+from rackvalve.scheduling import silence
 from rackvalve.scheduling import sizing
 from rackvalve.scheduling import upkeep
 
@@ -28,12 +29,16 @@
     )
 
 
-def list_vm(identity, pool=models.POOL, worker=None, up=True):
-    return upkeep.Vm(
+def list_vm(
+    identity, pool=models.POOL, worker=None, up=True, hall="h", lost=False
+):
+    condition = fleet.Condition.UP if up else fleet.Condition.MAINTAINED
+    return fleet.Vm(
         identity=identity,
         pool=pool,
-        up=up,
+        condition=fleet.Condition.DOWN if lost else condition,
         worker=identity if worker is None else worker,
+        hall=hall,
     )
 
 
@@ -43,7 +48,10 @@
     context.bench = benches.Bench(names, capacity=WIDE)
     make_pools(context.bench.book)
     context.upkeep = upkeep.Upkeep(context.bench.book)
-    context.sizing = sizing.Sizing(context.bench.book, context.upkeep)
+    context.silence = silence.Silence(context.bench.book, context.upkeep)
+    context.sizing = sizing.Sizing(
+        context.bench.book, context.upkeep, context.silence
+    )
     context.listed = {name: list_vm(name) for name in names}
     for number in range(spares):
         vm = f"s{number}"
@@ -62,5 +70,6 @@
         )
         for name in context.names:
             context.bench.report(name, context.bench.rows(name))
+        context.silence.look(context.bench.now)
         moves.extend(context.sizing.decide(context.bench.now))
     return moves
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -56,6 +56,9 @@
         "inherited",
         "percent",
         "percent_since",
+        "sampled",
+        "sampled_percent",
+        "rate",
         "confirmed_at",
         "stop_wanted",
         "load",
@@ -75,6 +78,11 @@
         self.inherited = False
         self.percent = 0.0
         self.percent_since = now
+        # Progress and time from which its speed is measured, and the speed,
+        # in percent a second; ``None`` until it was measured.
+        self.sampled_percent = 0.0
+        self.sampled: float | None = None
+        self.rate: float | None = None
         self.confirmed_at: float | None = None
         self.stop_wanted = False
         self.load = 0.0
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -17,6 +17,7 @@
 from rackvalve.platform import machines as clients
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import silence
 from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import upkeep as upkeeps
 from rackvalve import telemetry as telemetries
@@ -71,7 +72,8 @@
         self._telemetry = telemetry
         self._on_change = on_change
         self._upkeep = upkeeps.Upkeep(book)
-        self._sizing = sizings.Sizing(book, self._upkeep)
+        self._silence = silence.Silence(book, self._upkeep)
+        self._sizing = sizings.Sizing(book, self._upkeep, self._silence)
         self._order_pause = order_pause
         # VMs that an earlier owner has given orders to, and until when they
         # are left alone.
@@ -110,7 +112,9 @@
 
     def _choose_list_interval(self) -> float:
         """Return how often the VMs are listed now, in seconds."""
-        if self._upkeep.is_busy:
+        if self._upkeep.is_busy or self._silence.is_noticed:
+            return timing.LIST_BUSY_INTERVAL_S
+        if self._sizing.moving:
             return timing.LIST_BUSY_INTERVAL_S
         return timing.LIST_INTERVAL_S
 
@@ -150,21 +154,14 @@
         if isinstance(found, clients.Unavailable):
             logs.write_warning("vms.failed", call="list", reason=found.reason)
             return
-        self._upkeep.take_list(
-            [
-                upkeeps.Vm(
-                    identity=vm.identity,
-                    pool=vm.pool,
-                    up=vm.condition is clients.Condition.UP,
-                    worker=vm.worker,
-                )
-                for vm in found
-            ],
-            self._listed,
-        )
+        self._upkeep.take_list(found, self._listed)
 
     def _step(self, now: float) -> None:
-        for maintain in self._upkeep.decide(now):
+        for worker in self._silence.look(now):
+            logs.write_warning(
+                "worker.lost", worker=worker, reason="its VM is listed as down"
+            )
+        for maintain in self._upkeep.decide(now, short=self._sizing.is_short):
             self._spawn(functools.partial(self._maintain, maintain))
         for move in self._sizing.decide(now):
             self._spawn(functools.partial(self._move, move))
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -78,6 +78,8 @@
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
     machine: str = ""
+    # The data hall.
+    zone: str = ""
     remaining_ms: float | None = None
 
 
@@ -127,6 +129,7 @@
         port=int(port),
         vm=wire.machine,
         rack=rack,
+        hall=wire.zone,
         labels=frozenset(wire.labels),
         capacity=fleet.Room(
             cpu=wire.capacity.cpu,
--- a/src/rackvalve/platform/machines.py
+++ b/src/rackvalve/platform/machines.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import urllib.parse
 
 import msgspec
 
 from rackvalve.platform import connections
+from rackvalve.scheduling import fleet
 
 STATUS_OK = 200
 STATUS_UNKNOWN_VM = 400
@@ -18,32 +18,12 @@
 FINAL_REASONS = frozenset({REASON_UNKNOWN_VM, "wave"})
 
 
-class Condition(enum.Enum):
-    """What state a VM is in, in the platform's words."""
-
-    UP = "up"
-    # On its way to another pool.
-    MOVING = "moving"
-    # Being maintained.
-    MAINTAINED = "upkeep"
-    # Off or failed.
-    DOWN = "down"
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Vm:
-    """A VM as the platform lists it.
-
-    :param identity: Its name, which stays with it.
-    :param pool: Its pool.
-    :param condition: What state it is in.
-    :param worker: Identity of the worker that lives on it, empty for none.
-    """
-
-    identity: str
-    pool: str
-    condition: Condition
-    worker: str
+_CONDITIONS = {
+    "up": fleet.Condition.UP,
+    "moving": fleet.Condition.MOVING,
+    "upkeep": fleet.Condition.MAINTAINED,
+    "down": fleet.Condition.DOWN,
+}
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -75,6 +55,7 @@
     machine: str
     pool: str = ""
     state: str = "down"
+    zone: str = ""
     id: str | None = None
 
 
@@ -108,9 +89,9 @@
         self._holder = holder
         self._timeout = timeout
 
-    def list_vms(self) -> list[Vm] | Unavailable:
+    def list_vms(self) -> list[fleet.Vm] | Unavailable:
         """List all VMs, page by page."""
-        vms: list[Vm] = []
+        vms: list[fleet.Vm] = []
         path = "/machines"
         while True:
             raw = self._client.exchange("GET", path, timeout=self._timeout)
@@ -194,14 +175,14 @@
         return Unavailable(reason=repr(error))
 
 
-def _read_vm(wire: _WireVm) -> Vm | Unavailable:
-    try:
-        condition = Condition(wire.state)
-    except ValueError:
+def _read_vm(wire: _WireVm) -> fleet.Vm | Unavailable:
+    condition = _CONDITIONS.get(wire.state)
+    if condition is None:
         return Unavailable(reason=f"unknown state {wire.state!r}")
-    return Vm(
+    return fleet.Vm(
         identity=wire.machine,
         pool=wire.pool,
         condition=condition,
         worker=wire.id or "",
+        hall=wire.zone,
     )
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -15,6 +15,7 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
+from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
 
 # After these words a worker is avoided for a while (seconds): its own count
@@ -50,6 +51,7 @@
         "queues",
         "_inherited_until",
         "durations",
+        "speeds",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         self._inherited_until = now + inherited_lease
         # Mean time of a task that ended well, by queue, in seconds.
         self.durations: dict[str, float] = {}
+        self.speeds = speeds.Speeds()
 
     def set_configuration(self, configuration: queues.Configuration) -> None:
         """Take a newer configuration.
@@ -346,6 +349,7 @@
         self.changed[state.identity] = known or urgent or state.is_final
         if state.is_final:
             self.open_jobs.pop(state.identity, None)
+            self.speeds.forget(state)
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not begun."""
--- a/src/rackvalve/scheduling/fleet.py
+++ b/src/rackvalve/scheduling/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from rackvalve.jobs import definition
 
@@ -76,6 +77,7 @@
     :param port: Port.
     :param vm: The VM that it lives on.
     :param rack: The VM's rack.
+    :param hall: The data hall that it says it stands in.
     :param labels: All labels.
     :param capacity: What it has.
     :param draining: Whether it will leave.
@@ -88,12 +90,52 @@
     port: int
     vm: str
     rack: str
+    hall: str
     labels: frozenset[str]
     capacity: Room
     draining: bool
     remaining: float | None
 
 
+class Condition(enum.Enum):
+    """What state a VM is in."""
+
+    UP = "up"
+    # On its way to another pool.
+    MOVING = "moving"
+    MAINTAINED = "maintained"
+    # Off or failed: nothing lives on it.
+    DOWN = "down"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Vm:
+    """A VM as the platform lists it.
+
+    :param identity: Its name, which stays with it.
+    :param pool: Its pool.
+    :param condition: What state it is in.
+    :param worker: Identity of the worker that lives on it, empty for none.
+    :param hall: The data hall that it stands in.
+    """
+
+    identity: str
+    pool: str
+    condition: Condition
+    worker: str
+    hall: str
+
+    @property
+    def up(self) -> bool:
+        """Whether it is up."""
+        return self.condition is Condition.UP
+
+    @property
+    def lost(self) -> bool:
+        """Whether it is off or has failed."""
+        return self.condition is Condition.DOWN
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Wave:
     """An operator's order to maintain VMs.
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -17,12 +17,16 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import queues
+from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
 
 # A task whose progress has not moved for this long is stopped and started
 # elsewhere (seconds).  Progress is told in whole percent: a task of 10 s at a
 # tenth of its speed still moves each second.
 STALL_S = 1.2
+# To stop a run and start its task elsewhere takes this long, in seconds, from
+# the order to the new start (the users' logs: 0.1 to 0.6).
+RESTART_S = 0.4
 # A job past this many times its objective earns nothing more (the users'
 # rules).
 WORTHLESS_AFTER = 3.0
@@ -99,6 +103,39 @@
                 continue
             for placed in list(worker.runs.values()):
                 self._check_run(worker, placed, now)
+            self._book.speeds.judge(worker, now)
+            if now < worker.slow_until:
+                self._move_stragglers(worker, now)
+
+    def _move_stragglers(
+        self, worker: workers.WorkerState, now: float
+    ) -> None:
+        """Stop runs on a slow worker that others would end sooner."""
+        for placed in list(worker.runs.values()):
+            run = placed.run
+            if run.stop_wanted or not speeds.is_comparable(placed):
+                continue
+            rest = speeds.estimate_rest(run)
+            usual = self._book.speeds.expect(placed)
+            if rest is None or usual is None or rest < usual + RESTART_S:
+                continue
+            if not self._has_room_elsewhere(placed, now):
+                continue
+            placed.task.avoid.add(worker.identity)
+            self._book.stop(
+                placed.state, placed.task, run, "its worker is slow"
+            )
+
+    def _has_room_elsewhere(self, placed: workers.Placed, now: float) -> bool:
+        """Return whether another worker could take a run's task now."""
+        entry = self._book.workers[placed.run.worker].entry
+        if entry is None:
+            return False
+        return any(
+            other.free.fits(placed.need)
+            for other in self._view(entry.pool, now).members
+            if other.identity != placed.run.worker
+        )
 
     def _check_run(
         self, worker: workers.WorkerState, placed: workers.Placed, now: float
@@ -155,6 +192,9 @@
             for worker in self._book.members.get(pool, {}).values()
             if worker.takes_work(now, self._limits.freshness)
         ]
+        quick = [worker for worker in members if now >= worker.slow_until]
+        if len(quick) * 2 >= len(members):
+            members = quick
         view = self._views.setdefault(pool, placement.PoolView([]))
         view.members = members
         return view
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -8,6 +8,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
 
 # A worker tells at most this many ends at once; with as many, more may come.
@@ -211,6 +212,7 @@
         started = placed.run.confirmed_at
         if started is None or placed.run.inherited:
             return
+        self._book.speeds.note_done(placed, now - started)
         queue = placed.state.queue
         mean = self._book.durations.get(queue)
         taken = now - started
@@ -300,3 +302,4 @@
         run.percent = row.percent
         run.percent_since = now
     run.load = row.load
+    speeds.sample(run, now)
--- /dev/null
+++ b/src/rackvalve/scheduling/silence.py
@@ -0,0 +1,128 @@
+"""Which workers and data halls are taken to be out of reach, or lost.
+
+A silent worker keeps its entry for seconds, or for good behind a cut.  A pool
+that still counts it waits all that time for room that is not there.  And what
+ran on a VM that is off need not wait for the end of its lease.
+"""
+
+from __future__ import annotations
+
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import upkeep as upkeeps
+from rackvalve.scheduling import workers
+
+# A worker that has not answered for this long is worth a look at the
+# platform's list, in seconds: holds are answered after half a second.
+NOTICE_S = 0.6
+# A worker that has not answered for this long is out of reach, in seconds: a
+# failed hold is made again within half a second more.
+SILENCE_S = 1.2
+# Only while more than this part of the workers answer are the others taken to
+# be silent: else it is this process that was paused or is cut off.
+ANSWERING_PART = 0.5
+# A data hall is cut off if at least so many of its workers are silent, and
+# none answers.
+HALL_LEAST = 2
+
+
+class Silence:
+    """Looks at the answers of all workers and at the platform's list.
+
+    :param book: The book with the workers.
+    :param upkeep: Has the platform's list of VMs.
+    """
+
+    __slots__ = (
+        "_book",
+        "_upkeep",
+        "_since",
+        "_lost",
+        "workers",
+        "halls",
+        "is_noticed",
+    )
+
+    def __init__(self, book: books.Book, upkeep: upkeeps.Upkeep) -> None:
+        self._book = book
+        self._upkeep = upkeep
+        # When each worker was first seen here, in seconds.
+        self._since: dict[str, float] = {}
+        # Workers that were told to be lost.
+        self._lost: set[str] = set()
+        # Workers that are out of reach.
+        self.workers: frozenset[str] = frozenset()
+        # Data halls of which no worker is reached.
+        self.halls: frozenset[str] = frozenset()
+        # Whether work waits for a worker that should have answered.
+        self.is_noticed = False
+
+    def look(self, now: float) -> list[str]:
+        """Find out who is silent, and release what ran on lost VMs.
+
+        :param now: Present time, in seconds.
+        :return: Workers that were newly found to be lost.
+        """
+        known = {
+            worker.identity: worker
+            for worker in self._book.workers.values()
+            if worker.entry is not None
+        }
+        self._since = {name: self._since.get(name, now) for name in known}
+        self._lost &= known.keys()
+        silent = {
+            name
+            for name, worker in known.items()
+            if now - self._last_heard(worker) > SILENCE_S
+        }
+        if len(silent) >= len(known) * (1 - ANSWERING_PART):
+            silent = set()
+        self.workers = frozenset(silent)
+        self.halls = frozenset(self._find_cut_halls(silent))
+        quiet = [
+            worker
+            for worker in known.values()
+            if worker.runs and now - self._last_heard(worker) > NOTICE_S
+        ]
+        self.is_noticed = bool(quiet)
+        return [worker.identity for worker in quiet if self._release(worker)]
+
+    def _last_heard(self, worker: workers.WorkerState) -> float:
+        """Return when a worker has answered last, or was first seen."""
+        return max(worker.answered, self._since[worker.identity])
+
+    def _release(self, worker: workers.WorkerState) -> bool:
+        """Let the lease of a worker be over if the platform lists its VM off.
+
+        The list has to be newer than the worker's last answer: an older one
+        may tell of the life before.
+
+        :return: Whether that is new.
+        """
+        assert worker.entry is not None
+        vm = self._upkeep.vms.get(worker.entry.vm)
+        if vm is None or not vm.lost or vm.worker:
+            return False
+        if self._upkeep.read <= self._last_heard(worker):
+            return False
+        worker.note_lost()
+        if worker.identity in self._lost:
+            return False
+        self._lost.add(worker.identity)
+        return True
+
+    def _find_cut_halls(self, silent: set[str]) -> set[str]:
+        counts: dict[str, int] = {}
+        answering: set[str] = set()
+        for worker in self._book.workers.values():
+            if worker.entry is None:
+                continue
+            hall = worker.entry.hall
+            if worker.identity in silent:
+                counts[hall] = counts.get(hall, 0) + 1
+            else:
+                answering.add(hall)
+        return {
+            hall
+            for hall, count in counts.items()
+            if count >= HALL_LEAST and hall not in answering
+        }
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -15,6 +15,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import silence as silences
 from rackvalve.scheduling import upkeep as upkeeps
 from rackvalve.scheduling import workers
 
@@ -43,7 +44,7 @@
 # Work that does not last is let end on a VM that is only not needed.
 PATIENCE_S = float("inf")
 # A VM that has just come to a pool stays for this long, in seconds.
-STAY_S = 3.0
+STAY_S = 1.0
 SURPLUS = "surplus"
 
 
@@ -168,13 +169,27 @@
 
     :param book: The book.
     :param upkeep: The waves, whose VMs are left alone.
+    :param silence: Who is out of reach.
     """
 
-    __slots__ = ("_book", "_upkeep", "pools", "moving", "arrived")
+    __slots__ = (
+        "_book",
+        "_upkeep",
+        "_silence",
+        "pools",
+        "moving",
+        "arrived",
+    )
 
-    def __init__(self, book: books.Book, upkeep: upkeeps.Upkeep) -> None:
+    def __init__(
+        self,
+        book: books.Book,
+        upkeep: upkeeps.Upkeep,
+        silence: silences.Silence,
+    ) -> None:
         self._book = book
         self._upkeep = upkeep
+        self._silence = silence
         self.pools: dict[str, PoolSize] = {}
         # Moves by VM, until the list shows the VM in its new pool.
         self.moving: dict[str, Move] = {}
@@ -201,6 +216,11 @@
             orders.extend(self._vacate(size, spare, now))
         return orders
 
+    @property
+    def is_short(self) -> bool:
+        """Whether a pool still lacks VMs after all spare ones were given."""
+        return any(size.lacks for size in self.pools.values())
+
     def departing(self) -> set[str]:
         """Return the workers whose lives end with a move."""
         return set().union(*(move.workers for move in self.moving.values()))
@@ -303,11 +323,18 @@
         )
         return coming + working
 
-    def _is_sound(self, vm: upkeeps.Vm) -> bool:
-        """Return whether a VM works, or is away for a moment only."""
+    def _is_sound(self, vm: fleet.Vm) -> bool:
+        """Return whether a VM works, or is away for a moment only.
+
+        One that is out of reach may be so for long; others stand in for it.
+        """
+        if vm.lost:
+            return False
         worker = self._book.workers.get(vm.worker)
         if worker is None or worker.entry is None:
             return not vm.up
+        if worker.identity in self._silence.workers:
+            return False
         return not worker.entry.draining
 
     def _grow_all(self, spare: str) -> list[MoveVm]:
@@ -345,6 +372,7 @@
             and vm.identity not in self.moving
             and vm.identity not in leaving
             and vm.identity not in self._upkeep.held
+            and vm.hall not in self._silence.halls
         ]
         found.sort(key=lambda vm: vm in later)
         return found
@@ -376,6 +404,8 @@
                 continue
             if worker is None or worker.entry is None:
                 continue
+            if worker.identity in self._silence.workers:
+                continue
             if now - self.arrived.get(vm.identity, float("-inf")) < STAY_S:
                 continue
             lasting, runs = _count_cost(worker)
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -34,22 +34,6 @@
 CLOSED = "maintenance"
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Vm:
-    """A VM as the platform lists it.
-
-    :param identity: Its name.
-    :param pool: Its pool.
-    :param up: Whether it is up.
-    :param worker: Identity of the worker that lives on it, empty for none.
-    """
-
-    identity: str
-    pool: str
-    up: bool
-    worker: str
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class MaintainVm:
     """Order the platform to maintain a VM.
@@ -130,12 +114,14 @@
     :param book: The book whose workers are closed and vacated.
     """
 
-    __slots__ = ("_book", "waves", "vms", "held")
+    __slots__ = ("_book", "waves", "vms", "read", "held")
 
     def __init__(self, book: books.Book) -> None:
         self._book = book
         self.waves: dict[int, WaveState] = {}
-        self.vms: dict[str, Vm] = {}
+        self.vms: dict[str, fleet.Vm] = {}
+        # When the reading of that list began.
+        self.read = float("-inf")
         # VMs that an earlier owner has just given orders to.
         self.held: frozenset[str] = frozenset()
 
@@ -173,13 +159,14 @@
         # whether it was carried out.
         state.closed = set(ordered) - state.done
 
-    def take_list(self, vms: list[Vm], read: float) -> None:
+    def take_list(self, vms: list[fleet.Vm], read: float) -> None:
         """Take the platform's list of VMs.
 
         :param vms: All VMs.
         :param read: When the reading began, in seconds.
         """
         self.vms = {vm.identity: vm for vm in vms}
+        self.read = read
         for state in self.waves.values():
             for vm, time in list(state.ordered.items()):
                 if time is None or time > read:
@@ -190,15 +177,16 @@
                     state.done.add(vm)
                     state.closed.discard(vm)
 
-    def decide(self, now: float) -> list[MaintainVm]:
+    def decide(self, now: float, *, short: bool = False) -> list[MaintainVm]:
         """Close, vacate, and choose what is to be maintained now.
 
         :param now: Present time, in seconds.
+        :param short: Whether pools lack VMs that nobody can give them.
         """
         chosen: list[MaintainVm] = []
         for state in self.waves.values():
             if not state.complete:
-                self._close(state, now)
+                self._close(state, now, short=short)
                 chosen.extend(self._choose(state, now))
                 self._finish(state)
         return chosen
@@ -277,10 +265,17 @@
                 later.update(state.left())
         return later
 
-    def _close(self, state: WaveState, now: float) -> None:
-        """Close as many VMs as the time that is left asks for."""
+    def _close(self, state: WaveState, now: float, *, short: bool) -> None:
+        """Close as many VMs as the time that is left asks for.
+
+        Spare ones cost nobody anything: they go as fast as the wave bears.
+        While pools are short, a wave waits that can still be in time.
+        """
         left = state.left()
         wanted = self._count_wanted(state, len(left), now)
+        most = state.wave.most_away + 1
+        if short and self._can_wait(state, len(left), now):
+            wanted = most = 0
         open_vms = [
             vm for vm in left if vm not in state.closed and vm not in self.held
         ]
@@ -290,7 +285,7 @@
         part = LATE_PART if late else POOL_PART
         for vm in open_vms:
             busy = len(state.closed) + len(state.ordered.keys() - state.closed)
-            if busy >= wanted:
+            if busy >= (most if self._is_spare(vm) else wanted):
                 return
             if self._may_close(vm, spreads, part):
                 state.closed.add(vm)
@@ -301,13 +296,26 @@
         # One more than can be away is vacated meanwhile.
         return min(math.ceil(left / rounds) + 1, state.wave.most_away + 1)
 
-    def _cost(self, vm: str) -> tuple[int, int]:
+    def _can_wait(self, state: WaveState, left: int, now: float) -> bool:
+        """Return whether a wave that pauses now can still be in time."""
+        time = state.began + AIM * state.wave.duration - now
+        needed = math.ceil(left / state.wave.most_away) * CYCLE_S
+        return time > needed
+
+    def _is_spare(self, vm: str) -> bool:
+        listed = self.vms.get(vm)
+        pools = self._book.configuration.pools
+        pool = pools.get(listed.pool) if listed is not None else None
+        return pool is not None and pool.spare
+
+    def _cost(self, vm: str) -> tuple[bool, int, int]:
         placed = [
             run
             for worker in self.workers_on(vm)
             for run in worker.runs.values()
         ]
-        return sum(1 for run in placed if run.step.lasting), len(placed)
+        lasting = sum(1 for run in placed if run.step.lasting)
+        return not self._is_spare(vm), lasting, len(placed)
 
     def _may_close(
         self, vm: str, spreads: dict[str, int], part: float
@@ -315,8 +323,7 @@
         listed = self.vms.get(vm)
         if listed is None:
             return True
-        pool = self._book.configuration.pools.get(listed.pool)
-        if pool is not None and pool.spare:
+        if self._is_spare(vm):
             return True
         members = [
             other for other in self.vms.values() if other.pool == listed.pool
@@ -340,8 +347,9 @@
 
     def _choose(self, state: WaveState, now: float) -> list[MaintainVm]:
         chosen = []
+        away = self._find_away(state)
         for vm in state.left():
-            if len(state.ordered) >= state.wave.most_away:
+            if len(away) >= state.wave.most_away:
                 break
             if vm not in state.closed or state.not_before.get(vm, 0.0) > now:
                 continue
@@ -350,8 +358,23 @@
             if not self.vacate(vm, CLOSED, PATIENCE_S, now):
                 continue
             state.ordered[vm] = None
+            away.add(vm)
             chosen.append(MaintainVm(vm=vm, wave=state.wave.number))
         return chosen
 
+    def _find_away(self, state: WaveState) -> set[str]:
+        """Return the VMs of a wave that may be away for it.
+
+        Also those that an earlier owner has ordered, as far as the platform
+        lists them so, or may not list them so yet.
+        """
+        listed = {
+            vm
+            for vm in state.wave.vms
+            if vm in self.vms
+            and self.vms[vm].condition is fleet.Condition.MAINTAINED
+        }
+        return state.ordered.keys() | listed | (state.closed & self.held)
+
     def _finish(self, state: WaveState) -> None:
         state.complete = not state.left() and not state.ordered
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -70,6 +70,7 @@
         "closing",
         "leaves_later",
         "slowness",
+        "slow_until",
     )
 
     def __init__(
@@ -102,6 +103,7 @@
         self.leaves_later = False
         # How much longer than elsewhere its tasks take.
         self.slowness = 1.0
+        self.slow_until = float("-inf")
 
     def set_entry(self, entry: fleet.Entry) -> None:
         """Take what the worker says of itself now.
@@ -156,6 +158,10 @@
         self.lease_over = float("-inf")
         self.note_extension(now, length)
 
+    def note_lost(self) -> None:
+        """Note that the worker's life is over, whatever leases it had."""
+        self.lease_over = float("-inf")
+
     def is_over(self, now: float) -> bool:
         """Return whether all leases given so far are over.
 
--- a/tools/experiments/jobs.py
+++ b/tools/experiments/jobs.py
@@ -62,6 +62,7 @@
         port=0,
         vm=f"m{number}",
         rack="",
+        hall="h",
         labels=frozenset(),
         capacity=fleet.Room(cpu=1000000, memory=1000, gpu=0),
         draining=False,
