Drop idle connections once one beside them has timed out

Cause: open connections may go silent without a reset while new ones work; each idle one that is taken again costs a call its whole time limit, four of them to the store up to 3.2 s one after the other. Ruled out: a keep-alive of the system's (seconds, and one probe each); a lower age limit of idle connections (a silent one may be young). Change: a call that times out closes the other idle connections of its client. Conclusion: one time limit is lost to a silence, not one for each connection.

--- a/src/rackvalve/platform/connections.py
+++ b/src/rackvalve/platform/connections.py
@@ -122,6 +122,10 @@
             _close(sock)
             if expired is not limit:
                 raise
+            # Whatever has silenced this connection may have silenced those
+            # beside it, and each would cost a call its whole time limit: up
+            # to 3.2 s for four of them to the store.  New ones cost 2 ms.
+            self._drop_idle()
             return NoAnswer(reason="no answer in time", sent=sent)
         except (OSError, http_response.HTTPParseError) as error:
             _close(sock)
