Begin the planned stop of an entry only once its load is served

Nothing could be cut off. Ruled out: the entry (it ended with 0, its listener was closed by then). Change: the step waits until requests run on the targets, then 0.5 s; the checks are as they were. Counting them stands in one place. Conclusion: a fault of the test, mended; the check now cannot pass or fail without load.

--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -170,13 +170,9 @@
         for n in range(2 * fleet.slots)
     ]
     fleets.wait_until(
-        lambda: count_running(fleet) == 2 * fleet.slots, 5, "slots are taken"
-    )
-
-
-def count_running(fleet):
-    return sum(
-        fleet.control_target(f"north-{POOL}-{n}")["running"] for n in (1, 2)
+        lambda: fleet.count_running(POOL) == 2 * fleet.slots,
+        5,
+        "slots are taken",
     )
 
 
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -265,7 +265,12 @@
             path="/work?run_ms=20",
         )
     )
-    gevent.sleep(1.0)
+    # On a busy machine the load may take longer to begin than an entry to
+    # stop, and there would be nothing that could be cut off.
+    fleets.wait_until(
+        lambda: context.fleet.count_running(POOL) > 0, 20, "load is served"
+    )
+    gevent.sleep(0.5)
 
 
 @behave.when("the {program} of the first VM is killed under load")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -259,6 +259,13 @@
         )
         return json.loads(reply.body)
 
+    def count_running(self, pool, hall="north"):
+        """Count the requests that run on a pool's targets."""
+        return sum(
+            self.control_target(f"{hall}-{pool}-{number + 1}")["running"]
+            for number in range(self.pools[pool])
+        )
+
     def control_target(self, vm, **order):
         """Order faults of a target, or read its counters."""
         reply = call(
