--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -40,7 +40,7 @@
 MOVE_S = 1.5
 MAINTENANCE_S = 2.0
 LASTING_START_S = 0.7
-# Work that is unknown to a pool's first jobs.
+# From the start of the VMs to the first job, and from the last one to the end.
 WARM_UP_S = 6.0
 FINISH_S = 14.0
 
@@ -68,7 +68,6 @@
         self._cut: set[int] = set()
         self._planned = False
         self._jobs: dict[str, plans.Served] = {}
-        self._lasting: list[str] = []
         self._times: dict[str, loads.Arrival] = {}
         self.result = plans.Result(jobs=[], lasting=[])
         pools = [kind.queue for kind in plan.kinds]
@@ -158,7 +157,6 @@
                 most_per_worker=3,
                 most_away=1,
             )
-            self._lasting.append(name)
             self._add(name, kind.queue, definition.Job(spec="", steps=(step,)))
 
     def _accept(self, name: str, arrival: loads.Arrival) -> None:
--- a/tools/emulator/troubles.py
+++ b/tools/emulator/troubles.py
@@ -39,12 +39,10 @@
 
     :param at: When, in seconds.
     :param seconds: How long.
-    :param all_lost: Whether no entry VM is left to take jobs meanwhile.
     """
 
     at: float
     seconds: float
-    all_lost: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
