No lease by an owner that may be deposed; stops wait for a worker's entry

Cause: read for tasks that run on after their job was cancelled, where the start came late or its owner was removed. (2) A new owner that reads a cancelled job before the entry of the run's worker is back dropped the order to stop, and never gave it again: the run was marked as stopping. Ruled out: late starts under an old token (workers refuse them once the new owner has asked them), runs without a record (the next report has them stopped), stops that overtake their start (workers seal the number). Change: a start's lease asks for the same right as a hold's; an order to stop waits for the contact with its worker, until the worker's life is over.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -123,3 +123,21 @@
     Given a job of 2 tasks and then 1 task
     When both first tasks are planned and one of them is done
     Then its records read back tell the same
+
+  Scenario Outline: An owner that may not extend leases gives none by a start
+    Given an owner that <may> extend leases, and a start that its worker found too late
+    When the start is tried again
+    Then a new lease <is> asked for
+
+    Examples:
+      | may     | is     |
+      | may     | is     |
+      | may not | is not |
+
+  # A start is held up on its way, its owner is removed, its job is cancelled,
+  # and the worker's entry is away while the next owner reads the records.
+  Scenario: A cancelled job's run is stopped once its worker's entry is back
+    Given a new owner that has read a cancelled job with a run on a worker
+    When the order to stop is due before the worker has an entry
+    Then it is sent to the worker once its entry is there
+    And no such order is kept for a worker whose life is over
--- /dev/null
+++ b/features/steps/late_start_steps.py
@@ -0,0 +1,180 @@
+"""Steps about starts that come late, and about runs nobody asks for."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import behave
+
+from features import job_bench as benches
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.manager import contact as contacts
+from rackvalve.manager import roster as rosters
+from rackvalve.platform import documents
+from rackvalve.platform import workers as clients
+from rackvalve.scheduling import messages
+
+RUNNING_ON = "w9"
+
+
+class FakeOwner:
+    """An owner that may or may not extend leases."""
+
+    fence = 7
+    durable = 0
+
+    def __init__(self, may_extend):
+        self.allowed = may_extend
+        self.results = []
+
+    def may_extend(self, now):
+        return self.allowed
+
+    def take_start(self, placed, result, uncertain):
+        self.results.append(result)
+
+
+class FakeClient:
+    """A worker whose first answer is that the lease is over."""
+
+    def __init__(self):
+        self.leases = []
+
+    def start(self, *, lease_until, **fields):
+        self.leases.append(lease_until)
+        if len(self.leases) == 1:
+            return clients.Rejected(
+                clock=100.0, reason=clients.Reason.LEASE_OVER
+            )
+        return clients.Done(clock=100.0)
+
+
+@behave.given(
+    "an owner that {may} extend leases, and a start that its worker found "
+    "too late"
+)
+def make_contact(context, may):
+    bench = benches.Bench(["w1"])
+    bench.add(definition.Step(tasks=1, cpu=1))
+    bench.plan()
+    (context.order,) = bench.starts()
+    worker = bench.book.workers["w1"]
+    context.client = FakeClient()
+    context.owner = FakeOwner(True)
+    context.contact = contacts.Contact(context.owner, worker, context.client)
+    context.contact._clock.note(50.0, 1000.0)
+    context.may = may == "may"
+
+
+@behave.when("the start is tried again")
+def try_again(context):
+    def pause(seconds):
+        # The owner's right to extend ends between two tries.
+        context.owner.allowed = context.may
+        if len(context.pauses) > 3:
+            context.bench_placed.run.stop_wanted = True
+        context.pauses.append(seconds)
+
+    context.pauses = []
+    key = (f"{context.order.job}.{context.order.task}", context.order.run)
+    context.bench_placed = context.contact._worker.runs[key]
+    with (
+        mock.patch.object(contacts.gevent, "sleep", pause),
+        mock.patch.object(contacts.clocks, "read_steady", lambda: 1000.0),
+    ):
+        context.contact.start_run(context.order)
+
+
+@behave.then("a new lease is asked for")
+def check_lease(context):
+    assert len(context.client.leases) == 2, context.client.leases
+    assert context.owner.results == [messages.StartResult.STARTED]
+
+
+@behave.then("a new lease is not asked for")
+def check_no_lease(context):
+    assert len(context.client.leases) == 1, context.client.leases
+
+
+@behave.given(
+    "a new owner that has read a cancelled job with a run on a worker"
+)
+def read_cancelled(context):
+    context.bench = benches.Bench([])
+    state = progress.JobState(
+        benches.IDENTITY,
+        "queue",
+        definition.Job(spec="x", steps=(definition.Step(tasks=1, cpu=1),)),
+        context.bench.now,
+    )
+    name = definition.TaskName(repetition=0, step=0, index=0)
+    run = progress.Run(1, RUNNING_ON, progress.Stage.ORDERED, 0.0)
+    run.inherited = True
+    state.task(name).runs[1] = run
+    book = context.bench.book
+    book.add_job(state, context.bench.now, context.bench.now)
+    book.cancel_job(benches.IDENTITY, context.bench.now)
+    context.roster = rosters.Roster(
+        FakeOwner(True), book, on_change=lambda: None
+    )
+
+
+@behave.when("the order to stop is due before the worker has an entry")
+def send_early(context):
+    (order,) = context.bench.stops()
+    assert order.worker == RUNNING_ON, order
+    assert not context.roster.send(order)
+    context.order = order
+
+
+class FakeContact:
+    """Keeps what is sent."""
+
+    def __init__(self, owner, worker, client):
+        self.sent = []
+
+    def start(self):
+        pass
+
+    def close(self):
+        pass
+
+    def send(self, order):
+        self.sent.append(order)
+
+
+def add_entry(context):
+    entry = mock.Mock(
+        identity=RUNNING_ON,
+        pool="pool",
+        vm="m9",
+        host="127.0.0.1",
+        port=1,
+        draining=False,
+        remaining=None,
+    )
+    entry.capacity = benches.models.CAPACITY
+    item = mock.Mock(key="k", payload=b"", revision=1)
+    with (
+        mock.patch.object(documents, "read_worker", lambda *_: entry),
+        mock.patch.object(contacts, "Contact", FakeContact),
+    ):
+        context.roster.take_changes(mock.Mock(written=(item,), removed=()))
+
+
+@behave.then("it is sent to the worker once its entry is there")
+def check_sent(context):
+    add_entry(context)
+    contact = context.roster.contact(RUNNING_ON)
+    assert contact.sent == [context.order], contact.sent
+
+
+@behave.then("no such order is kept for a worker whose life is over")
+def check_dropped(context):
+    context.roster.end_life(RUNNING_ON, "another life answers")
+    context.bench.book.orders.clear()
+    assert not context.roster.send(context.order)
+    context.roster.end_life(RUNNING_ON, "its entry is gone")
+    add_entry(context)
+    assert not context.roster.contact(RUNNING_ON).sent
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -226,11 +226,13 @@
         """Return the end of a lease that begins now, on the worker's clock.
 
         An order that is tried again keeps its lease: each new one would put
-        off the time at which a silent worker's runs are proved over.
+        off the time at which a silent worker's runs are proved over.  An
+        owner that may have been deposed gives none: its successor waits for
+        what may have been given until then, and no longer.
         """
         now = clocks.read_steady()
         shown = self._clock.read(now)
-        if shown is None:
+        if shown is None or not self._owner.may_extend(now):
             return None
         self._worker.note_extension(now, timing.WORKER_LEASE_S)
         return shown + timing.WORKER_LEASE_S
@@ -239,7 +241,7 @@
         self, placed: workers.Placed, until: float | None
     ) -> clients.Outcome:
         if until is None:
-            return connections.NoAnswer(reason="clock unknown", sent=False)
+            return connections.NoAnswer(reason="no lease to give", sent=False)
         return self._client.start(
             task=placed.full_name,
             run=placed.run.number,
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -417,18 +417,16 @@
     def _send_orders(self) -> None:
         while self._book.orders:
             order = self._book.orders.popleft()
-            contact = self._roster.contact(order.worker)
-            if contact is None:
-                # The run's worker is unknown; only its lease's end frees it.
-                logs.write_warning(
-                    "order.undeliverable",
-                    worker=order.worker,
-                    order=type(order).__name__,
-                    run=order.run,
-                )
+            if self._roster.send(order):
+                self._log_order(order)
                 continue
-            self._log_order(order)
-            contact.send(order)
+            # A start is freed by its lease's end only; a stop is kept.
+            logs.write_warning(
+                "order.undeliverable",
+                worker=order.worker,
+                order=type(order).__name__,
+                run=order.run,
+            )
 
     def _log_order(self, order: messages.Order) -> None:
         if isinstance(order, messages.StartRun):
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -18,6 +18,7 @@
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
 
 if TYPE_CHECKING:
     from rackvalve.manager import owner as owners
@@ -31,7 +32,7 @@
     :param on_change: Called after workers came, changed or went.
     """
 
-    __slots__ = ("_owner", "_book", "_on_change", "_contacts")
+    __slots__ = ("_owner", "_book", "_on_change", "_contacts", "_early")
 
     def __init__(
         self,
@@ -44,6 +45,9 @@
         self._book = book
         self._on_change = on_change
         self._contacts: dict[str, contacts.Contact] = {}
+        # Orders to stop runs on workers whose entries are not there yet: an
+        # entry may be away for some seconds while its worker runs on.
+        self._early: dict[str, list[messages.StopRun]] = {}
 
     def contact(self, identity: str) -> contacts.Contact | None:
         """Return the contact with a worker.
@@ -52,6 +56,20 @@
         """
         return self._contacts.get(identity)
 
+    def send(self, order: messages.Order) -> bool:
+        """Send an order to its worker; keep a stop until it has an entry.
+
+        :param order: The order.
+        :return: Whether there is a contact with the worker.
+        """
+        contact = self._contacts.get(order.worker)
+        if contact is not None:
+            contact.send(order)
+            return True
+        if isinstance(order, messages.StopRun):
+            self._early.setdefault(order.worker, []).append(order)
+        return False
+
     def close(self) -> None:
         """End all contacts; what runs on workers runs on."""
         for contact in self._contacts.values():
@@ -94,6 +112,7 @@
         :param reason: What proves it.
         """
         contact = self._contacts.pop(identity, None)
+        self._early.pop(identity, None)
         worker = self._book.workers.get(identity)
         if worker is not None:
             logs.write_event(
@@ -143,6 +162,8 @@
             contact = contacts.Contact(self._owner, worker, client)
             self._contacts[entry.identity] = contact
             contact.start()
+            for order in self._early.pop(entry.identity, []):
+                contact.send(order)
 
     def _log(self, entry: fleet.Entry, revision: int) -> None:
         known = self._book.workers.get(entry.identity)
