Waves leave spare VMs for a rise; pools of spread tasks get places ahead

And the last VMs of a wave left pools of spread lasting tasks one at a time, each after a move and an upkeep: ordered at 24.6, 25.8 and 28.1 s of 26. Change: a wave that can still be in time leaves alone as many spare VMs as the pools will ask for during an upkeep (forecast 3 s ahead); how long it can wait counts empty rounds by 3 s and the last one by 5; a pool of spread tasks asks for as many VMs more as the wave closes at the same time.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -162,7 +162,11 @@
             logs.write_warning(
                 "worker.lost", worker=worker, reason="its VM is listed as down"
             )
-        for maintain in self._upkeep.decide(now, short=self._sizing.is_short):
+        for maintain in self._upkeep.decide(
+            now,
+            short=self._sizing.is_short,
+            reserved=self._sizing.count_reserved(now),
+        ):
             self._spawn(functools.partial(self._maintain, maintain))
         for move in self._sizing.decide(now):
             self._spawn(functools.partial(self._move, move))
--- a/src/rackvalve/scheduling/forecast.py
+++ b/src/rackvalve/scheduling/forecast.py
@@ -51,14 +51,17 @@
         """The newest sample, in VMs."""
         return self._samples[-1][1] if self._samples else 0.0
 
-    def expect(self, now: float) -> float:
+    def expect(self, now: float, ahead: float = LEAD_S) -> float:
         """Return the demand to come when a VM ordered now is at work, in VMs.
 
         Only what goes beyond the scatter of jobs that come at random is a
         rise that goes on.
 
         :param now: Present time, in seconds.
+        :param ahead: How far to look ahead, in seconds.
         """
+        if not self._samples:
+            return 0.0
         began, before = self._samples[0]
         for time, demand in self._samples:
             if time > now - RISE_WINDOW_S:
@@ -66,7 +69,7 @@
             began, before = time, demand
         rise = max(0.0, self.newest - before)
         rise = max(0.0, rise - SCATTER * math.sqrt(rise * self._largest))
-        return self.newest + rise * LEAD_S / max(now - began, RISE_WINDOW_S)
+        return self.newest + rise * ahead / max(now - began, RISE_WINDOW_S)
 
     def peak(self) -> float:
         """Return the greatest demand of the window, in VMs."""
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -70,6 +70,7 @@
         "wanted",
         "have",
         "spread",
+        "rotating",
     )
 
     def __init__(self) -> None:
@@ -80,6 +81,8 @@
         self.have = 0
         # Least VMs on which each lasting step has a place for all its tasks.
         self.spread = 0
+        # VMs that a wave closes at the same time, in a pool with such steps.
+        self.rotating = 0
 
     @property
     def lacks(self) -> int:
@@ -92,7 +95,7 @@
         if not self.spread:
             return LEAST
         # What leaves a VM needs a place that the others do not have.
-        return max(LEAST, self.spread + RESERVE)
+        return max(LEAST, self.spread + RESERVE + self.rotating)
 
 
 class Sizing:
@@ -152,6 +155,20 @@
         """Whether a pool still lacks VMs after all spare ones were given."""
         return any(size.lacks for size in self.pools.values())
 
+    def count_reserved(self, now: float) -> int:
+        """Return how many VMs the pools will ask for during an upkeep.
+
+        A VM that is closed now is missed until it is back; so is each one
+        that a pool needs meanwhile and that a wave has taken before.
+
+        :param now: Present time, in seconds.
+        """
+        reserved = 0
+        for size in self.pools.values():
+            expected = size.forecast.expect(now, upkeeps.AWAY_S)
+            reserved += max(0, math.ceil(expected * HEADROOM) - size.have)
+        return reserved
+
     def departing(self) -> set[str]:
         """Return the workers whose lives end with a move."""
         return set().union(*(move.workers for move in self.moving.values()))
@@ -200,6 +217,9 @@
             size = self.pools.setdefault(name, PoolSize())
             size.forecast.note(measured.get(name, demands.NONE), now)
             size.spread = spreads.get(name, 0)
+            size.rotating = 0
+            if size.spread:
+                size.rotating = self._upkeep.count_rotating(name, now)
             size.have = self._count_have(name, size)
             size.wanted = _count_wanted(size, now)
         for name in self.pools.keys() - self._book.configuration.pools.keys():
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -21,6 +21,10 @@
 # lasting tasks are stopped (1 s), the maintenance itself (2 s).  From the
 # users' sheets; only the number of VMs that are closed at once hangs on it.
 CYCLE_S = 5.0
+# Time from the order to maintain a VM until it is seen to be back: 2 s by the
+# users' sheets, up to 0.4 s until the platform's list is read again, 0.6 s
+# margin.  A VM on which nothing runs is away for no longer.
+AWAY_S = 3.0
 # Aim to be done after this part of the time that the operator gives.
 AIM = 0.75
 # Part of a pool that may be closed or away at once; and once the wave is late,
@@ -177,16 +181,20 @@
                     state.done.add(vm)
                     state.closed.discard(vm)
 
-    def decide(self, now: float, *, short: bool = False) -> list[MaintainVm]:
+    def decide(
+        self, now: float, *, short: bool = False, reserved: int = 0
+    ) -> list[MaintainVm]:
         """Close, vacate, and choose what is to be maintained now.
 
         :param now: Present time, in seconds.
         :param short: Whether pools lack VMs that nobody can give them.
+        :param reserved: How many spare VMs the pools will ask for before one
+            that is closed now is back.
         """
         chosen: list[MaintainVm] = []
         for state in self.waves.values():
             if not state.complete:
-                self._close(state, now, short=short)
+                self._close(state, now, short=short, reserved=reserved)
                 chosen.extend(self._choose(state, now))
                 self._finish(state)
         return chosen
@@ -265,17 +273,40 @@
                 later.update(state.left())
         return later
 
-    def _close(self, state: WaveState, now: float, *, short: bool) -> None:
+    def count_rotating(self, pool: str, now: float) -> int:
+        """Return how many VMs of a pool its waves close at the same time.
+
+        A pool that needs a place for each lasting task on VMs of their own
+        gives up none before it has others.
+
+        :param pool: The pool.
+        :param now: Present time, in seconds.
+        """
+        rotating = 0
+        for state in self.waves.values():
+            if state.complete:
+                continue
+            left = sum(1 for vm in state.left() if self._is_in(vm, pool))
+            rotating += math.ceil(left / self._count_rounds(state, now))
+        return rotating
+
+    def _close(
+        self, state: WaveState, now: float, *, short: bool, reserved: int
+    ) -> None:
         """Close as many VMs as the time that is left asks for.
 
-        Spare ones cost nobody anything: they go as fast as the wave bears.
-        While pools are short, a wave waits that can still be in time.
+        Spare ones go as fast as the wave bears, but for those that the pools
+        will ask for meanwhile.  While pools are short, or soon will be, a
+        wave waits that can still be in time.
         """
         left = state.left()
         wanted = self._count_wanted(state, len(left), now)
         most = state.wave.most_away + 1
-        if short and self._can_wait(state, len(left), now):
-            wanted = most = 0
+        unused = self._count_unused()
+        if self._can_wait(state, len(left), now):
+            if short or reserved > unused:
+                return
+            unused -= reserved
         open_vms = [
             vm for vm in left if vm not in state.closed and vm not in self.held
         ]
@@ -285,22 +316,50 @@
         part = LATE_PART if late else POOL_PART
         for vm in open_vms:
             busy = len(state.closed) + len(state.ordered.keys() - state.closed)
-            if busy >= (most if self._is_spare(vm) else wanted):
+            spare = self._is_spare(vm)
+            if busy >= (most if spare else wanted):
                 return
+            if spare and unused <= 0:
+                continue
             if self._may_close(vm, spreads, part):
                 state.closed.add(vm)
+                unused -= spare
 
     def _count_wanted(self, state: WaveState, left: int, now: float) -> int:
-        time = state.began + AIM * state.wave.duration - now
-        rounds = max(1.0, time / CYCLE_S)
+        rounds = self._count_rounds(state, now)
         # One more than can be away is vacated meanwhile.
         return min(math.ceil(left / rounds) + 1, state.wave.most_away + 1)
 
+    def _count_rounds(self, state: WaveState, now: float) -> float:
+        """Return how often the VMs of a round can still follow each other."""
+        time = state.began + AIM * state.wave.duration - now
+        return max(1.0, time / CYCLE_S)
+
     def _can_wait(self, state: WaveState, left: int, now: float) -> bool:
-        """Return whether a wave that pauses now can still be in time."""
+        """Return whether a wave that pauses now can still be in time.
+
+        Between rises its VMs are mostly empty and each round takes as long as
+        they are away; the last one is given time to vacate.  What goes beyond
+        that has the rest of the operator's time, which :data:`AIM` keeps.
+        """
         time = state.began + AIM * state.wave.duration - now
         rounds = math.ceil(left / max(1, state.wave.most_away))
-        return time > rounds * CYCLE_S
+        return time > (rounds - 1) * AWAY_S + CYCLE_S
+
+    def _count_unused(self) -> int:
+        """Return how many spare VMs could go to a pool now."""
+        leaving = self.leaving()
+        return sum(
+            1
+            for vm in self.vms.values()
+            if vm.up
+            and self._is_spare(vm.identity)
+            and vm.identity not in leaving
+        )
+
+    def _is_in(self, vm: str, pool: str) -> bool:
+        listed = self.vms.get(vm)
+        return listed is not None and listed.pool == pool
 
     def _is_spare(self, vm: str) -> bool:
         listed = self.vms.get(vm)
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -248,7 +248,9 @@
             self.upkeep.take_list(self._list(), self.now)
             self.silence.look(self.now)
             for maintain in self.upkeep.decide(
-                self.now, short=self.sizing.is_short
+                self.now,
+                short=self.sizing.is_short,
+                reserved=self.sizing.count_reserved(self.now),
             ):
                 function = functools.partial(self._maintain, maintain)
                 self.at(self.now + ORDER_S, function)
