--- a/features/turns.feature
+++ b/features/turns.feature
@@ -5,10 +5,10 @@
 Feature: Waves and sizes while the pools' demand comes in turns
 
   Scenario: A wave leaves spare VMs alone that a rise will need
-    Given a pool of 3 VMs and 160 spare VMs
-    And a wave over 120 of the spare VMs that bears 50 away in 27 seconds
+    Given a pool of 3 VMs and 100 spare VMs
+    And a wave over 90 of the spare VMs that bears 50 away in 27 seconds
     When 4 jobs for 1 VM come each 0.1 s for 0.5 s, and the wave begins
-    Then some VMs are maintained, and enough are left for another 1.6 s of the rise
+    Then enough of them are left for another 1.6 s of the rise
 
   Scenario: A wave uses the time between two turns to the full
     Given a pool of 3 VMs and 60 spare VMs
@@ -17,8 +17,8 @@
     Then 30 VMs are maintained at once
 
   Scenario: A wave that can not wait any longer takes the spare VMs there are
-    Given a pool of 3 VMs and 60 spare VMs
-    And a wave over 40 of the spare VMs that bears 30 away in 10 seconds
+    Given a pool of 3 VMs and 120 spare VMs
+    And a wave over 110 of the spare VMs that bears 30 away in 10 seconds
     When 4 jobs for 1 VM come each 0.1 s for 0.5 s, and the wave begins
     Then 30 VMs are maintained at once
 
@@ -29,3 +29,13 @@
     When a lasting step of 14 small tasks runs there, at most 2 on a worker
     And a wave over all VMs of the pool bears 8 away in 20 seconds
     Then 1 VM is closed, and 4 move to the pool for it and for the next 3
+
+  Scenario: The first VMs of a turn are ordered at its first jobs
+    Given a pool of 3 VMs and 160 spare VMs
+    When a turn has begun 0.2 s ago with 5 jobs for 1 VM each 0.1 s
+    Then VMs for 70 % of what will come in 1.6 s are on their way
+
+  Scenario: Two jobs that come together by chance are no turn
+    Given a pool of 3 VMs and 160 spare VMs
+    When a turn has begun 0.2 s ago with 1 jobs for 1 VM each 0.1 s
+    Then the pool is expected to need 4 VMs at the most
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -127,6 +127,7 @@
         self.pools: dict[str, PoolSize] = {}
         # Moves by VM, until the list shows the VM in its new pool.
         self.moving: dict[str, Move] = {}
+        upkeep.moving = self.moving.keys()
         self.arrived: dict[str, float] = {}
 
     def leaving(self) -> set[str]:
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import dataclasses
 import math
 
@@ -118,7 +119,7 @@
     :param book: The book whose workers are closed and vacated.
     """
 
-    __slots__ = ("_book", "waves", "vms", "read", "held")
+    __slots__ = ("_book", "waves", "vms", "read", "held", "moving")
 
     def __init__(self, book: books.Book) -> None:
         self._book = book
@@ -128,6 +129,8 @@
         self.read = float("-inf")
         # VMs that an earlier owner has just given orders to.
         self.held: frozenset[str] = frozenset()
+        # VMs on their way to another pool: the platform maintains none.
+        self.moving: Collection[str] = frozenset()
 
     @property
     def is_busy(self) -> bool:
@@ -308,7 +311,7 @@
                 return
             unused -= reserved
         open_vms = [
-            vm for vm in left if vm not in state.closed and vm not in self.held
+            vm for vm in left if vm not in state.closed and self._is_free(vm)
         ]
         open_vms.sort(key=self._cost)
         spreads = measure_spreads(self._book)
@@ -355,8 +358,13 @@
             if vm.up
             and self._is_spare(vm.identity)
             and vm.identity not in leaving
+            and self._is_free(vm.identity)
         )
 
+    def _is_free(self, vm: str) -> bool:
+        """Return whether no other order to a VM is under way."""
+        return vm not in self.held and vm not in self.moving
+
     def _is_in(self, vm: str, pool: str) -> bool:
         listed = self.vms.get(vm)
         return listed is not None and listed.pool == pool
@@ -412,7 +420,7 @@
                 break
             if vm not in state.closed or state.not_before.get(vm, 0.0) > now:
                 continue
-            if vm in self.held:
+            if not self._is_free(vm):
                 continue
             if not self.vacate(vm, CLOSED, PATIENCE_S, now):
                 continue
