A wave keeps its time when the owner changes

Cause: each new owner took a wave as begun when it learned of it. Ruled out: the wave's pace, the platform's refusals (none after 17.4 s). Change: the record of a wave tells how long it has been under way and when that was written; where the time of day has jumped ahead the wave only hurries.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -11,6 +11,7 @@
 from rackvalve.manager import view
 from rackvalve.platform import machines
 from rackvalve.platform import store as stores
+from rackvalve.scheduling import fleet
 from rackvalve import telemetry
 
 
@@ -145,3 +146,61 @@
     assert len(context.machines.sent) == 3
     assert len({order[:3] for order in context.machines.sent}) == 1
     assert isinstance(context.outcome, machines.Ordered)
+
+
+WAVE = fleet.Wave(number=1, vms=("w0",), duration=30.0, most_away=1)
+# How far the time of day goes beyond the steady clock.
+JUMPS = {"not jumped": 0, "gone back by 5 s": -5, "jumped ahead by 5 s": 5}
+
+
+class FakeClocks:
+    """A steady clock and the time of day."""
+
+    def __init__(self):
+        self.steady = 1000.0
+        self.jumped = 0.0
+
+    def read_steady(self):
+        return self.steady
+
+    def read_wall(self):
+        return 5000.0 + self.steady + self.jumped
+
+
+@behave.given("an owner that took a wave of 30 seconds 12 seconds ago")
+def take_wave(context):
+    context.clocks = FakeClocks()
+    make_caretaker(context, [], [])
+    with mock.patch.object(caretaker, "clocks", context.clocks):
+        context.caretaker._view.waves[1] = WAVE
+        context.caretaker._take_waves()
+        context.clocks.steady += 12.0
+        context.caretaker._writer = mock.Mock()
+        context.caretaker._record_waves()
+        rows = context.caretaker._writer.mark.call_args_list
+        context.payload = rows[0].args[1]().payload
+
+
+@behave.when(
+    "another owner takes over 2 seconds later, by a clock that has {jumped}"
+)
+def take_over_wave(context, jumped):
+    make_caretaker(context, [], [])
+    context.clocks.steady += 2.0
+    context.clocks.jumped = JUMPS[jumped]
+    item = stores.Item(
+        key=f"{caretaker.PREFIX}1",
+        payload=context.payload,
+        revision=1,
+        created=1,
+    )
+    with mock.patch.object(caretaker, "clocks", context.clocks):
+        context.caretaker._view.waves[1] = WAVE
+        context.caretaker.load((item,))
+
+
+@behave.then("the wave has {left:d} seconds left")
+def check_time_left(context, left):
+    state = context.caretaker._upkeep.waves[1]
+    until = state.began + WAVE.duration
+    assert until - context.clocks.steady == left, until
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -225,7 +225,7 @@
 @behave.when("a new owner takes over and 2 of them were ordered just before")
 def restore_wave(context):
     context.ordered = context.vms[:2]
-    context.upkeep.restore(1, context.ordered, [])
+    context.upkeep.restore(1, context.ordered, [], context.bench.now)
     context.upkeep.held = frozenset(context.ordered)
 
 
--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -214,7 +214,7 @@
 @behave.when("an owner that had ordered 1 VM and finished 2 is replaced")
 def restore(context):
     ordered, *done = context.vms[:3]
-    context.upkeep.restore(1, [ordered], done)
+    context.upkeep.restore(1, [ordered], done, context.bench.now)
     context.expected = {ordered}
 
 
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -30,6 +30,17 @@
     When an owner that had ordered 1 VM and finished 2 is replaced
     Then the ordered VM is ordered again and the finished ones are not
 
+  Scenario Outline: A wave keeps its time when the owner changes
+    Given an owner that took a wave of 30 seconds 12 seconds ago
+    When another owner takes over 2 seconds later, by a clock that has <jumped>
+    Then the wave has <left> seconds left
+
+    Examples:
+      | jumped              | left |
+      | not jumped          | 16   |
+      | gone back by 5 s    | 18   |
+      | jumped ahead by 5 s | 11   |
+
   Scenario: VMs that an earlier owner has just ordered are left alone
     Given a pool of 4 VMs and a wave over all of them that bears 4 away
     When 3 of the VMs were ordered lately by another owner
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -34,6 +34,22 @@
 class _Record(msgspec.Struct):
     ordered: list[str] = []
     done: list[str] = []
+    # How long the wave had been under way when this was written, in seconds,
+    # and when that was, in seconds since 1970.  Without them each owner gave
+    # the wave its whole time anew: 8 and 9 of 128 and 147 VMs were late.
+    elapsed: float = 0.0
+    written: float = 0.0
+
+    def count_elapsed(self, wall: float) -> float:
+        """Return how long the wave has been under way by now.
+
+        Where the time of day has jumped ahead, the wave only hurries.
+
+        :param wall: Present time, in seconds since 1970.
+        """
+        if not self.written:
+            return 0.0
+        return self.elapsed + max(0.0, wall - self.written)
 
 
 class Caretaker:
@@ -98,7 +114,13 @@
                 continue
             number = item.key.removeprefix(PREFIX)
             record = msgspec.json.decode(item.payload, type=_Record)
-            self._upkeep.restore(int(number), record.ordered, record.done)
+            elapsed = record.count_elapsed(clocks.read_wall())
+            self._upkeep.restore(
+                int(number),
+                record.ordered,
+                record.done,
+                clocks.read_steady() - elapsed,
+            )
 
     def run(self) -> None:
         """Look after the VMs, until the greenlet is killed."""
@@ -320,7 +342,7 @@
             self._recorded[number] = record
             self._writer.mark(
                 f"{PREFIX}{number}",
-                functools.partial(_make_record, record),
+                functools.partial(_make_record, record, state.began),
             )
 
     def _publish_status(self, number: int, state: upkeeps.WaveState) -> None:
@@ -343,5 +365,10 @@
     )
 
 
-def _make_record(record: _Record) -> backlogs.Record:
-    return backlogs.Record(payload=msgspec.json.encode(record))
+def _make_record(record: _Record, began: float) -> backlogs.Record:
+    timed = msgspec.structs.replace(
+        record,
+        elapsed=clocks.read_steady() - began,
+        written=clocks.read_wall(),
+    )
+    return backlogs.Record(payload=msgspec.json.encode(timed))
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -150,17 +150,19 @@
         return True
 
     def restore(
-        self, number: int, ordered: list[str], done: list[str]
+        self, number: int, ordered: list[str], done: list[str], began: float
     ) -> None:
         """Go on where an earlier owner has ended.
 
         :param number: Number of the wave.
         :param ordered: VMs whose order may have reached the platform.
         :param done: VMs that are back.
+        :param began: When the wave began, as well as that is known.
         """
         state = self.waves.get(number)
         if state is None:
             return
+        state.began = min(state.began, began)
         state.done = set(done)
         # An order is repeated once the VM is empty: the platform knows
         # whether it was carried out.
