Revert the sorting of a backlog by worth

Ruled out: nothing further; its room is reckoned without regard to how tasks fit on VMs, and a job put aside starts late even where room turns up. Change: scheduling/overload and its use go; objectives of jobs stay a module. Conclusion: reverted.

--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -411,7 +411,6 @@
             if configuration.version != self._book.configuration.version:
                 self._book.set_configuration(configuration)
         self._planner.stop_and_release(now)
-        self._planner.weigh_backlog(now)
         self._roster.forget_gone(now)
         self._recorder.publish_waiting(now)
         self._recorder.collect(now, clocks.read_wall())
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -52,7 +52,6 @@
         "_inherited_until",
         "durations",
         "speeds",
-        "coming",
     )
 
     def __init__(
@@ -82,8 +81,6 @@
         # Mean time of a task that ended well, by queue, in seconds.
         self.durations: dict[str, float] = {}
         self.speeds = speeds.Speeds()
-        # VMs that each pool has or will soon have, as far as that is known.
-        self.coming: dict[str, int] = {}
 
     def set_configuration(self, configuration: queues.Configuration) -> None:
         """Take a newer configuration.
--- a/src/rackvalve/scheduling/objectives.py
+++ b/src/rackvalve/scheduling/objectives.py
@@ -18,10 +18,8 @@
 
     LASTING = 0
     IN_TIME = 1
-    # It could be in time if others were not; see ``overload``.
-    PUT_ASIDE = 2
-    LATE = 3
-    WORTHLESS = 4
+    LATE = 2
+    WORTHLESS = 3
 
 
 def grade(
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -1,9 +1,8 @@
 """What starts next, and what is stopped because it gets nowhere.
 
 Order of work within a pool: priority, then jobs that last, then jobs that can
-still be in time, the one whose objective ends first; then those that are put
-aside since not all can be in time; those that are late anyway come after them,
-and those past any use to their callers last.
+still be in time, the one whose objective ends first; those that are late
+anyway come after them, and those past any use to their callers last.
 """
 
 from __future__ import annotations
@@ -17,7 +16,6 @@
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import objectives
-from rackvalve.scheduling import overload
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
@@ -57,15 +55,12 @@
     :param limits: Times to go by.
     """
 
-    __slots__ = ("_book", "_limits", "_views", "_backlog", "_late", "tickets")
+    __slots__ = ("_book", "_limits", "_views", "tickets")
 
     def __init__(self, book: books.Book, limits: Limits) -> None:
         self._book = book
         self._limits = limits
         self._views: dict[str, placement.PoolView] = {}
-        self._backlog = overload.Backlog(book)
-        # Jobs that are put aside for others that can be in time.
-        self._late: set[str] = set()
         # Admitted workers by step, for queues with an admission service.
         self.tickets: dict[str, dict[str, str]] = {}
 
@@ -92,13 +87,6 @@
             planned += self._plan_pool(view, states, now)
         return planned
 
-    def weigh_backlog(self, now: float) -> None:
-        """Choose which jobs are put aside for others that can be in time.
-
-        :param now: Present time, in seconds.
-        """
-        self._late = self._backlog.weigh(now)
-
     def stop_and_release(self, now: float) -> None:
         """Release runs that are proved over; stop those with no use here.
 
@@ -338,8 +326,6 @@
             due = first * state.job.interval
             return (float(queue.priority), grade, state.arrived + due)
         grade = objectives.grade(self._book, state, queue, now)
-        if grade is objectives.Grade.IN_TIME and state.identity in self._late:
-            grade = objectives.Grade.PUT_ASIDE
         objective = objectives.estimate_objective(self._book, state, queue)
         return (float(queue.priority), grade, state.arrived + objective)
 
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -149,9 +149,6 @@
         for name, size in self.pools.items():
             self._shrink(name, size, now, lacking=lacking)
             orders.extend(self._vacate(size, spare, now))
-        self._book.coming = {
-            name: size.have for name, size in self.pools.items()
-        }
         return orders
 
     @property
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -228,7 +228,6 @@
     def _check(self) -> None:
         if not self._is_away():
             self.planner.stop_and_release(self.now)
-            self.planner.weigh_backlog(self.now)
             for vm in self.vms.values():
                 self._hold(vm)
             self._forget_gone()
