Read anew only after a watch that was waited for in vain

Cause: read once more: a store that refuses watches at once (too many calls, or a process that it turns away) and answers readings would have been read whole without a pause.

--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -18,7 +18,8 @@
 class MutedStore:
     """Answers all calls at once but those that wait for changes."""
 
-    def __init__(self, *, silence=0.0, late=0.0):
+    def __init__(self, *, silence=0.0, late=0.0, refuses=False):
+        self.refuses = refuses
         self.began = time.monotonic()
         self.silence = silence
         self.late = late
@@ -34,6 +35,8 @@
         return stores.Range(items=tuple(self.items), revision=self.revision)
 
     def watch(self, prefix, after, wait, *, slack):
+        if self.refuses:
+            return stores.Unavailable(reason="status 429")
         muted = self.began + self.silence - time.monotonic()
         if muted > wait + slack or self.late > slack:
             gevent.sleep(wait + slack)
@@ -55,6 +58,11 @@
     context.store = MutedStore(late=late)
 
 
+@behave.given("a store that refuses watches at once")
+def refuse_watches(context):
+    context.store = MutedStore(refuses=True)
+
+
 def follow(context):
     context.seen = {}
     context.told = []
--- a/features/watches.feature
+++ b/features/watches.feature
@@ -13,3 +13,8 @@
     Given a store whose watches answer 0.5 seconds late
     When an owner follows its jobs for 4 seconds
     Then all items were read 2 times at the most
+
+  Scenario: A store that refuses watches is not read instead
+    Given a store that refuses watches at once
+    When an owner follows its jobs for 1 seconds
+    Then all items were read 1 times at the most
--- a/src/rackvalve/manager/watcher.py
+++ b/src/rackvalve/manager/watcher.py
@@ -1,8 +1,8 @@
 """Follows a prefix of the store: all items once, then each change.
 
 A store that loses its history may say nothing on watches for more than a
-second while it answers all other calls.  So a watch that fails is followed by
-a reading of all items.
+second while it answers all other calls.  So a watch that was waited for in
+vain is followed by a reading of all items.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 
 import gevent
 
+from rackvalve import clocks
 from rackvalve import logs
 from rackvalve.manager import timing
 from rackvalve.platform import store as stores
@@ -49,12 +50,15 @@
         self._pace = pace
         self._slack = pace.slack
         self._failing = False
+        # Whether a watch was waited for in vain.
+        self._silent = False
         self._revision = -1
 
     def run(self) -> None:
         """Follow the prefix, until the greenlet is killed."""
         while True:
-            if self._revision < 0 or self._failing:
+            if self._revision < 0 or self._silent:
+                self._silent = False
                 self._read_all()
             else:
                 self._wait()
@@ -78,6 +82,7 @@
 
     def _wait(self) -> None:
         # A connection that is cut silently shows only when the wait is over.
+        began = clocks.read_steady()
         changes = self._store.watch(
             self._prefix,
             self._revision,
@@ -93,6 +98,8 @@
         if isinstance(changes, stores.Unavailable):
             # The store may only be slower than was thought.
             self._slack = min(2 * self._slack, timing.WATCH_SLACK_MOST_S)
+            taken = clocks.read_steady() - began
+            self._silent = taken >= self._pace.wait
             self._note_failure("watch", changes.reason)
             return
         self._slack = max(self._pace.slack, SLACK_DECAY * self._slack)
@@ -102,7 +109,6 @@
             self._on_changes(changes)
 
     def _note_failure(self, call: str, reason: str) -> None:
-        # The first failure may be that of the watch alone.
         if not self._failing:
             logs.write_warning(
                 "dependency.lost",
@@ -111,9 +117,9 @@
                 prefix=self._prefix,
                 reason=reason,
             )
-            self._failing = True
-            return
-        gevent.sleep(timing.STORE_PAUSE_S)
+        self._failing = True
+        if not self._silent:
+            gevent.sleep(timing.STORE_PAUSE_S)
 
     def _note_success(self) -> None:
         if self._failing:
