--- a/features/steps/commit_steps.py
+++ b/features/steps/commit_steps.py
@@ -10,10 +10,8 @@
 from rackvalve.manager import timing
 from rackvalve.manager import writer as writers
 from rackvalve.platform import store as stores
+from tools.experiments import commits
 
-TICK_S = 0.001
-# Records per commit when there is one at a time: its chain takes 3 places.
-CHAINED_RECORDS = stores.COMMIT_ENTRIES - 3
 OWNER = "owner"
 
 
@@ -51,49 +49,13 @@
     context.answer = answer / 1000
 
 
-def play_backlog(answer, times):
-    """Return waits from mark to store, and calls, in virtual time."""
-    backlog = backlogs.Backlog()
-    marked, waits, under_way = {}, [], []
-    calls = 0
-    now = 0.0
-    left = list(times)
-    while left or len(waits) < len(times):
-        while left and left[0] <= now:
-            key = f"r{len(marked)}"
-            marked[key] = left.pop(0)
-            backlog.mark(key, lambda: None, now, urgent=True)
-        for due, batch in [row for row in under_way if row[0] <= now]:
-            under_way.remove((due, batch))
-            backlog.settle(batch, now)
-            waits.extend(now - marked[key] for key in batch.marks)
-        while backlog.find_wait(now) == 0:
-            under_way.append((now + answer, backlog.take(now)))
-            calls += 1
-        now += TICK_S
-    return sorted(waits), calls
-
-
-def play_chain(answer, times):
-    """Return the same for one commit at a time."""
-    waits, calls = [], 0
-    now = 0.0
-    left = list(times)
-    while left:
-        now = max(now, left[0])
-        batch = [time for time in left[:CHAINED_RECORDS] if time <= now]
-        del left[: len(batch)]
-        now += answer
-        calls += 1
-        waits.extend(now - time for time in batch)
-    return sorted(waits), calls
-
-
 @behave.when("a turn of {seconds:d} seconds marks {rate:d} records a second")
 def play_turn(context, seconds, rate):
     times = [number / rate for number in range(seconds * rate)]
-    context.waits, context.calls = play_backlog(context.answer, times)
-    context.chained, context.chain_calls = play_chain(context.answer, times)
+    context.waits, context.calls = commits.play_backlog(context.answer, times)
+    context.chained, context.chain_calls = commits.play_chain(
+        context.answer, times
+    )
 
 
 @behave.then("99 of 100 records are in the store within {bound:d} ms")
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -9,6 +9,7 @@
 import sys  # noqa: E402
 
 from tools.experiments import capacity  # noqa: E402
+from tools.experiments import commits  # noqa: E402
 from tools.experiments import control  # noqa: E402
 from tools.experiments import cores  # noqa: E402
 from tools.experiments import decisions  # noqa: E402
@@ -26,6 +27,7 @@
     "cores": cores.run,
     "jobs": jobs.run,
     "decisions": decisions.run,
+    "writer": commits.run,
     "once": once.run,
     "overload": overload.run,
     "faults": faults.run,
