Measure a turn's onset only where many jobs come

Change: the short window counts only where 8 jobs came within it. Conclusion: kept where it serves, off where chance decides.

--- a/src/rackvalve/scheduling/demand.py
+++ b/src/rackvalve/scheduling/demand.py
@@ -11,6 +11,9 @@
 # Jobs that came within this time are counted as new, in seconds: as long as a
 # rise of the demand is measured over.
 NEW_S = 0.5
+# And the latest of them, in seconds: as long as the onset of a turn is
+# measured over (0.2 s), and half the time between two samples.
+ARRIVALS_S = 0.25
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -19,10 +22,12 @@
 
     :param vms: In all, in VMs.
     :param largest: By the largest of the jobs that have just come, in VMs.
+    :param arrivals: Jobs that came within :data:`ARRIVALS_S`.
     """
 
     vms: float
     largest: float
+    arrivals: int = 0
 
 
 NONE = Demand(vms=0.0, largest=0.0)
@@ -44,6 +49,7 @@
         used = worker.entry.capacity.minus(worker.free)
         needs[pool] = needs.get(pool, fleet.EMPTY).plus(used)
     largest: dict[str, float] = {}
+    arrivals: dict[str, int] = {}
     for state in book.open_jobs.values():
         queue = book.queues.get(state.queue)
         if queue is None:
@@ -55,10 +61,13 @@
         if now - state.arrived <= NEW_S:
             own = _count_vms(_sum_first_step(state), units.get(pool))
             largest[pool] = max(largest.get(pool, 0.0), own)
+        if now - state.arrived <= ARRIVALS_S:
+            arrivals[pool] = arrivals.get(pool, 0) + 1
     return {
         pool: Demand(
             vms=_count_vms(need, units.get(pool)),
             largest=largest.get(pool, 0.0),
+            arrivals=arrivals.get(pool, 0),
         )
         for pool, need in needs.items()
     }
--- a/src/rackvalve/scheduling/forecast.py
+++ b/src/rackvalve/scheduling/forecast.py
@@ -21,9 +21,11 @@
 # a turn of 50 jobs a second asks for 55 VMs more each second from its first
 # one on, and its first jobs bear to wait for 1.4 s.
 ONSET_WINDOW_S = 0.2
-# A rise over that time counts from this many times the largest new job on: two
-# jobs that come together by chance are none.
-ONSET_JOBS = 2.5
+# It counts if so many jobs came within that time: with fewer the slope is off
+# by more than a third, and VMs are moved to and fro for nothing.
+ONSET_JOBS = 8
+# And if the rise is this many times the largest of them.
+ONSET_LARGEST = 2.5
 # So many standard deviations of random arrivals are no rise; with two, large
 # pools came late (trials).
 SCATTER = 1.0
@@ -32,7 +34,7 @@
 class Forecast:
     """The recent demand of one pool, and what follows from it."""
 
-    __slots__ = ("_samples", "_largest")
+    __slots__ = ("_samples", "_largest", "_arrivals")
 
     def __init__(self) -> None:
         # Demand in VMs, with its time.
@@ -41,6 +43,7 @@
         )
         # What the largest of the jobs asks for that have just come, in VMs.
         self._largest = 0.0
+        self._arrivals = 0
 
     def note(self, demand: demands.Demand, now: float) -> None:
         """Take a sample.
@@ -50,6 +53,7 @@
         """
         self._samples.append((now, demand.vms))
         self._largest = demand.largest
+        self._arrivals = demand.arrivals
         while self._samples[0][0] < now - PEAK_WINDOW_S:
             self._samples.popleft()
 
@@ -70,10 +74,11 @@
         if not self._samples:
             return 0.0
         slope = self._measure_slope(now, RISE_WINDOW_S, least=0.0)
-        onset = self._measure_slope(
-            now, ONSET_WINDOW_S, least=ONSET_JOBS * self._largest
-        )
-        return self.newest + max(slope, onset) * ahead
+        if self._arrivals >= ONSET_JOBS:
+            least = ONSET_LARGEST * self._largest
+            onset = self._measure_slope(now, ONSET_WINDOW_S, least=least)
+            slope = max(slope, onset)
+        return self.newest + slope * ahead
 
     def _measure_slope(
         self, now: float, window: float, *, least: float
