--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -36,7 +36,7 @@
     done: list[str] = []
     # How long the wave had been under way when this was written, in seconds,
     # and when that was, in seconds since 1970.  Without them each owner gave
-    # the wave its whole time anew: 8 and 9 of 128 and 147 VMs were late.
+    # the wave its whole time anew (8 of 147 VMs late in a play).
     elapsed: float = 0.0
     written: float = 0.0
 
