Bound the doubling of a commit's time limit

Cause: read once more: the limit of a try was 0.4 s times 2 to the number of tries before it was cut to 1.6 s. After 1,024 tries, some 100 s of a store that resets or refuses, that number no longer converts: the owner would have ended by an unexpected error in the middle of a long outage. Ruled out: the watch's slack (bounded at each step), a worker's pause (bounded). Change: the limit doubles ten times at most; its bound is as it was.

--- a/features/commits.feature
+++ b/features/commits.feature
@@ -66,3 +66,8 @@
     Given a writer whose ownership another process has taken
     When a writer writes it
     Then nothing is in the store and the owner is deposed
+
+  Scenario: A commit is tried on through an outage of any length
+    Given a writer whose calls to the store are all reset at once
+    When its commit is tried for the 5000th time
+    Then it waits as long as any try for its answer
--- a/features/steps/commit_steps.py
+++ b/features/steps/commit_steps.py
@@ -292,3 +292,13 @@
 def check_deposed(context):
     assert "record" not in context.store.items
     assert len(context.deposed) == 1, context.deposed
+
+
+@behave.when("its commit is tried for the {number:d}th time")
+def try_late(context, number):
+    context.limit = writers._choose_timeout(number - 1)
+
+
+@behave.then("it waits as long as any try for its answer")
+def check_limit(context):
+    assert context.limit == timing.COMMIT_TIMEOUT_MOST_S, context.limit
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -27,6 +27,10 @@
     | stores.Unknown
 )
 
+# The time limit of a try doubles so often at most: an outage has any number of
+# tries, and the limit's bound is reached long before.
+_MOST_DOUBLINGS = 10
+
 
 class Writer:
     """Writes what one owner marks.
@@ -190,5 +194,6 @@
 
     :param tries: How many went before.
     """
-    longer: float = timing.COMMIT_TIMEOUT_S * 2**tries
+    doubled = 2 ** min(tries, _MOST_DOUBLINGS)
+    longer: float = timing.COMMIT_TIMEOUT_S * doubled
     return min(longer, timing.COMMIT_TIMEOUT_MOST_S)
