Hold each workspace within its bound, over all pools

Ruled out: counting confirmed runs only (a start without an answer may be carried out seconds later); a share of the bound for each pool (a workspace could not use what it has paid for); stopping runs for a lowered bound (the work would be thrown away, and nobody asked for it).

Change: the book sums what each workspace may have running: runs that are being stopped, on silent workers, or recorded by the owner before count until they are proved over. A task starts only within the bound, whoever has nothing running may start one. Work that its bound holds back asks for no VM.

--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -17,6 +17,8 @@
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
+from rackvalve.workspaces import account as accounts
+from rackvalve.workspaces import usage
 
 # After these words a worker is avoided for a while (seconds): its own count
 # of its room is right again once what is being stopped has ended.
@@ -52,6 +54,7 @@
         "_inherited_until",
         "durations",
         "speeds",
+        "usage",
     )
 
     def __init__(
@@ -81,6 +84,8 @@
         # Mean time of a task that ended well, by queue, in seconds.
         self.durations: dict[str, float] = {}
         self.speeds = speeds.Speeds()
+        # What each workspace may have running.
+        self.usage = usage.Usage()
 
     def set_configuration(self, configuration: queues.Configuration) -> None:
         """Take a newer configuration.
@@ -109,6 +114,7 @@
             for run in task.runs.values():
                 worker = self._worker_of(run.worker)
                 worker.add(workers.Placed(state, task, run))
+                self._count_run(state, task)
         state.open_steps(wall)
 
     def cancel_job(self, identity: str, wall: float) -> None:
@@ -190,6 +196,7 @@
         if state.phase is progress.Phase.QUEUED:
             state.phase = progress.Phase.RUNNING
         worker.add(workers.Placed(state, task, run))
+        self._count_run(state, task)
         self.mark(state, urgent=True)
         return run
 
@@ -205,7 +212,9 @@
         worker = self.workers.get(placed.run.worker)
         if worker is not None:
             worker.drop(placed)
-        placed.task.runs.pop(placed.run.number, None)
+        if placed.task.runs.pop(placed.run.number, None) is not None:
+            ask = fleet.ask_of(placed.step)
+            self.usage.drop(placed.state.workspace, ask)
         placed.state.requeue(placed.task, now + delay)
         self.mark(placed.state)
 
@@ -359,6 +368,25 @@
                 counts[state.queue] = counts.get(state.queue, 0) + 1
         return counts
 
+    def find_workspace(
+        self, state: progress.JobState
+    ) -> accounts.Workspace | None:
+        """Return a job's workspace.
+
+        :param state: The job.
+        :return: The workspace; ``None`` for a job of none, or of one that
+            the configuration does not name any more: that job runs on
+            without a bound, since none is known.
+        """
+        return self.configuration.workspaces.find(state.workspace)
+
+    def _count_run(
+        self, state: progress.JobState, task: progress.Task
+    ) -> None:
+        """Count a run that may come against its workspace's bound."""
+        ask = fleet.ask_of(state.step_of(task.name))
+        self.usage.add(state.workspace, ask)
+
     def _drop_planned(
         self,
         state: progress.JobState,
--- a/src/rackvalve/scheduling/demand.py
+++ b/src/rackvalve/scheduling/demand.py
@@ -50,13 +50,14 @@
         needs[pool] = needs.get(pool, fleet.EMPTY).plus(used)
     largest: dict[str, float] = {}
     arrivals: dict[str, int] = {}
+    bounds = _Bounds(book)
     for state in book.open_jobs.values():
         queue = book.queues.get(state.queue)
         if queue is None:
             continue
         pool = queue.pool
         if state.waiting:
-            waiting = _sum_waiting(state)
+            waiting = bounds.take(state, _sum_waiting(state))
             needs[pool] = needs.get(pool, fleet.EMPTY).plus(waiting)
         if now - state.arrived <= NEW_S:
             own = _count_vms(_sum_first_step(state), units.get(pool))
@@ -73,6 +74,31 @@
     }
 
 
+class _Bounds:
+    """What the bounds of workspaces leave for work that waits.
+
+    Work beyond its workspace's bound asks for no VM: it could not run there.
+    """
+
+    __slots__ = ("_book", "_left")
+
+    def __init__(self, book: books.Book) -> None:
+        self._book = book
+        self._left: dict[str, fleet.Room] = {}
+
+    def take(self, state: progress.JobState, room: fleet.Room) -> fleet.Room:
+        """Return the part of a job's room that may run, and count it."""
+        workspace = self._book.find_workspace(state)
+        if workspace is None or workspace.bound == fleet.EMPTY:
+            return room
+        left = self._left.get(workspace.name)
+        if left is None:
+            left = self._book.usage.left(workspace)
+        allowed = room.within(left)
+        self._left[workspace.name] = left.minus(allowed)
+        return allowed
+
+
 def _sum_waiting(state: progress.JobState) -> fleet.Room:
     """Return the room that the waiting tasks of a job need."""
     total = fleet.EMPTY
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -209,12 +209,19 @@
         # either.
         full: list[fleet.Room] = []
         for state in states:
+            workspace = self._book.find_workspace(state)
             by_step = _group_ready(state, now)
             for (repetition, number), tasks in by_step.items():
                 step = state.job.steps[number]
                 need = fleet.need_of(step)
                 if any(_covers(need, other) for other in full):
                     continue
+                allowed = self._book.usage.count_allowed(
+                    workspace, fleet.ask_of(step), len(tasks)
+                )
+                if step.gang and allowed < len(tasks):
+                    continue
+                tasks = tasks[:allowed]
                 count = self._plan_step(
                     view, state, step, repetition, number, tasks, need, now
                 )
