An owner goes on after an outage: its term proves that nobody followed it

Ruled out: longer leases (each lost owner would cost more); the old rule with a wait for others alone (the owner had to read everything anew all the same).

Change: an owner's term is a key without a lease, written with the leased one; its revision is the fencing token and the condition of every record. While it stands the owner opens a new lease and goes on with what it knows. What the store has told counts from the sending of the call, since a successor counts from its own taking on, which may lie between that and the answer.

--- /dev/null
+++ b/features/outages.feature
@@ -0,0 +1,37 @@
+# The store was silent for 5.6 s and its leases ended, while one queue asked for
+# five times its mean: of 8.7 s without a start 3.1 came after its return, since
+# a small VM heard of the free ownership first, read 1,700 jobs and was asked to
+# hand over to a larger one; the owner before knew all of it.
+Feature: An outage of the store costs what it lasts
+
+  Scenario: A living owner whose lease has ended goes on under its token
+    Given an owner on the largest VM and 3 others in one store
+    When the store says nothing for 5.6 s and its leases end
+    Then 1.0 s after its return the same owner holds the key, under its token
+    And nobody else has taken the ownership
+
+  Scenario: Whoever hears first after an outage lets the owner before go on
+    Given a VM of 2.0 cores that has seen one of 2.0 cores
+    Then it waits 700 ms before it takes an ownership that is free since an outage
+    And 0 ms before it takes one that is free 5.0 s after an outage
+
+  Scenario: An owner that died in the outage is followed by another one
+    Given an owner on the largest VM and 3 others in one store
+    When the store says nothing for 2.5 s and its leases end, and the owner dies
+    Then 2.0 s after its return another one owns, under a greater token
+
+  Scenario: An owner whose term was taken meanwhile goes on with nothing
+    Given an owner on the largest VM and 3 others in one store
+    When the owner alone is cut off for 4.0 s
+    Then another one owns, under a greater token
+    And the first one is deposed when it hears of it and has written nothing
+
+  Scenario: An owner whose key was taken away takes it anew, under its token
+    Given an owner on the largest VM and 3 others in one store
+    When its key is taken away 5 times, once a second
+    Then each time one process owns, and the tokens never fall
+
+  Scenario: An owner that is to end while it takes its key anew leaves no key
+    Given an owner on the largest VM and 3 others in one store
+    When its key is taken away and it is told to hand over at the same time
+    Then 1.0 s later another one owns, under a greater token
--- a/features/steps/commit_steps.py
+++ b/features/steps/commit_steps.py
@@ -208,7 +208,7 @@
         context.store,
         stores.Condition(key=OWNER, revision=context.store.fence),
         on_deposed=context.deposed.append,
-        on_contact=lambda: None,
+        on_contact=lambda sent: None,
         spawn=gevent.spawn,
     )
 
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -46,6 +46,8 @@
     "store.failed": "A write to the store failed and is made again.",
     "watch.restarted": "The store has lost history; all is read anew.",
     "ownership.taken": "This process schedules from now on.",
+    "ownership.kept": "This process goes on after its lease had ended: its "
+    "term stands.",
     "ownership.deposed": "Another owner was found; says by what.",
     "ownership.lost": "This process schedules no more.",
     "ownership.resigned": "This process handed the ownership over; says why.",
--- a/src/rackvalve/manager/candidacy.py
+++ b/src/rackvalve/manager/candidacy.py
@@ -20,6 +20,11 @@
 # How long the smallest VM waits before it takes a free ownership, in seconds:
 # a larger one needs three calls to the store, of 4 ms each.
 SMALLEST_WAIT_S = 0.25
+# After an outage processes hear of the free ownership at different
+# times.  The owner before, which knows all, is left this long to go on, in
+# seconds: it asks every 0.65 s while the store is silent, and needs two more
+# calls.  A new owner would read all jobs and find all workers first.
+RETURN_GRACE_S = 0.7
 # An owner is asked to hand over only after this time, in seconds: until then
 # it may be loading, or about to hear of another request.
 SETTLED_S = 2.0
@@ -78,15 +83,18 @@
         return Standing(own=self.own, most=holder.cores)
 
 
-def count_wait(standing: Standing) -> float:
+def count_wait(standing: Standing, since_return: float) -> float:
     """Return how long a process waits before it takes a free ownership.
 
     :param standing: The process's own VM and the others.
+    :param since_return: Time since the store was first heard again after an
+        outage, in seconds; infinity if there was none.
     :return: Time in seconds; 0 on the largest VM that was seen.
     """
+    grace = max(0.0, RETURN_GRACE_S - since_return)
     if standing.most <= standing.own:
-        return 0.0
-    return SMALLEST_WAIT_S * (1 - standing.own / standing.most)
+        return grace
+    return grace + SMALLEST_WAIT_S * (1 - standing.own / standing.most)
 
 
 def is_worth_asking(
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -1,10 +1,13 @@
-"""Who owns the scheduling: one process of the site, by a key in the store.
+"""Who owns the scheduling: one process of the site, by two keys in the store.
 
-The key's creation revision is the owner's fencing token, so that tokens
-rise with each change of owner.  The key ends with its holder's lease, which
-only says that another process may try; workers that have taken a greater
-token are what ends an owner's rights.  :mod:`rackvalve.manager.candidacy`
-decides which process goes first.
+An owner's term is a key without a lease, written by whoever takes the
+ownership; its revision is the fencing token, so that tokens rise with each
+change of owner, and every record of the owner is written under the condition
+that it still stands.  Beside it a key with the owner's lease keeps others from
+trying.  The end of that lease proves nothing against the owner: an outage of
+the store ends it though the owner is well.  While the term stands nobody else
+has owned meanwhile, and the owner opens a new lease and goes on with all that
+it knows.  :mod:`rackvalve.manager.candidacy` decides which process goes first.
 """
 
 from __future__ import annotations
@@ -29,11 +32,12 @@
 
 PREFIX = "owner/"
 KEY = PREFIX + "scheduling"
+TERM_KEY = PREFIX + "term"
 # The last process that has asked the owner to hand over.
 REQUEST_KEY = PREFIX + "request"
 # Candidates try at different times, so that one wins without conflict.
 CANDIDACY_SPREAD_S = 0.02
-_HELD_BY_ANOTHER = "another process holds the ownership key"
+_TAKEN_BY_ANOTHER = "another process has taken the ownership"
 
 
 class Election:
@@ -67,6 +71,11 @@
         self._on_contact = on_contact
         self._standing = candidacy.Standing(own=cores, most=cores)
         self._holder: stores.Item | None = None
+        self._term: stores.Item | None = None
+        # When the store last answered, and when it last did so after a pause
+        # that no answer of a store that is well takes, in seconds.
+        self._answered = clocks.read_steady()
+        self._returned = float("-inf")
         # Since when the present holder is known, in seconds.
         self._held_since = 0.0
         self._request: stores.Item | None = None
@@ -84,7 +93,7 @@
             PREFIX,
             on_range=self._take_range,
             on_changes=self._take_changes,
-            on_contact=self._on_contact,
+            on_contact=self._note_answer,
         )
         gevent.spawn(watcher.run)
         while True:
@@ -99,6 +108,14 @@
             else:
                 self._ask_holder()
 
+    def _note_answer(self) -> None:
+        """Note that the store has answered, and whether it was away."""
+        now = clocks.read_steady()
+        if now - self._answered > timing.OUTAGE_S:
+            self._returned = now
+        self._answered = now
+        self._on_contact()
+
     def resign(self) -> None:
         """Hand over at once and take no further part."""
         self._resigned = True
@@ -122,6 +139,7 @@
         self._known = True
         by_key = {item.key: item for item in items}
         self._set_holder(by_key.get(KEY))
+        self._term = by_key.get(TERM_KEY)
         self._set_request(by_key.get(REQUEST_KEY))
         self._changed.set()
 
@@ -131,6 +149,8 @@
             if item.key == KEY and item.revision > newest:
                 newest = item.revision
                 self._set_holder(item)
+            elif item.key == TERM_KEY:
+                self._term = item
             elif item.key == REQUEST_KEY:
                 self._set_request(item)
         for key, revision in changes.removed:
@@ -197,8 +217,12 @@
         return request is not None and request.revision > owner.fence
 
     def _campaign(self) -> None:
-        """Take the free ownership, after larger VMs had their turn."""
-        wait = candidacy.count_wait(self._standing)
+        """Take the free ownership, after those that go first had their turn.
+
+        Larger VMs do, and after an outage the owner before.
+        """
+        since_return = clocks.read_steady() - self._returned
+        wait = candidacy.count_wait(self._standing, since_return)
         gevent.sleep(wait + random.uniform(0, CANDIDACY_SPREAD_S))
         if self._holder is not None or self._resigned:
             return
@@ -208,7 +232,10 @@
         payload = self._describe()
         outcome = self._store.commit(
             [stores.Condition(key=KEY, revision=0)],
-            [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
+            [
+                stores.Put(key=KEY, payload=payload, lease=lease.identity),
+                stores.Put(key=TERM_KEY, payload=payload),
+            ],
         )
         fence = self._find_fence(outcome, payload)
         if fence is not None and not self._resigned:
@@ -223,12 +250,12 @@
             self._owner.start()
 
     def _find_fence(self, outcome: object, payload: bytes) -> int | None:
-        """Return the fencing token if the key is this process's."""
+        """Return the fencing token if the term is this process's."""
         if isinstance(outcome, stores.Committed):
             return outcome.revision
         if isinstance(outcome, stores.Unknown):
             # If it takes effect later still, its lease has run out by then.
-            found = self._store.read(KEY)
+            found = self._store.read(TERM_KEY)
             if isinstance(found, stores.Item) and found.payload == payload:
                 return found.revision
         return None
@@ -257,34 +284,68 @@
         """
         if owner.deposed:
             return owner.deposed
-        if self._holder is not None and self._holder.created > owner.fence:
-            return _HELD_BY_ANOTHER
+        if self._term is not None and self._term.revision > owner.fence:
+            return _TAKEN_BY_ANOTHER
         return ""
 
     def _renew(self, owner: owners.Owner) -> str:
-        """Renew the lease.
+        """Renew the lease, or open another one in its place.
 
         :return: Why the ownership is lost, empty if it is not.
         """
+        began = clocks.read_steady()
         renewed = self._store.renew_lease(
             self._lease, timing.RENEWAL_TIMEOUT_S
         )
         if isinstance(renewed, stores.Unavailable):
             return ""
-        owner.note_contact(clocks.read_steady())
-        self._on_contact()
-        if renewed and self._holder is None and self._known:
+        self._note_answer()
+        if not renewed:
+            return self._hold_again(owner)
+        owner.note_contact(began)
+        if self._holder is None and self._known:
             return self._check_key(owner)
-        return "" if renewed else "the lease is over"
+        return ""
 
     def _check_key(self, owner: owners.Owner) -> str:
         """Look whether the key is really gone though the lease runs."""
         found = self._store.read(KEY)
         if isinstance(found, stores.Item):
             self._holder = found
-            if found.created == owner.fence:
-                return ""
-            return _HELD_BY_ANOTHER
         if isinstance(found, stores.Missing):
-            return "the ownership key was removed"
+            return self._hold_again(owner)
+        return ""
+
+    def _hold_again(self, owner: owners.Owner) -> str:
+        """Take the key anew under the term that stands.
+
+        :return: Why the ownership is lost, empty if it is not.
+        """
+        lease = self._store.open_lease(timing.OWNER_LEASE_S)
+        if isinstance(lease, stores.Unavailable):
+            return ""
+        began = clocks.read_steady()
+        payload = self._describe()
+        outcome = self._store.commit(
+            [
+                stores.Condition(key=KEY, revision=0),
+                stores.Condition(key=TERM_KEY, revision=owner.fence),
+            ],
+            [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
+        )
+        if isinstance(outcome, stores.Conflict):
+            term = outcome.items.get(TERM_KEY)
+            if term is None or term.revision != owner.fence:
+                return _TAKEN_BY_ANOTHER
+        if isinstance(outcome, stores.Committed):
+            if self._owner is not owner:
+                # It was told to hand over meanwhile.
+                self._store.end_lease(lease.identity)
+                return ""
+            self._lease = lease.identity
+            owner.note_contact(began)
+            logs.write_event(
+                "ownership.kept",
+                fence=owner.fence,
+            )
         return ""
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -131,7 +131,7 @@
         )
         self._writer = writers.Writer(
             resources.store,
-            stores.Condition(key=election.KEY, revision=fence),
+            stores.Condition(key=election.TERM_KEY, revision=fence),
             on_deposed=self.depose,
             on_contact=self._note_store,
             spawn=self._spawn,
@@ -183,9 +183,11 @@
         self.deposed = self.deposed or reason
 
     def note_contact(self, now: float) -> None:
-        """Note that the store knows this process as the owner.
+        """Note that the store knew this process as the owner.
 
-        :param now: Present time, in seconds.
+        :param now: When the call that told so was sent, in seconds: the next
+            owner counts from its own taking on, which may lie between that
+            and the answer.
         """
         self._heard = max(self._heard, now)
 
@@ -377,8 +379,12 @@
         caretaker.load(self._read_all(caretakers.PREFIX))
         caretaker.run()
 
-    def _note_store(self) -> None:
-        self.note_contact(clocks.read_steady())
+    def _note_store(self, sent: float) -> None:
+        """Note that a commit under the ownership was answered.
+
+        :param sent: When it was sent, in seconds.
+        """
+        self.note_contact(sent)
         self._resources.on_contact()
 
     def _note_intake(self) -> None:
--- a/src/rackvalve/manager/writer.py
+++ b/src/rackvalve/manager/writer.py
@@ -38,7 +38,8 @@
     :param store: The store.
     :param ownership: The condition that this process is the owner.
     :param on_deposed: Called when another owner is found.
-    :param on_contact: Called at each answer of the store.
+    :param on_contact: Called at each answer of the store, with the time at
+        which its call was sent, in seconds.
     :param spawn: Runs a function in a greenlet that ends with the owner.
     """
 
@@ -48,7 +49,7 @@
         ownership: stores.Condition,
         *,
         on_deposed: Callable[[str], None],
-        on_contact: Callable[[], None],
+        on_contact: Callable[[float], None],
         spawn: Callable[[Callable[[], None]], None],
     ) -> None:
         self._store = store
@@ -165,6 +166,7 @@
             gevent.sleep(max(0.0, timing.STORE_PAUSE_S - taken))
 
     def _try(self, commit: commits.Commit, tries: int) -> Outcome:
+        sent = clocks.read_steady()
         outcome = self._store.commit(
             commit.make_conditions(),
             commit.puts,
@@ -173,7 +175,7 @@
         )
         answered = isinstance(outcome, (stores.Committed, stores.Conflict))
         if answered:
-            self._on_contact()
+            self._on_contact(sent)
         self._backlog.is_failing = not answered
         self._changed.set()
         return outcome
