Cut the circle of owner, roster, contact and election by narrow ports

Cause: owner.py imported the three and each of them owner.py, under a guard for type checkers; a newcomer could not read one without the others.

No behaviour is changed.

--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 import functools
-from typing import TYPE_CHECKING
 
 import gevent
 from gevent import queue as gevent_queue
 
 from rackvalve import clocks
 from rackvalve import logs
+from rackvalve.manager import ports
 from rackvalve.manager import timing
 from rackvalve.platform import connections
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import workers
 
-if TYPE_CHECKING:
-    from rackvalve.manager import owner as owners
-
 _REJECTIONS = {
     clients.Reason.OUTDATED_RUN: messages.StartResult.OUTDATED,
     clients.Reason.NO_ROOM: messages.StartResult.NO_ROOM,
@@ -67,7 +64,7 @@
 
     def __init__(
         self,
-        owner: owners.Owner,
+        owner: ports.Overseer,
         worker: workers.WorkerState,
         client: clients.Worker,
     ) -> None:
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -14,7 +14,6 @@
 
 from collections.abc import Callable
 import random
-from typing import TYPE_CHECKING
 
 import gevent
 from gevent import event
@@ -22,14 +21,12 @@
 from rackvalve import clocks
 from rackvalve import logs
 from rackvalve.manager import candidacy
+from rackvalve.manager import ports
 from rackvalve.manager import timing
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import store as stores
 from rackvalve import telemetry as telemetries
 
-if TYPE_CHECKING:
-    from rackvalve.manager import owner as owners
-
 PREFIX = "owner/"
 KEY = PREFIX + "scheduling"
 TERM_KEY = PREFIX + "term"
@@ -58,7 +55,7 @@
         name: str,
         *,
         cores: float,
-        make_owner: Callable[[int], owners.Owner | None],
+        make_owner: Callable[[int], ports.Tenure | None],
         may_own: Callable[[], bool],
         telemetry: telemetries.Telemetry,
         on_contact: Callable[[], None],
@@ -81,7 +78,7 @@
         self._request: stores.Item | None = None
         self._known = False
         self._changed = event.Event()
-        self._owner: owners.Owner | None = None
+        self._owner: ports.Tenure | None = None
         self._lease = 0
         self._resigned = False
         self._tries = 0
@@ -211,7 +208,7 @@
             outcome=type(outcome).__name__,
         )
 
-    def _is_asked(self, owner: owners.Owner) -> bool:
+    def _is_asked(self, owner: ports.Tenure) -> bool:
         """Return whether a larger VM has asked this owner to hand over."""
         request = self._request
         return request is not None and request.revision > owner.fence
@@ -277,7 +274,7 @@
             self._owner = None
             self._changed.set()
 
-    def _find_successor(self, owner: owners.Owner) -> str:
+    def _find_successor(self, owner: ports.Tenure) -> str:
         """Look whether another owner is known already.
 
         :return: What shows it, empty if none is known.
@@ -288,7 +285,7 @@
             return _TAKEN_BY_ANOTHER
         return ""
 
-    def _renew(self, owner: owners.Owner) -> str:
+    def _renew(self, owner: ports.Tenure) -> str:
         """Renew the lease, or open another one in its place.
 
         :return: Why the ownership is lost, empty if it is not.
@@ -307,7 +304,7 @@
             return self._check_key(owner)
         return ""
 
-    def _check_key(self, owner: owners.Owner) -> str:
+    def _check_key(self, owner: ports.Tenure) -> str:
         """Look whether the key is really gone though the lease runs."""
         found = self._store.read(KEY)
         if isinstance(found, stores.Item):
@@ -316,7 +313,7 @@
             return self._hold_again(owner)
         return ""
 
-    def _hold_again(self, owner: owners.Owner) -> str:
+    def _hold_again(self, owner: ports.Tenure) -> str:
         """Take the key anew under the term that stands.
 
         :return: Why the ownership is lost, empty if it is not.
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import gevent
 
@@ -11,6 +10,7 @@
 from rackvalve import errors
 from rackvalve import logs
 from rackvalve.manager import contact as contacts
+from rackvalve.manager import ports
 from rackvalve.manager import timing
 from rackvalve.platform import connections
 from rackvalve.platform import documents
@@ -20,9 +20,6 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 
-if TYPE_CHECKING:
-    from rackvalve.manager import owner as owners
-
 
 class Roster:
     """The workers of one owner.
@@ -36,7 +33,7 @@
 
     def __init__(
         self,
-        owner: owners.Owner,
+        owner: ports.Overseer,
         book: books.Book,
         *,
         on_change: Callable[[], None],
