Start a second run of what a silent worker may never end, where that is allowed

Cause: what runs behind a hall's cut, or on a worker that fell silent, waits 4.4 s for the end of its lease, 8.4 s after a change of owner; its jobs bear to wait for some 1.4 s.

Change: a task that bears copies, whose only run is on a worker without an answer for 0.9 s, gets a second run elsewhere, within its workspace's bound; whichever ends first counts, the other is stopped. A new owner first asks for as long.

--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -52,6 +52,7 @@
         "orders",
         "changed",
         "queues",
+        "began",
         "_inherited_until",
         "durations",
         "speeds",
@@ -82,6 +83,8 @@
         # Jobs whose record in the store is to be written, in order, and
         # whether something waits for it.
         self.changed: dict[str, bool] = {}
+        # When this owner took over, in seconds.
+        self.began = now
         self._inherited_until = now + inherited_lease
         # Mean time of a task that ended well, by queue, in seconds.
         self.durations: dict[str, float] = {}
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -107,10 +107,48 @@
                 continue
             for placed in list(worker.runs.values()):
                 self._check_run(worker, placed, now)
+            if self._is_silent(worker, now):
+                self._copy_runs(worker, now)
             self._book.speeds.judge(worker, self._book.durations, now)
             if now < worker.slow_until:
                 self._move_stragglers(worker, now)
 
+    def _is_silent(self, worker: workers.WorkerState, now: float) -> bool:
+        """Return whether a worker has not answered this owner for a while."""
+        heard = max(worker.answered, self._book.began)
+        return now - heard > self._limits.freshness
+
+    def _copy_runs(self, worker: workers.WorkerState, now: float) -> None:
+        """Start second runs of what a silent worker may never end.
+
+        Only steps that bear two runs of a task get them.  All others wait for
+        the proof that the first run is over: 4.4 s for the end of its lease,
+        8.4 s after a change of owner, where a task takes 0.6 to 1.7 s.
+        """
+        for placed in list(worker.runs.values()):
+            queue = self._book.queues.get(placed.state.queue)
+            if queue is None or queue.advice is not None:
+                continue
+            if not _may_copy(placed):
+                continue
+            view = self._view(queue.pool, now)
+            self._place_copy(view, placed, now)
+
+    def _place_copy(
+        self, view: placement.PoolView, placed: workers.Placed, now: float
+    ) -> None:
+        state, task, step = placed.state, placed.task, placed.step
+        workspace = self._book.find_workspace(state)
+        ask = fleet.ask_of(step)
+        if not self._book.usage.count_allowed(workspace, ask, 1):
+            return
+        name = task.name
+        used = _count_used(state, name.repetition, name.step, step)
+        worker = view.choose(step, task, placed.need, used, now=now)
+        if worker is not None:
+            number = state.take_run_number()
+            self._book.place(state, task, worker, number, now)
+
     def _move_stragglers(
         self, worker: workers.WorkerState, now: float
     ) -> None:
@@ -343,6 +381,16 @@
         return (float(queue.priority), grade, state.arrived + objective)
 
 
+def _may_copy(placed: workers.Placed) -> bool:
+    """Return whether a second run of a task may start beside this one."""
+    step, task = placed.step, placed.task
+    if not step.copies_allowed or step.gang or step.lasting:
+        return False
+    if placed.state.is_final or task.done or placed.run.stop_wanted:
+        return False
+    return len(task.runs) == 1
+
+
 def _covers(need: fleet.Room, other: fleet.Room) -> bool:
     """Return whether a need is in all ways at least another one."""
     return need.fits(other)
