--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -96,7 +96,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Target:
+class Match:
     """What a configuration says of a request's path and key.
 
     :param queue: The queue; ``None`` if there is none of this path.
@@ -202,28 +202,28 @@
         shown = credentials.read(environ.get(callers.KEY_HEADER))
         # A right that is found may be a little old; that there is none must
         # be true now, since it may have been given a moment ago.
-        known = self._find_target(host, path, shown).allowed
+        known = self._find_match(host, path, shown).allowed
         since = now - timing.VIEW_AGE_S if known else now
         if not self._currency.confirm(since, until):
             return _refuse("the newest configuration is not known")
-        target = self._find_target(host, path, shown)
-        if target.queue is None:
+        match = self._find_match(host, path, shown)
+        if match.queue is None:
             return Reply(
                 status=http.HTTPStatus.NOT_FOUND, reason="no such queue"
             )
-        if not target.allowed:
+        if not match.allowed:
             return self._challenge(shown)
-        return self._answer_path(target, path, environ, until)
+        return self._answer_path(match, path, environ, until)
 
-    def _find_target(
+    def _find_match(
         self,
         host: str,
         path: str,
         shown: credentials.Shown | credentials.Unusable,
-    ) -> Target:
+    ) -> Match:
         configuration = self._view.configuration
         assert configuration is not None
-        return Target(
+        return Match(
             queue=self._find_queue(host, path),
             workspace=configuration.workspaces.find_by_key(shown),
         )
@@ -247,12 +247,12 @@
 
     def _answer_path(
         self,
-        target: Target,
+        match: Match,
         path: str,
         environ: dict[str, Any],
         until: float,
     ) -> Reply:
-        queue = target.queue
+        queue = match.queue
         assert queue is not None
         rest = path[len(queue.prefix) :].strip("/")
         if rest and not _IDENTITY.fullmatch(rest):
@@ -262,7 +262,7 @@
             queue=queue,
             identity=rest,
             until=until,
-            workspace=target.workspace.name if target.workspace else "",
+            workspace=match.workspace.name if match.workspace else "",
         )
         if not call.identity:
             if call.method != "GET":
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -171,8 +171,9 @@
 
 # Least time between two comparisons of the configuration with the store's.
 # Callers with invented keys or paths make each manager compare at most 20
-# times a second, 660 of the 6,000 readings a second of 33 managers; one whose
-# key was added a moment ago waits this much longer at the most.
+# times a second, 33 managers 660 times where the store takes 1,200 writing and
+# 6,000 reading calls; one whose key was added a moment ago waits this much
+# longer at the most.
 COMPARISON_SPACING_S = 0.05
 
 # -- end -------------------------------------------------------------------
