Explore bounds with two owners, late orders and cuts

Cause: bounds were held against a naive count over one owner's book; what workers really run while owners change was not judged together with them.

Change: the histories of jobs may belong to a workspace with a bound; workers' runs are counted against it.

Conclusion: no change of the product was needed.

--- a/features/bounds.feature
+++ b/features/bounds.feature
@@ -49,6 +49,12 @@
     When north hands in 40 jobs of 2 tasks for 1
     Then the pool is asked for 1.0 VMs
 
+  Scenario: Two owners, late orders and cuts: workers never run more than the bound
+    When 150 job histories run under a bound of 5 tasks
+    Then no promise to callers was broken
+    When up to 100 job histories run under a bound of 5 that owners do not know
+    Then a promise to callers was broken
+
   Scenario Outline: Generated histories hold the bound, by a naive count
     When <count> histories are played <how>
     Then <result>
--- a/features/job_history.py
+++ b/features/job_history.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from features import job_cores as cores
@@ -18,7 +19,23 @@
 from rackvalve.jobs import records
 from rackvalve.manager import owner as owners
 from rackvalve.manager import timing
+from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import queues
+from rackvalve.workspaces import account
+from rackvalve.workspaces import directory
+
+
+WORKSPACE = "north"
+
+
+def make_configuration(bound: int) -> queues.Configuration:
+    """Return the configuration with a workspace that has a bound, or none."""
+    room = fleet.Room(cpu=bound, memory=0, gpu=0)
+    workspace = account.Workspace(name=WORKSPACE, rate=1.0, bound=room)
+    return dataclasses.replace(
+        models.CONFIGURATION, workspaces=directory.Directory([workspace])
+    )
 
 
 class ActingOwner:
@@ -42,6 +59,8 @@
         made = cores.make_cores(world.now, inherited_lease=lease)
         self.book, self.handler = made.book, made.handler
         self.planner = made.planner
+        if rules.keep_bound:
+            self.book.set_configuration(make_configuration(rules.bound))
         self.refresh()
 
     def refresh(self) -> None:
@@ -192,6 +211,7 @@
         self.source = source
         self.rules = rules
         self.world = models.World()
+        self.world.bound = rules.bound
         self.store = models.FakeStore()
         self.lives: dict[str, models.FakeWorker] = {}
         self.names = 0
@@ -288,8 +308,9 @@
             steps.append(definition.Step(tasks=2, cpu=1, after=(0,)))
         job = definition.Job(spec="x", steps=tuple(steps))
         self.world.jobs[identity] = job
+        workspace = WORKSPACE if self.rules.bound else ""
         self.store.definitions[identity] = records.write_definition(
-            job, self.world.now
+            job, self.world.now, workspace
         )
 
     def cancel(self) -> None:
--- a/features/job_models.py
+++ b/features/job_models.py
@@ -43,12 +43,17 @@
     :param record: Whether a run is recorded before it is ordered.
     :param proof: Whether silent workers are waited for.
     :param acknowledge: Whether ends are acknowledged only once recorded.
+    :param bound: The most tasks that the one workspace of the history may
+        have running; 0 for no bound.
+    :param keep_bound: Whether owners know of the bound.
     """
 
     fence: bool = True
     record: bool = True
     proof: bool = True
     acknowledge: bool = True
+    bound: int = 0
+    keep_bound: bool = True
 
 
 class Violation(Exception):
@@ -68,6 +73,8 @@
         self.failures: dict[str, int] = {}
         self.completed: set[str] = set()
         self.starts = 0
+        # The most tasks that may run at once; 0 for any number.
+        self.bound = 0
 
     def check_start(self, worker: str, task: str, run: int) -> None:
         self.starts += 1
@@ -86,6 +93,9 @@
                 if f"{identity}.0.{earlier}.{index}" not in self.done:
                     raise Violation(f"{task} starts before step {earlier}")
         self.running.setdefault(task, set()).add((worker, run))
+        count = sum(len(runs) for runs in self.running.values())
+        if self.bound and count > self.bound:
+            raise Violation(f"{count} tasks run, {self.bound} may")
 
     def check_end(self, worker: str, task: str, run: int) -> None:
         self.running.get(task, set()).discard((worker, run))
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -9,6 +9,7 @@
 import behave
 
 from features import job_bench
+from features import job_history
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
@@ -21,6 +22,8 @@
 
 NAMES = ("north", "south")
 STEPS_OF_HISTORY = 120
+# Events of a history with two owners.
+EVENTS = 250
 LEASE_OF_HISTORY_S = 6.0
 
 
@@ -367,6 +370,21 @@
                 self.bench.report(name, self.bench.rows(name))
 
 
+@behave.when("{count:d} job histories run under a bound of {bound:d} tasks")
+def run_bounded(context, count, bound):
+    rules = models.Rules(bound=bound)
+    context.violations = job_history.explore(count, EVENTS, rules, 5000)
+
+
+@behave.when(
+    "up to {count:d} job histories run under a bound of {bound:d} that owners "
+    "do not know"
+)
+def run_unknown(context, count, bound):
+    rules = models.Rules(bound=bound, keep_bound=False)
+    context.violations = job_history.explore(count, EVENTS, rules, 5000)
+
+
 @behave.when("{count:d} histories are played with the bound")
 def play_bound(context, count):
     context.faults = [History(seed).play() for seed in range(count)]
