Hold drawn ports across runs of the tests

Change: a drawn port is a file that only one run can make, let go after 20 minutes. soak.feature draws with the same luck twice: 50 of 50 ports were drawn twice before, none now.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,3 +30,9 @@
       | a call is cut off without a reason          | a planned stop cuts nothing off      |
       | a connection is refused just after its manager was told to end | a planned stop cuts nothing off |
       | a VM is moved with work on it               | VMs leave empty                      |
+
+  # Two whole runs side by side drew the same free port before either had bound
+  # it, on two occasions: a daemon ended with "address is taken".
+  Scenario: Runs of the tests side by side draw no port twice
+    When another run draws 50 ports with the same luck
+    Then none of them was drawn by the first run
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import behave
 
+from tools import fleet as fleets
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import plan
@@ -160,3 +163,22 @@
 @behave.then('the soak reports "{promise}"')
 def check_report(context, promise):
     assert promise in {broken.promise for broken in judge(context)}
+
+
+@behave.when("another run draws {count:d} ports with the same luck")
+def draw_ports(context, count):
+    kept = fleets._random, fleets._taken
+    luck = random.SystemRandom().getrandbits(32)
+    context.drawn = []
+    try:
+        for _ in range(2):
+            fleets._random, fleets._taken = random.Random(luck), set()
+            context.drawn.append({fleets.find_port() for _ in range(count)})
+    finally:
+        fleets._random, fleets._taken = kept
+
+
+@behave.then("none of them was drawn by the first run")
+def check_drawn(context):
+    first, second = context.drawn
+    assert not first & second, first & second
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -31,7 +31,11 @@
 # Below those of outgoing connections, which begin at 32768 on Linux.
 PORTS = range(15000, 32000)
 _taken: set[int] = set()
-# Tests that run side by side must not draw the same ports.
+# Ports that any run on this machine has drawn lately, a file each: runs side by
+# side draw none twice, also before its server has bound it.
+DRAWN = pathlib.Path(tempfile.gettempdir()) / "rackvalve-ports"
+# A drawn port is let go after this time, in seconds: a whole run takes half.
+DRAWN_S = 1200.0
 _random = random.SystemRandom()
 
 
@@ -43,7 +47,7 @@
     """
     while True:
         port = _random.choice(PORTS)
-        if port in _taken:
+        if port in _taken or not _reserve(port):
             continue
         with socket.socket() as sock:
             try:
@@ -54,6 +58,23 @@
         return port
 
 
+def _reserve(port: int) -> bool:
+    """Return whether no other run on this machine has drawn a port lately."""
+    DRAWN.mkdir(exist_ok=True)
+    path = DRAWN / str(port)
+    try:
+        if time.time() - path.stat().st_mtime > DRAWN_S:
+            path.unlink()
+    except FileNotFoundError:
+        # Nobody has, or another run has just let it go.
+        pass
+    try:
+        path.open("x").close()
+    except FileExistsError:
+        return False
+    return True
+
+
 def call(port, method, path, body=b"", headers=None, timeout=30.0):
     """Send one HTTP request on a connection of its own."""
     client = geventhttpclient.HTTPClient(
