--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -31,8 +31,8 @@
 # Below those of outgoing connections, which begin at 32768 on Linux.
 PORTS = range(15000, 32000)
 _taken: set[int] = set()
-# Ports that any run on this machine has drawn lately, a file each: runs side by
-# side draw none twice, also before its server has bound it.
+# Ports that any run on this machine has drawn lately, a file each: two runs
+# draw none twice, also before its server has bound it.
 DRAWN = pathlib.Path(tempfile.gettempdir()) / "rackvalve-ports"
 # A drawn port is let go after this time, in seconds: a whole run takes half.
 DRAWN_S = 1200.0
