A record tells where its runs' workers can be asked

Cause: the proof that a worker's life is over ended with the owner that had it. A record named the worker by its identity alone, and once its entry was gone the next owner had nobody to ask: it waited 8.4 s for the longest lease that could have been given there, and so did each one that followed it before that was over.

Ruled out: keeping the proofs themselves in the store. Also a leased key that outlives its owner as a common clock: the store may take leases away from a holder that is well, and then it proves nothing.

Change: a job's record names, once a worker, its address and VM. A new owner opens a contact with each worker that only records name: the worker itself tells what runs under the new token, or another life at its address proves that it is over. Lasting tasks leave such a worker as they leave one whose entry goes later. Earlier releases read these records and are read.

Conclusion: mends workers that came back or live on without an entry. A VM that is gone for good says nothing at its address; that needs the platform's list.

--- a/features/proofs.feature
+++ b/features/proofs.feature
@@ -13,3 +13,13 @@
     Then all of them are shown as completed and each task ended well once
     And no task ever ran twice at the same time
     And an owner that followed was told by each of these workers' VMs that another life is there
+
+  Scenario Outline: A record tells where a run's worker can be asked
+    Given a job with a run on a worker at 127.0.0.1:8001 on the VM m-1
+    When its record is written by <writer> and read by a new owner
+    Then the new owner knows the run, and <place>
+
+    Examples:
+      | writer             | place                                |
+      | this release       | that 127.0.0.1:8001 on m-1 can be asked |
+      | the release before | no place to ask                      |
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -6,7 +6,12 @@
 
 import behave
 
+from features import job_bench as benches
+from features import job_cores as cores
 from features.steps import site_steps
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
 
 LONG = "work_ms=2000"
 
@@ -62,3 +67,41 @@
     text = (site.folder / f"{manager['vm']}.log").read_text()
     lines = [line for line in text.splitlines() if f'"{name}"' in line]
     return [json.loads(line) for line in lines]
+
+
+@behave.given("a job with a run on a worker at {host}:{port:d} on the VM {vm}")
+def make_run(context, host, port, vm):
+    bench = benches.Bench(["w1"])
+    location = progress.Location(host=host, port=port, vm=vm)
+    bench.book.workers["w1"].location = location
+    context.state = bench.add(definition.Step(tasks=1, cpu=1))
+    bench.start_all()
+
+
+@behave.when("its record is written by {writer} and read by a new owner")
+def hand_over(context, writer):
+    stored = json.loads(records.write_progress(context.state))
+    if writer == "the release before":
+        del stored["locations"]
+    job = context.state.job
+    read = progress.JobState(context.state.identity, "queue", job, 0.0)
+    records.read_progress(read, json.dumps(stored).encode(), 2000.0)
+    book = cores.make_cores(2000.0, inherited_lease=5.0).book
+    book.add_job(read, 2000.0, 2000.0)
+    context.worker = book.workers["w1"]
+
+
+@behave.then("the new owner knows the run, and no place to ask")
+def check_unknown(context):
+    assert len(context.worker.runs) == 1
+    assert context.worker.location is None
+
+
+@behave.then(
+    "the new owner knows the run, and that {host}:{port:d} on {vm} can be "
+    "asked"
+)
+def check_known(context, host, port, vm):
+    assert len(context.worker.runs) == 1
+    expected = progress.Location(host=host, port=port, vm=vm)
+    assert context.worker.location == expected
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 
 from rackvalve.jobs import definition
@@ -39,6 +40,20 @@
     STOPPING = "stopping"
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Location:
+    """Where one life of a worker can be asked, also once its entry is gone.
+
+    :param host: IP number.
+    :param port: Port.
+    :param vm: The VM that it lives on.
+    """
+
+    host: str
+    port: int
+    vm: str
+
+
 class Run:
     """One run of a task on a worker.
 
@@ -46,11 +61,14 @@
     :param worker: Identity of the worker.
     :param stage: Where it is in its life.
     :param now: Present time, in seconds.
+    :param location: Where the worker can be asked; ``None`` if the record
+        that names the run does not tell.
     """
 
     __slots__ = (
         "number",
         "worker",
+        "location",
         "stage",
         "since",
         "inherited",
@@ -68,10 +86,17 @@
     )
 
     def __init__(
-        self, number: int, worker: str, stage: Stage, now: float
+        self,
+        number: int,
+        worker: str,
+        stage: Stage,
+        now: float,
+        *,
+        location: Location | None = None,
     ) -> None:
         self.number = number
         self.worker = worker
+        self.location = location
         self.stage = stage
         self.since = now
         # Taken over from the owner before; not yet seen on its worker.
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -66,12 +66,22 @@
     runs: list[tuple[int, str]] = []
 
 
+class _Location(msgspec.Struct, array_like=True):
+    host: str
+    port: int
+    vm: str
+
+
 class _Progress(msgspec.Struct, omit_defaults=True):
     phase: progress.Phase
     next_run: int = 1
     finished: float = 0.0
     reason: str = ""
     tasks: list[_Task] = []
+    # Where the workers that the runs name can be asked.  Without it the next
+    # owner waits 8.4 s for a worker whose entry is gone, and the one after it
+    # as long again; asked, another life at that address is proof enough.
+    locations: dict[str, _Location] = {}
     # As in the definition, so that one reading answers a caller.
     workspace: str = ""
 
@@ -177,6 +187,7 @@
             finished=state.finished,
             reason=state.reason,
             tasks=tasks,
+            locations=_write_locations(state),
             workspace=state.workspace,
         )
     )
@@ -206,11 +217,38 @@
         task.failures = row.failures
         task.checkpoint = row.checkpoint
         for number, worker in row.runs:
-            run = progress.Run(number, worker, progress.Stage.ORDERED, now)
+            run = progress.Run(
+                number,
+                worker,
+                progress.Stage.ORDERED,
+                now,
+                location=_read_location(record.locations.get(worker)),
+            )
             run.inherited = True
             task.runs[number] = run
 
 
+def _write_locations(state: progress.JobState) -> dict[str, _Location]:
+    """Return where the workers of a job's runs can be asked."""
+    return {
+        run.worker: _Location(
+            host=run.location.host,
+            port=run.location.port,
+            vm=run.location.vm,
+        )
+        for task in state.tasks.values()
+        for run in task.runs.values()
+        if run.location is not None
+    }
+
+
+def _read_location(wire: _Location | None) -> progress.Location | None:
+    """Decode where a worker can be asked; earlier releases do not tell."""
+    if wire is None:
+        return None
+    return progress.Location(host=wire.host, port=wire.port, vm=wire.vm)
+
+
 def read_summary(payload: bytes) -> Summary:
     """Decode only what callers may be told.
 
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -55,6 +55,7 @@
     "hand over.",
     "owner.loaded": "A new owner has read all records.",
     "worker.found": "A worker was seen for the first time.",
+    "worker.recorded": "A worker that only records name is asked.",
     "worker.established": "A worker has taken the owner's fencing token.",
     "worker.draining": "A worker says that it will leave.",
     "worker.lost": "What ran on a silent worker is over: its VM is off.",
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -8,6 +8,7 @@
 
 from rackvalve import clocks
 from rackvalve import errors
+from rackvalve.jobs import progress
 from rackvalve import logs
 from rackvalve.manager import contact as contacts
 from rackvalve.manager import ports
@@ -19,6 +20,7 @@
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import workers
 
 
 class Roster:
@@ -86,6 +88,7 @@
         for identity, worker in self._book.workers.items():
             if worker.entry is not None and identity not in present:
                 self._book.remove_entry(identity, now)
+        self._ask_recorded(now)
         self._on_change()
 
     def take_changes(self, changes: stores.Changes) -> None:
@@ -140,6 +143,46 @@
             if gone:
                 self.end_life(identity, "its entry is gone, it is silent")
 
+    def _ask_recorded(self, now: float) -> None:
+        """Open contacts with workers that only jobs' records name.
+
+        Their entries are gone, perhaps with them.  The worker itself, or
+        another life at its address, can still tell what became of the runs;
+        else each owner in turn would wait for the longest lease that an
+        earlier one may have given.
+        """
+        for identity, worker in self._book.workers.items():
+            if worker.entry is not None or worker.location is None:
+                continue
+            if identity in self._contacts:
+                continue
+            self._book.remove_entry(identity, now)
+            logs.write_event(
+                "worker.recorded",
+                worker=identity,
+                on_vm=worker.location.vm,
+                runs=len(worker.runs),
+            )
+            self._open_contact(worker, worker.location)
+
+    def _open_contact(
+        self, worker: workers.WorkerState, location: progress.Location
+    ) -> contacts.Contact:
+        """Begin to ask a worker.
+
+        :param worker: The worker.
+        :param location: Where it can be asked.
+        """
+        client = clients.Worker(
+            connections.HttpClient(location.host, location.port),
+            worker.identity,
+            timeout=timing.ORDER_TIMEOUT_S,
+        )
+        contact = contacts.Contact(self._owner, worker, client)
+        self._contacts[worker.identity] = contact
+        contact.start()
+        return contact
+
     def _take(self, item: stores.Item) -> None:
         try:
             entry = documents.read_worker(item.key, item.payload)
@@ -151,14 +194,7 @@
         self._log(entry, item.revision)
         worker = self._book.set_entry(entry)
         if entry.identity not in self._contacts:
-            client = clients.Worker(
-                connections.HttpClient(entry.host, entry.port),
-                entry.identity,
-                timeout=timing.ORDER_TIMEOUT_S,
-            )
-            contact = contacts.Contact(self._owner, worker, client)
-            self._contacts[entry.identity] = contact
-            contact.start()
+            contact = self._open_contact(worker, entry.location)
             for order in self._early.pop(entry.identity, []):
                 contact.send(order)
 
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -124,6 +124,7 @@
         for task in state.tasks.values():
             for run in task.runs.values():
                 worker = self._worker_of(run.worker)
+                worker.location = worker.location or run.location
                 worker.add(workers.Placed(state, task, run))
                 self._count_run(state, task)
         state.open_steps(wall)
@@ -200,7 +201,11 @@
         :param now: Present time, in seconds.
         """
         run = progress.Run(
-            number, worker.identity, progress.Stage.PLANNED, now
+            number,
+            worker.identity,
+            progress.Stage.PLANNED,
+            now,
+            location=worker.location,
         )
         task.runs[number] = run
         state.waiting.pop(task.name, None)
--- a/src/rackvalve/scheduling/fleet.py
+++ b/src/rackvalve/scheduling/fleet.py
@@ -6,6 +6,7 @@
 import enum
 
 from rackvalve.jobs import definition
+from rackvalve.jobs import progress
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -129,6 +130,11 @@
     draining: bool
     remaining: float | None
 
+    @property
+    def location(self) -> progress.Location:
+        """Where the worker can be asked, and its VM."""
+        return progress.Location(host=self.host, port=self.port, vm=self.vm)
+
 
 class Condition(enum.Enum):
     """What state a VM is in."""
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -220,10 +220,9 @@
         self, worker: workers.WorkerState, placed: workers.Placed, now: float
     ) -> bool:
         """Return whether a run is better moved off a worker that will end."""
-        entry = worker.entry
-        if entry is None or not placed.step.lasting:
+        if not placed.step.lasting:
             return False
-        if entry.draining:
+        if worker.entry is not None and worker.entry.draining:
             return True
         if worker.gone_since is None:
             return False
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "identity",
         "entry",
+        "location",
         "free",
         "runs",
         "established",
@@ -79,6 +80,8 @@
     ) -> None:
         self.identity = identity
         self.entry = entry
+        # Where it can be asked, by its entry or else by a job's record.
+        self.location = entry.location if entry is not None else None
         self.free = entry.capacity if entry is not None else fleet.EMPTY
         self.runs: dict[RunKey, Placed] = {}
         # Whether it has taken our fencing token and told what runs.
@@ -116,6 +119,7 @@
         known = self.entry.capacity if self.entry else fleet.EMPTY
         self.free = self.free.plus(entry.capacity).minus(known)
         self.entry = entry
+        self.location = entry.location
         self.gone_since = None
 
     def add(self, placed: Placed) -> None:
