Show that a new owner places tasks on a VM whose order may still come

Cause, by reading: a new owner gives a VM no orders in the pause after an order of the owner before, but it leaves the VM's worker open; an order that is carried out then ends the tasks, more of one step than it bears.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 from unittest import mock
 
 import behave
+import gevent
 
 from features import job_bench as benches
+from features import vm_bench as vms
+from rackvalve.jobs import definition
 from rackvalve.manager import caretaker
 from rackvalve.manager import view
 from rackvalve.platform import machines
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import sizing
 from rackvalve import telemetry
 
 
@@ -47,10 +52,14 @@
             return self.answers.pop(0)
         return machines.Ordered()
 
+    def move(self, vm, pool, fence):
+        # The owner ends before there is an answer.
+        raise gevent.GreenletExit
+
 
 def make_caretaker(context, jumps, answers):
     clock = context.clock = {"now": 100.0}
-    bench = benches.Bench(["w0"])
+    bench = context.bench = benches.Bench(["w0"])
     writer = FakeWriter(clock, jumps)
     context.machines = FakeMachines(answers, writer)
     context.read_steady = lambda: clock["now"]
@@ -204,3 +213,58 @@
     state = context.caretaker._upkeep.waves[1]
     until = state.began + WAVE.duration
     assert until - context.clocks.steady == left, until
+
+
+@behave.given("an owner whose order to move a VM is on its way")
+def order_move(context):
+    make_caretaker(context, [], [])
+    care = context.caretaker
+    # What is in the store when the platform gets the order.
+    care._writer = writer = mock.Mock(number=0, durable=0)
+    with contextlib.suppress(gevent.GreenletExit):
+        care._move(sizing.MoveVm(vm="w0", pool=vms.OTHER))
+    context.items = tuple(
+        stores.Item(key=key, payload=make().payload, revision=1, created=1)
+        for key, make in (call.args for call in writer.mark.call_args_list)
+    )
+
+
+def take_over_moves(context):
+    """Begin a new owner with the records of the one before."""
+    make_caretaker(context, [], [])
+    vms.make_pools(context.bench.book, vms.OTHER)
+    context.bench.add(definition.Step(tasks=1, cpu=1, lasting=True))
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        context.caretaker.load(context.items)
+
+
+def place_tasks(context, tenths, life="w0"):
+    """Let the owner work on, and return the tenths in which tasks start."""
+    found = []
+    for tenth in range(tenths):
+        context.bench.report(life, context.bench.rows(life))
+        if context.bench.start_all():
+            found.append(tenth)
+        with mock.patch.object(
+            caretaker.clocks, "read_steady", context.read_steady
+        ):
+            context.clock["now"] += 0.1
+            context.bench.now += 0.1
+            context.caretaker._release_held(context.clock["now"])
+            context.caretaker._step(context.clock["now"])
+    return found
+
+
+@behave.when(
+    "another owner takes over, with a pause of 3 seconds, and work waits"
+)
+def take_over_with_work(context):
+    take_over_moves(context)
+    context.tenths = place_tasks(context, 40)
+
+
+@behave.then("no task is placed on that VM in the pause, and one after it")
+def check_placed_late(context):
+    assert context.tenths and 29 <= context.tenths[0] <= 32, context.tenths
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -132,6 +132,16 @@
     Then it leaves that VM alone for 1 second more
     And a VM whose order is on its way for 3 seconds
 
+  # Seen: on a deployment where the platform does not check tokens, more tasks
+  # of a lasting step were away than it bears.  An owner ordered an empty VM to
+  # move and was replaced; the order was still on its way.  The next owner gave
+  # that VM no orders for a while, but placed tasks on it, and the order ended
+  # them.  Read in the code, and proved by this scenario.
+  Scenario: The next owner places no task on a VM whose order may still come
+    Given an owner whose order to move a VM is on its way
+    When another owner takes over, with a pause of 3 seconds, and work waits
+    Then no task is placed on that VM in the pause, and one after it
+
   Scenario: An order to a VM without an answer is given again, not to another VM
     Given an interface to VMs whose first 2 answers are lost
     When it gives an order to a VM
