Place nothing on a VM whose order may still be carried out

Cause: a new owner knew which VMs had just been given orders, and left their workers open to tasks; an order that came late ended them. Its planner also began before the records of VMs were read. Ruled out: closing each such VM for the whole pause, which after a loss of all managers would close every VM that a pool has just got. Change: a record names the new pools of moves; the next owner reads it before it plans, goes on with the moves, and closes each worker on such a VM that is not of its new pool, also one whose life began meanwhile. VMs of which a record tells only that they were ordered are closed for the pause. An owner gets the VMs that are on their way counted for their new pools.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 from unittest import mock
 
 import behave
 import gevent
 
 from features import job_bench as benches
+from features import job_models as models
 from features import vm_bench as vms
 from rackvalve.jobs import definition
 from rackvalve.manager import caretaker
@@ -268,3 +270,24 @@
 @behave.then("no task is placed on that VM in the pause, and one after it")
 def check_placed_late(context):
     assert context.tenths and 29 <= context.tenths[0] <= 32, context.tenths
+
+
+@behave.when(
+    "another owner takes over and a worker comes to the new pool on that VM"
+)
+def take_over_moved(context):
+    take_over_moves(context)
+    book = context.bench.book
+    queue = dataclasses.replace(models.QUEUE, pool=vms.OTHER)
+    book.set_configuration(
+        dataclasses.replace(book.configuration, queues=(queue,))
+    )
+    entry = book.workers["w0"].entry
+    book.set_entry(dataclasses.replace(entry, identity="w0x", pool=vms.OTHER))
+    context.bench.numbers["w0x"] = 0
+    context.tenths = place_tasks(context, 2, life="w0x")
+
+
+@behave.then("a task is placed there at once")
+def check_placed_soon(context):
+    assert context.tenths[:1] == [0], context.tenths
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -142,6 +142,11 @@
     When another owner takes over, with a pause of 3 seconds, and work waits
     Then no task is placed on that VM in the pause, and one after it
 
+  Scenario: A VM whose worker has come to its new pool gets work at once
+    Given an owner whose order to move a VM is on its way
+    When another owner takes over and a worker comes to the new pool on that VM
+    Then a task is placed there at once
+
   Scenario: An order to a VM without an answer is given again, not to another VM
     Given an interface to VMs whose first 2 answers are lost
     When it gives an order to a VM
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -24,9 +24,15 @@
 from rackvalve import telemetry as telemetries
 
 PREFIX = "wave/"
-# The VMs that were given orders lately; written before each order, under the
-# condition of the ownership.  The next owner leaves them alone for a while.
+# The VMs that were given orders lately, and the new pools of those that were
+# to move; written before each order, under the condition of the ownership.
+# The next owner gives them no orders for a while, and no work unless it sees
+# that the order was carried out.
 ORDERS_KEY = PREFIX + "ordered"
+MOVES_KEY = "vms/moves"
+PREFIXES = (PREFIX, MOVES_KEY)
+# Why a VM is closed whose order may still be carried out.
+UNCERTAIN = "order on its way"
 
 Outcome = clients.Ordered | clients.Rejected | clients.Unavailable
 
@@ -95,6 +101,10 @@
         # VMs that an earlier owner has given orders to, and until when they
         # are left alone.
         self._held: dict[str, float] = {}
+        # Those of them of which no list will show whether it was carried out.
+        self._uncertain: set[str] = set()
+        # New pools of the VMs that were ordered to move lately.
+        self._moves: dict[str, str] = {}
         # VMs that were given orders lately, with the time of the answer;
         # ``None`` while an order may be on its way.
         self._ordered: dict[str, float | None] = {}
@@ -105,13 +115,17 @@
     def load(self, items: tuple[stores.Item, ...]) -> None:
         """Go on where an earlier owner has ended.
 
-        :param items: All items under :data:`PREFIX`.
+        :param items: All items under :data:`PREFIXES`.
         """
         self._take_waves()
+        moves: dict[str, str] = {}
         for item in items:
             if item.key == ORDERS_KEY:
                 self._hold_ordered(item.payload)
                 continue
+            if item.key == MOVES_KEY:
+                moves = msgspec.json.decode(item.payload, type=dict[str, str])
+                continue
             number = item.key.removeprefix(PREFIX)
             record = msgspec.json.decode(item.payload, type=_Record)
             elapsed = record.count_elapsed(clocks.read_wall())
@@ -121,6 +135,10 @@
                 record.done,
                 clocks.read_steady() - elapsed,
             )
+        for vm in moves.keys() & self._held.keys():
+            self._sizing.restore(vm, moves[vm])
+        self._uncertain = self._held.keys() - moves.keys()
+        self._apply_closing()
 
     def run(self) -> None:
         """Look after the VMs, until the greenlet is killed."""
@@ -155,9 +173,12 @@
         self._release_held(now)
 
     def _release_held(self, now: float) -> None:
-        self._held = {
-            vm: until for vm, until in self._held.items() if now < until
-        }
+        for vm, until in list(self._held.items()):
+            if now >= until:
+                del self._held[vm]
+                self._uncertain.discard(vm)
+                # Where the list does not show its move, there was none.
+                self._sizing.give_up(vm)
         self._upkeep.held = frozenset(self._held)
 
     def _take_waves(self) -> None:
@@ -210,6 +231,8 @@
                 worker.closing = upkeeps.CLOSED
             elif vm in surplus or worker.identity in departing:
                 worker.closing = sizings.SURPLUS
+            elif vm in self._uncertain:
+                worker.closing = UNCERTAIN
             worker.leaves_later = vm in later
 
     def _log_sizes(self, now: float) -> None:
@@ -283,9 +306,18 @@
         self._ordered = {vm: self._ordered[vm] for vm in recent}
         return backlogs.Record(payload=msgspec.json.encode(recent))
 
+    def _make_moves(self) -> backlogs.Record:
+        """Make the record of where VMs were ordered to move lately."""
+        self._moves = {
+            vm: pool for vm, pool in self._moves.items() if vm in self._ordered
+        }
+        return backlogs.Record(payload=msgspec.json.encode(self._moves))
+
     def _maintain(self, order: upkeeps.MaintainVm) -> None:
         """Have a VM maintained, once the store knows of it."""
         self._record_waves()
+        if self._moves.pop(order.vm, None):
+            self._writer.mark(MOVES_KEY, self._make_moves)
         outcome = self._order(
             order.vm,
             lambda: self._machines.maintain(order.vm, order.wave, self._fence),
@@ -309,6 +341,8 @@
 
     def _move(self, order: sizings.MoveVm) -> None:
         """Move a VM to another pool."""
+        self._moves[order.vm] = order.pool
+        self._writer.mark(MOVES_KEY, self._make_moves)
         outcome = self._order(
             order.vm,
             lambda: self._machines.move(order.vm, order.pool, self._fence),
@@ -327,7 +361,7 @@
             reason=getattr(outcome, "reason", ""),
         )
         if not isinstance(outcome, clients.Ordered):
-            self._sizing.note_refused(order)
+            self._sizing.give_up(order.vm)
 
     def _record_waves(self) -> None:
         for number, state in self._upkeep.waves.items():
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -297,10 +297,12 @@
 
     def _run(self) -> None:
         watches = self._load()
+        # Before anything is placed: on some VMs nothing may be.
+        caretaker = self._load_vms()
         for watcher in watches:
             self._spawn(watcher.run)
         self._spawn(self._writer.run)
-        self._spawn(self._look_after_vms)
+        self._spawn(caretaker.run)
         self._spawn(
             admission.Admission(
                 self._resources.adviser,
@@ -368,7 +370,7 @@
                 return found.items
             gevent.sleep(timing.STORE_PAUSE_S)
 
-    def _look_after_vms(self) -> None:
+    def _load_vms(self) -> caretakers.Caretaker:
         caretaker = caretakers.Caretaker(
             self._resources.machines,
             self._resources.view,
@@ -380,8 +382,11 @@
             spawn=self._spawn,
             on_change=self._wanted.set,
         )
-        caretaker.load(self._read_all(caretakers.PREFIX))
-        caretaker.run()
+        items: list[stores.Item] = []
+        for prefix in caretakers.PREFIXES:
+            items.extend(self._read_all(prefix))
+        caretaker.load(tuple(items))
+        return caretaker
 
     def _note_store(self, sent: float) -> None:
         """Note that a commit under the ownership was answered.
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -49,18 +49,6 @@
     pool: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Move:
-    """A move that was chosen and is not over.
-
-    :param pool: The VM's new pool.
-    :param workers: Lives of workers that end with the move.
-    """
-
-    pool: str
-    workers: frozenset[str]
-
-
 class PoolSize:
     """What is known of one pool's demand."""
 
@@ -125,8 +113,8 @@
         self._upkeep = upkeep
         self._silence = silence
         self.pools: dict[str, PoolSize] = {}
-        # Moves by VM, until the list shows the VM in its new pool.
-        self.moving: dict[str, Move] = {}
+        # New pools by VM, until the list shows the VM there.
+        self.moving: dict[str, str] = {}
         upkeep.moving = self.moving.keys()
         self.arrived: dict[str, float] = {}
 
@@ -171,23 +159,37 @@
         return reserved
 
     def departing(self) -> set[str]:
-        """Return the workers whose lives end with a move."""
-        return set().union(*(move.workers for move in self.moving.values()))
+        """Return the workers whose lives end with a move.
 
-    def note_refused(self, order: MoveVm) -> None:
-        """Note that the platform has not taken an order.
+        Also one that has come to its VM's old pool since the move was chosen;
+        one of the new pool shows that the VM has moved.
+        """
+        return {
+            worker.identity
+            for vm, pool in self.moving.items()
+            for worker in self._book.lives.get(vm, {}).values()
+            if worker.entry is not None and worker.entry.pool != pool
+        }
+
+    def restore(self, vm: str, pool: str) -> None:
+        """Go on with a move that an earlier owner has ordered.
+
+        :param vm: The VM.
+        :param pool: Its new pool.
+        """
+        self.moving[vm] = pool
 
-        :param order: The order.
+    def give_up(self, vm: str) -> None:
+        """Forget a move that the platform has not taken, or not in time.
+
+        :param vm: The VM.
         """
-        self.moving.pop(order.vm, None)
+        self.moving.pop(vm, None)
 
     def _begin(self, vm: str, pool: str) -> MoveVm:
         """Choose a move; from now on the VM's workers take no work."""
-        lives = self._upkeep.workers_on(vm)
-        self.moving[vm] = Move(
-            pool=pool, workers=frozenset(worker.identity for worker in lives)
-        )
-        for worker in lives:
+        self.moving[vm] = pool
+        for worker in self._upkeep.workers_on(vm):
             worker.closing = SURPLUS
         if pool in self.pools:
             self.pools[pool].have += 1
@@ -201,9 +203,9 @@
 
     def _settle(self, now: float) -> None:
         """Forget moves that the platform's list shows to be over."""
-        for vm, move in list(self.moving.items()):
+        for vm, pool in list(self.moving.items()):
             listed = self._upkeep.vms.get(vm)
-            if listed is None or (listed.pool == move.pool and listed.up):
+            if listed is None or (listed.pool == pool and listed.up):
                 del self.moving[vm]
                 self.arrived[vm] = now
 
@@ -232,7 +234,7 @@
         Those that a wave has closed take no work; others stand in for them.
         """
         maintained = self._upkeep.leaving()
-        coming = sum(1 for move in self.moving.values() if move.pool == name)
+        coming = sum(1 for pool in self.moving.values() if pool == name)
         working = sum(
             1
             for vm in self._upkeep.vms.values()
