Show that the owner after the next one forgets an order on its way

Cause, by reading: an owner's first order to a VM overwrites the record of the orders of the owner before, which may still be on their way; the owner after it places tasks on those VMs.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -14,6 +14,7 @@
 from features import vm_bench as vms
 from rackvalve.jobs import definition
 from rackvalve.manager import caretaker
+from rackvalve.manager import timing
 from rackvalve.manager import view
 from rackvalve.platform import machines
 from rackvalve.platform import store as stores
@@ -55,6 +56,8 @@
         return machines.Ordered()
 
     def move(self, vm, pool, fence):
+        if self.answers:
+            return self.answers.pop(0)
         # The owner ends before there is an answer.
         raise gevent.GreenletExit
 
@@ -220,15 +223,23 @@
 @behave.given("an owner whose order to move a VM is on its way")
 def order_move(context):
     make_caretaker(context, [], [])
+    context.items = give_orders(context, "w0")
+
+
+def give_orders(context, vm):
+    """Order a VM to move; return what is in the store at that time."""
     care = context.caretaker
-    # What is in the store when the platform gets the order.
     care._writer = writer = mock.Mock(number=0, durable=0)
-    with contextlib.suppress(gevent.GreenletExit):
-        care._move(sizing.MoveVm(vm="w0", pool=vms.OTHER))
-    context.items = tuple(
-        stores.Item(key=key, payload=make().payload, revision=1, created=1)
-        for key, make in (call.args for call in writer.mark.call_args_list)
-    )
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        with contextlib.suppress(gevent.GreenletExit):
+            care._move(sizing.MoveVm(vm=vm, pool=vms.OTHER))
+        made = [call.args for call in writer.mark.call_args_list]
+        return tuple(
+            stores.Item(key=key, payload=make().payload, revision=1, created=1)
+            for key, make in made
+        )
 
 
 def take_over_moves(context):
@@ -291,3 +302,23 @@
 @behave.then("a task is placed there at once")
 def check_placed_soon(context):
     assert context.tenths[:1] == [0], context.tenths
+
+
+@behave.when(
+    "another owner orders another VM, and a third takes over and work waits"
+)
+def take_over_twice(context):
+    take_over_moves(context)
+    context.items = give_orders(context, "w1")
+    take_over_with_work(context)
+
+
+@behave.when("the platform answers none of its orders and work waits")
+def answer_nothing(context):
+    lost = machines.Unavailable(reason="no answer in time")
+    context.items = ()
+    take_over_moves(context)
+    context.machines.answers = [lost] * timing.VM_ORDER_TRIES
+    with mock.patch.object(caretaker.gevent, "sleep"):
+        give_orders(context, "w0")
+    context.tenths = place_tasks(context, 40)
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -142,6 +142,18 @@
     When another owner takes over, with a pause of 3 seconds, and work waits
     Then no task is placed on that VM in the pause, and one after it
 
+  # The same by two more ways, read in the code: the next owner's first order
+  # overwrote the record of the one before; and an owner reopened a VM whose
+  # order it had given up, though the platform had never answered.
+  Scenario Outline: An order on its way is remembered by <whom>
+    Given an owner whose order to move a VM is on its way
+    When <what> and work waits
+    Then no task is placed on that VM in the pause, and one after it
+
+    Examples:
+      | whom                         | what                                                    |
+      | the owner after the next one | another owner orders another VM, and a third takes over |
+
   Scenario: A VM whose worker has come to its new pool gets work at once
     Given an owner whose order to move a VM is on its way
     When another owner takes over and a worker comes to the new pool on that VM
