Keep the orders of the owner before in the record of the next one

Cause: each owner wrote the VMs that it had ordered itself; an order of the owner before that was still on its way was forgotten with the first of them. Change: an owner begins its record with what it has read, with the same ages. Ruled out: a key for each owner, which nobody would remove.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -135,8 +135,9 @@
                 record.done,
                 clocks.read_steady() - elapsed,
             )
-        for vm in moves.keys() & self._held.keys():
-            self._sizing.restore(vm, moves[vm])
+        self._moves = {vm: moves[vm] for vm in moves.keys() & self._held}
+        for vm, pool in self._moves.items():
+            self._sizing.restore(vm, pool)
         self._uncertain = self._held.keys() - moves.keys()
         self._apply_closing()
 
@@ -167,6 +168,8 @@
         """
         now = clocks.read_steady()
         ages = msgspec.json.decode(payload, type=dict[str, float])
+        # The record that this owner writes goes on telling of them.
+        self._ordered = {vm: now - age for vm, age in ages.items()}
         self._held = {
             vm: now + self._order_pause - age for vm, age in ages.items()
         }
