Show that an owner reopens a VM whose order it gave up without an answer

Cause, by reading: after ten tries without an answer the VM is taken back into use at once, though each of them may still be carried out.

--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -151,8 +151,9 @@
     Then no task is placed on that VM in the pause, and one after it
 
     Examples:
-      | whom                         | what                                                    |
-      | the owner after the next one | another owner orders another VM, and a third takes over |
+      | whom                          | what                                                    |
+      | the owner after the next one  | another owner orders another VM, and a third takes over |
+      | the owner that has given it up | the platform answers none of its orders                |
 
   Scenario: A VM whose worker has come to its new pool gets work at once
     Given an owner whose order to move a VM is on its way
