Keep a VM closed for the pause after an order given up without an answer

Cause: an owner that gave up an order took its VM back into use at once, though the platform had answered none of its tries. Change: such a VM is left alone as one of an earlier owner is.

--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -290,8 +290,17 @@
                 if not uncertain or isinstance(outcome, clients.Ordered):
                     return outcome
             gevent.sleep(timing.VM_ORDER_PAUSE_S)
+        self._hold_uncertain(vm)
         return outcome
 
+    def _hold_uncertain(self, vm: str) -> None:
+        """Leave a VM alone whose order was given up without an answer."""
+        now = clocks.read_steady()
+        self._held[vm] = now + self._order_pause
+        self._uncertain.add(vm)
+        self._release_held(now)
+        self._apply_closing()
+
     def _make_ordered(self) -> backlogs.Record:
         """Make the record of VMs that the next owner leaves alone.
 
