Show that an owner that stood still extends leases late

Cause, by reading: all holds of an owner that stands still for more than a second run into their limits at once; the next ones extend nothing and wait for an end, 0.5 s, before leases are extended.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -133,6 +133,11 @@
     When for 20 s each hold is answered 1.2 s later
     Then the lease has not lapsed
 
+  Scenario: What runs on workers goes on though the owner stands still for long
+    Given an owner that has just extended a worker's lease
+    When for 20 s the owner stands still once, 3.5 s
+    Then the lease has not lapsed
+
   Scenario Outline: An owner that may not extend leases gives none by a start
     Given an owner that <may> extend leases, and a start that its worker found too late
     When the start is tried again
