Ask for an answer at once after a hold without one

Cause: the hold after one without an answer waited for an end, 0.5 s, and only the one after it extended the lease. Change: it asks for an answer at once. In the scenario a worker takes a lease when a hold comes, not when it answers; before, the test had it lapse wrongly.

--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -35,7 +35,7 @@
         # An answer that is late has had its wait.
         answered = sent + (self.delay or wait)
         # A worker that is late takes the lease as late as it can.
-        self.has_lapsed |= answered > self.lease
+        self.has_lapsed |= sent + self.delay > self.lease
         if lease_until is not None:
             self.lease = max(self.lease, lease_until)
         pause, self.pause = self.pause, 0.0
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -125,9 +125,10 @@
         shown = self._clock.read(now)
         until = None
         wait = timing.HOLD_WAIT_S
-        if shown is None:
+        if shown is None or not self._answering:
+            # Until it is answered no lease is extended.
             wait = 0.0
-        elif self._answering and self._owner.may_extend(now):
+        elif self._owner.may_extend(now):
             until = shown + timing.WORKER_LEASE_S
             self._worker.note_extension(now, timing.WORKER_LEASE_S)
         if self._worker.unrecorded:
