Show that a wave keeps VMs closed without a bound

Cause, by reading: a VM that a wave has closed stays closed until it is empty; a lasting task stays on it for as long as another one of its step is away.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -224,6 +224,46 @@
     assert found == context.expected, found
 
 
+@behave.when(
+    "each VM runs a task of a step of which another one is away for good"
+)
+def block_wave(context):
+    bench = context.bench
+    # One task more than there is room for.
+    step = definition.Step(
+        tasks=len(context.vms) + 1,
+        cpu=models.CAPACITY.cpu,
+        lasting=True,
+        most_away=1,
+    )
+    bench.add(step)
+    for order in bench.start_all():
+        bench.placed(order).run.percent = 100.0
+    # For how long each VM has been closed, and the longest time of all.
+    closed, context.stretch, context.ever = {}, 0.0, set()
+    for _ in range(600):
+        bench.now += 0.1
+        for worker in bench.book.workers.values():
+            worker.answered = bench.now
+        assert not context.upkeep.decide(bench.now) and not bench.stops()
+        leaving = context.upkeep.leaving()
+        context.ever |= leaving
+        closed = {vm: closed.get(vm, 0.0) + 0.1 for vm in leaving}
+        context.stretch = max(context.stretch, *closed.values(), 0.0)
+
+
+@behave.then(
+    "no VM is closed for longer than {most:d} seconds without a break"
+)
+def check_stretch(context, most):
+    assert 0 < context.stretch <= most + 0.2, context.stretch
+
+
+@behave.then("each VM of the wave is closed once in 60 seconds")
+def check_ever(context):
+    assert context.ever == set(context.vms), context.ever
+
+
 @behave.when("{count:d} of the VMs were ordered lately by another owner")
 def hold_vms(context, count):
     context.upkeep.held = frozenset(context.vms[:count])
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -41,6 +41,14 @@
       | gone back by 5 s    | 18   |
       | jumped ahead by 5 s | 11   |
 
+  # Read in the code: a VM that a wave had closed stayed closed for as long as
+  # a lasting step could spare no task of it, while its pool's jobs waited.
+  Scenario: A VM that cannot be vacated for a wave goes back into use
+    Given a pool of 6 VMs and a wave over all of them that bears 2 away
+    When each VM runs a task of a step of which another one is away for good
+    Then no VM is closed for longer than 10 seconds without a break
+    And each VM of the wave is closed once in 60 seconds
+
   Scenario: VMs that an earlier owner has just ordered are left alone
     Given a pool of 4 VMs and a wave over all of them that bears 4 away
     When 3 of the VMs were ordered lately by another owner
