Take a VM back into use that a wave could not maintain for ten seconds

Cause: a VM closed for a wave waited for a lasting task that its step could not spare, or for VMs that do not come back, without a bound; its room was unused. Ruled out: to stop the task all the same, which the step does not bear. Change: a VM closed for 10 s is opened again, and closed again 5 s later at the earliest, so that the wave's others get their turn.

--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -34,6 +34,13 @@
 LATE_PART = 0.67
 # Work that does not last is given this long to end by itself, in seconds.
 PATIENCE_S = 5.0
+# A VM that is closed for longer than this goes back into use, in seconds: its
+# pool's work waits, and what keeps it (a lasting task whose step can spare
+# none, a wave whose VMs do not come back) may last.  Longer than work is given
+# to end (5 s), to be stopped (0.9 s), and a VM before it to be away (3 s).
+CLOSED_MOST_S = 10.0
+# Such a VM is not closed again for this long, in seconds: others go first.
+REOPENED_PAUSE_S = 5.0
 # An order that was refused is given again after this pause, in seconds.
 REFUSED_PAUSE_S = 0.5
 CLOSED = "maintenance"
@@ -84,6 +91,7 @@
         "wave",
         "began",
         "closed",
+        "closed_since",
         "ordered",
         "done",
         "not_before",
@@ -95,6 +103,7 @@
         self.wave = wave
         self.began = now
         self.closed: set[str] = set()
+        self.closed_since: dict[str, float] = {}
         # VMs whose order may have reached the platform, with its time;
         # ``None`` until the order was answered.
         self.ordered: dict[str, float | None] = {}
@@ -199,6 +208,7 @@
         chosen: list[MaintainVm] = []
         for state in self.waves.values():
             if not state.complete:
+                self._reopen(state, now)
                 self._close(state, now, short=short, reserved=reserved)
                 chosen.extend(self._choose(state, now))
                 self._finish(state)
@@ -295,6 +305,17 @@
             rotating += math.ceil(left / self._count_rounds(state, now))
         return rotating
 
+    def _reopen(self, state: WaveState, now: float) -> None:
+        """Take VMs back into use that could not be maintained for long."""
+        state.closed_since = {
+            vm: state.closed_since.get(vm, now) for vm in state.closed
+        }
+        for vm, since in state.closed_since.items():
+            waits = vm not in state.ordered and self._is_free(vm)
+            if waits and now - since > CLOSED_MOST_S:
+                state.closed.discard(vm)
+                state.not_before[vm] = now + REOPENED_PAUSE_S
+
     def _close(
         self, state: WaveState, now: float, *, short: bool, reserved: int
     ) -> None:
@@ -313,7 +334,11 @@
                 return
             unused -= reserved
         open_vms = [
-            vm for vm in left if vm not in state.closed and self._is_free(vm)
+            vm
+            for vm in left
+            if vm not in state.closed
+            and self._is_free(vm)
+            and state.not_before.get(vm, 0.0) <= now
         ]
         open_vms.sort(key=self._cost)
         spreads = measure_spreads(self._book)
