--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
 from unittest import mock
 
 import behave
+import gevent
 
 from features import job_bench as benches
+from features import job_models as models
+from features import vm_bench as vms
+from rackvalve.jobs import definition
 from rackvalve.manager import caretaker
+from rackvalve.manager import timing
 from rackvalve.manager import view
 from rackvalve.platform import machines
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import sizing
 from rackvalve import telemetry
 
 
@@ -47,10 +55,16 @@
             return self.answers.pop(0)
         return machines.Ordered()
 
+    def move(self, vm, pool, fence):
+        if self.answers:
+            return self.answers.pop(0)
+        # The owner ends before there is an answer.
+        raise gevent.GreenletExit
+
 
 def make_caretaker(context, jumps, answers):
     clock = context.clock = {"now": 100.0}
-    bench = benches.Bench(["w0"])
+    bench = context.bench = benches.Bench(["w0"])
     writer = FakeWriter(clock, jumps)
     context.machines = FakeMachines(answers, writer)
     context.read_steady = lambda: clock["now"]
@@ -204,3 +218,107 @@
     state = context.caretaker._upkeep.waves[1]
     until = state.began + WAVE.duration
     assert until - context.clocks.steady == left, until
+
+
+@behave.given("an owner whose order to move a VM is on its way")
+def order_move(context):
+    make_caretaker(context, [], [])
+    context.items = give_orders(context, "w0")
+
+
+def give_orders(context, vm):
+    """Order a VM to move; return what is in the store at that time."""
+    care = context.caretaker
+    care._writer = writer = mock.Mock(number=0, durable=0)
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        with contextlib.suppress(gevent.GreenletExit):
+            care._move(sizing.MoveVm(vm=vm, pool=vms.OTHER))
+        made = [call.args for call in writer.mark.call_args_list]
+        return tuple(
+            stores.Item(key=key, payload=make().payload, revision=1, created=1)
+            for key, make in made
+        )
+
+
+def take_over_moves(context):
+    """Begin a new owner with the records of the one before."""
+    make_caretaker(context, [], [])
+    vms.make_pools(context.bench.book, vms.OTHER)
+    context.bench.add(definition.Step(tasks=1, cpu=1, lasting=True))
+    with mock.patch.object(
+        caretaker.clocks, "read_steady", context.read_steady
+    ):
+        context.caretaker.load(context.items)
+
+
+def place_tasks(context, tenths, life="w0"):
+    """Let the owner work on, and return the tenths in which tasks start."""
+    found = []
+    for tenth in range(tenths):
+        context.bench.report(life, context.bench.rows(life))
+        if context.bench.start_all():
+            found.append(tenth)
+        with mock.patch.object(
+            caretaker.clocks, "read_steady", context.read_steady
+        ):
+            context.clock["now"] += 0.1
+            context.bench.now += 0.1
+            context.caretaker._release_held(context.clock["now"])
+            context.caretaker._step(context.clock["now"])
+    return found
+
+
+@behave.when(
+    "another owner takes over, with a pause of 3 seconds, and work waits"
+)
+def take_over_with_work(context):
+    take_over_moves(context)
+    context.tenths = place_tasks(context, 40)
+
+
+@behave.then("no task is placed on that VM in the pause, and one after it")
+def check_placed_late(context):
+    assert context.tenths and 29 <= context.tenths[0] <= 32, context.tenths
+
+
+@behave.when(
+    "another owner takes over and a worker comes to the new pool on that VM"
+)
+def take_over_moved(context):
+    take_over_moves(context)
+    book = context.bench.book
+    queue = dataclasses.replace(models.QUEUE, pool=vms.OTHER)
+    book.set_configuration(
+        dataclasses.replace(book.configuration, queues=(queue,))
+    )
+    entry = book.workers["w0"].entry
+    book.set_entry(dataclasses.replace(entry, identity="w0x", pool=vms.OTHER))
+    context.bench.numbers["w0x"] = 0
+    context.tenths = place_tasks(context, 2, life="w0x")
+
+
+@behave.then("a task is placed there at once")
+def check_placed_soon(context):
+    assert context.tenths[:1] == [0], context.tenths
+
+
+@behave.when(
+    "another owner orders another VM, and a third takes over and work waits"
+)
+def take_over_twice(context):
+    take_over_moves(context)
+    context.items = give_orders(context, "w1")
+    take_over_with_work(context)
+
+
+@behave.when("the platform answers none of its orders and work waits")
+def answer_nothing(context):
+    lost = machines.Unavailable(reason="no answer in time")
+    context.items = ()
+    take_over_moves(context)
+    context.machines.answers = [lost] * timing.VM_ORDER_TRIES
+    with mock.patch.object(caretaker.gevent, "sleep"):
+        give_orders(context, "w0")
+    context.tenths = place_tasks(context, 40)
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -41,6 +41,14 @@
       | gone back by 5 s    | 18   |
       | jumped ahead by 5 s | 11   |
 
+  # Read in the code: a VM that a wave had closed stayed closed for as long as
+  # a lasting step could spare no task of it, while its pool's jobs waited.
+  Scenario: A VM that cannot be vacated for a wave goes back into use
+    Given a pool of 6 VMs and a wave over all of them that bears 2 away
+    When each VM runs a task of a step of which another one is away for good
+    Then no VM is closed for longer than 10 seconds without a break
+    And each VM of the wave is closed once in 60 seconds
+
   Scenario: VMs that an earlier owner has just ordered are left alone
     Given a pool of 4 VMs and a wave over all of them that bears 4 away
     When 3 of the VMs were ordered lately by another owner
@@ -132,6 +140,34 @@
     Then it leaves that VM alone for 1 second more
     And a VM whose order is on its way for 3 seconds
 
+  # Seen: on a deployment where the platform does not check tokens, more tasks
+  # of a lasting step were away than it bears.  An owner ordered an empty VM to
+  # move and was replaced; the order was still on its way.  The next owner gave
+  # that VM no orders for a while, but placed tasks on it, and the order ended
+  # them.  Read in the code, and proved by this scenario.
+  Scenario: The next owner places no task on a VM whose order may still come
+    Given an owner whose order to move a VM is on its way
+    When another owner takes over, with a pause of 3 seconds, and work waits
+    Then no task is placed on that VM in the pause, and one after it
+
+  # The same by two more ways, read in the code: the next owner's first order
+  # overwrote the record of the one before; and an owner reopened a VM whose
+  # order it had given up, though the platform had never answered.
+  Scenario Outline: An order on its way is remembered by <whom>
+    Given an owner whose order to move a VM is on its way
+    When <what> and work waits
+    Then no task is placed on that VM in the pause, and one after it
+
+    Examples:
+      | whom                          | what                                                    |
+      | the owner after the next one  | another owner orders another VM, and a third takes over |
+      | the owner that has given it up | the platform answers none of its orders                |
+
+  Scenario: A VM whose worker has come to its new pool gets work at once
+    Given an owner whose order to move a VM is on its way
+    When another owner takes over and a worker comes to the new pool on that VM
+    Then a task is placed there at once
+
   Scenario: An order to a VM without an answer is given again, not to another VM
     Given an interface to VMs whose first 2 answers are lost
     When it gives an order to a VM
