Say why a job stands still, and which proof ended its runs

Runs that a lease's end releases, and those of a life that is over, ended without a line.

Change: scheduling/hindrance.py names what a task whose turn has come lacks, scheduling/standing.py finds jobs (and single tasks of jobs that last) with nothing at work for 1.5 s, and the reporter tells of them once a second: pool.standing, job.standing, rackvalve_jobs_standing. worker.released and run.ended name the proof. No decision is changed; Planner.list_members is the part of _view that chooses workers, under a name.

Not done: the age of a job that stands begins anew with each owner.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -18,6 +18,8 @@
       | a job held by its bound    | completed      | workspace north was at its bound: 5 of 0 cpu, 90 of 96 MB | south          |
       | a job beyond its rate      | completed      | workspace north had sent more jobs than its rate         | at its bound    |
       | a caller without a right   | never accepted | with 401: key unknown by version 7                       | had lost        |
+      | a job that stood still     | completed      | stood still for 1.6 s: its workers do not answer; workers w7; to be proved over in 2.5 s at the latest, by its lease | asked for |
+      | a job that still stands    | accepted       | nothing happened for 8.0 s after job.taken               | has room        |
       | a job that never started   | accepted       | nothing happened for 8.0 s after job.taken               | dependency.lost |
       | another job                | no line        | give the lines of all VMs                                | vm-1            |
 
@@ -41,6 +43,7 @@
       | a job late by its worker    | lost worker           |
       | a job late by its owner     | change of owner       |
       | a job late for want of room | room in the pool      |
+      | a job that stood still      | its workers do not answer |
 
   Scenario: A job that kept its objective is not late
     Given the log lines of a job in time
@@ -52,6 +55,11 @@
     When the operator's command explains the day from a file
     Then it prints the window, the cause and the sizes
 
+  Scenario: The command sums up what stood still
+    Given the log lines of a job that stood still
+    When the operator's command explains the day from a file
+    Then it prints what stood still
+
   Scenario: Lines that are no events are counted, and lines before a brace passed over
     Given lines with text before the brace, broken ones and an empty one
     Then 1 event is read and 2 lines are counted as unread
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -111,6 +111,12 @@
     )
 
 
+def stand(time, reason, **fields):
+    return line(
+        time, "job.standing", job=JOB, reason=reason, seconds=1.6, **fields
+    )
+
+
 CASES = {
     "a job refused everywhere": [
         lose(1.0, "vm-2", "store", reason="no answer in time"),
@@ -180,6 +186,33 @@
         lose(2.0, "vm-1", "worker", worker="w9", reason="silent"),
         size(9.02, "p", 1.0, 4),
     ],
+    "a job that stood still": [
+        *accept(1.0),
+        line(3.2, "ownership.taken", "vm-3", fence=9),
+        stand(
+            4.0,
+            "its workers do not answer",
+            workers=["w7"],
+            proof_in=2.5,
+            awaited="its lease",
+        ),
+        line(
+            4.0,
+            "pool.standing",
+            pool="p",
+            reasons=["its workers do not answer: 3", "no worker has room: 1"],
+            reason="its workers do not answer",
+            seconds=2.25,
+        ),
+        order(6.5),
+        end(7.0),
+        finish(7.1),
+    ],
+    "a job that still stands": [
+        *accept(1.0),
+        stand(2.6, "no worker takes work"),
+        size(9.02, "p", 1.0, 4),
+    ],
     "another job": [line(1.0, "job.accepted", job="bb", queue="q")],
 }
 
@@ -268,6 +301,14 @@
         assert text in context.done.stdout, context.done.stdout
 
 
+@behave.then("it prints what stood still")
+def check_standing_printed(context):
+    assert (
+        "stood still: p: its workers do not answer: told in 1 s, 3 jobs at "
+        "once, 2.2 s at the longest"
+    ) in context.done.stdout, context.done.stdout
+
+
 @behave.then("it ends with 0 and prints its verdict and its causes")
 def check_printed(context):
     assert context.done.returncode == 0, context.done
--- a/src/rackvalve/cli/explanation.py
+++ b/src/rackvalve/cli/explanation.py
@@ -70,6 +70,7 @@
             return EXIT_UNKNOWN_JOB
         self._print_windows(verdicts)
         self._print_sums(verdicts)
+        self._print_standing(lines)
         return EXIT_OK
 
     def _print_windows(self, verdicts: list[days.Verdict]) -> None:
@@ -89,6 +90,15 @@
                 f"{causes}".rstrip()
             )
 
+    def _print_standing(self, lines: events.Lines) -> None:
+        found = days.sum_standing(lines)
+        for (pool, reason), cell in sorted(found.items()):
+            self.line(
+                f"  stood still: {pool or 'no pool'}: {reason}: told in "
+                f"{cell.seconds} s, {cell.most} jobs at once, "
+                f"{cell.longest:.1f} s at the longest"
+            )
+
     def _print_sums(self, verdicts: list[days.Verdict]) -> None:
         late = [verdict for verdict in verdicts if verdict.late]
         self.line(f"{len(late)} of {len(verdicts)} jobs were late")
--- a/src/rackvalve/explain/day.py
+++ b/src/rackvalve/explain/day.py
@@ -28,6 +28,8 @@
 SLOW = "slow or silent worker"
 FAILED = "failed run"
 LOST = "lost worker"
+# What the owner says of a job that stands, where that has a name of ours.
+_REASONS = {"no worker has room": ROOM}
 _STOPS = {
     "its worker is slow": SLOW,
     "it makes no progress": SLOW,
@@ -94,6 +96,8 @@
     tasks: int = 0
     lasting: bool = False
     ended: Event | None = None
+    # When the owner said that it stood still, and why.
+    standing: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     # Runs by step and task, in order.
     steps: dict[int, dict[str, list[Run]]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(
@@ -129,6 +133,9 @@
         elif event.name == "job.taken":
             records[job].tasks = event.get("tasks") or 0
             records[job].lasting = bool(event.get("lasting"))
+        elif event.name == "job.standing":
+            reason = str(event.get("reason"))
+            records[job].standing.append((event.time, reason))
         elif event.name == "job.ended":
             records[job].ended = event
         elif event.name == "run.ordered":
@@ -171,7 +178,9 @@
         tasks = record.steps[number]
         usual = _usual_time(tasks)
         critical = max(tasks.values(), key=_last_end)
-        _explain_wait(ready, critical[0].ordered, changes, waits)
+        cause = _find_wait(ready, critical[0].ordered, record, changes)
+        if critical[0].ordered - ready >= NOTABLE_S:
+            waits[cause] += critical[0].ordered - ready
         _explain_runs(critical, usual, waits)
         chain += min(critical[-1].taken, SLOW_FROM * usual) or usual
         ready = max(ready, _last_end(critical))
@@ -203,18 +212,17 @@
     return max((run.ended or run.ordered for run in runs), default=0.0)
 
 
-def _explain_wait(
-    ready: float,
-    ordered: float,
-    changes: list[float],
-    waits: dict[str, float],
-) -> None:
-    """Put down the time from a task's turn to its first order."""
-    wait = ordered - ready
-    if wait < NOTABLE_S:
-        return
+def _find_wait(
+    ready: float, ordered: float, record: _Record, changes: list[float]
+) -> str:
+    """Find out what a task waited for from its turn to its first order."""
+    told = [
+        reason for time, reason in record.standing if ready <= time <= ordered
+    ]
+    if told:
+        return _REASONS.get(told[-1], told[-1])
     changed = any(ready <= time <= ordered for time in changes)
-    waits[OWNER if changed else ROOM] += wait
+    return OWNER if changed else ROOM
 
 
 def _explain_runs(
@@ -277,3 +285,39 @@
             for cause, wait in verdict.waits.items():
                 total[cause] += wait
     return dict(sorted(total.items(), key=lambda item: -item[1]))
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Standing:
+    """Jobs of one pool that stood still for the same reason.
+
+    :param seconds: In how many seconds a line told of any.
+    :param most: The most at once.
+    :param longest: The longest that any stood, in seconds, where it was the
+        oldest of its pool.
+    """
+
+    seconds: int = 0
+    most: int = 0
+    longest: float = 0.0
+
+
+def sum_standing(lines: log_events.Lines) -> dict[tuple[str, str], Standing]:
+    """Sum up which jobs stood still, by pool and reason.
+
+    :param lines: Log lines of all managers.
+    """
+    found: dict[tuple[str, str], Standing] = {}
+    for event in lines.events:
+        if event.name != "pool.standing":
+            continue
+        pool = str(event.get("pool"))
+        for text in event.get("reasons") or ():
+            reason, _, count = str(text).rpartition(": ")
+            cell = found.setdefault((pool, reason), Standing())
+            cell.seconds += 1
+            cell.most = max(cell.most, int(count))
+        oldest = found.get((pool, str(event.get("reason"))))
+        if oldest is not None:
+            oldest.longest = max(oldest.longest, float(event.get("seconds")))
+    return found
--- a/src/rackvalve/explain/story.py
+++ b/src/rackvalve/explain/story.py
@@ -17,7 +17,11 @@
     {"ownership.taken", "ownership.lost", "ownership.resigned"}
 )
 # Events that concern the jobs that run on the worker they name.
-_WORKER_EVENTS = frozenset({"dependency.lost", "worker.over"})
+_WORKER_EVENTS = frozenset(
+    {"dependency.lost", "worker.over", "worker.released"}
+)
+# Tells of a pause, and does not end it.
+_STANDING = "job.standing"
 
 Event = log_events.Event
 
@@ -164,7 +168,8 @@
     job: str, own: tuple[Event, ...], lines: log_events.Lines
 ) -> Story:
     last = lines.events[-1].time
-    pause = Pause(began=own[-1], ended=None, seconds=last - own[-1].time)
+    began = _leave_out_standing(own)[-1]
+    pause = Pause(began=began, ended=None, seconds=last - began.time)
     return Story(
         job=job,
         timeline=own,
@@ -195,9 +200,10 @@
 
 def _find_pauses(own: tuple[Event, ...]) -> list[Pause]:
     """Return the notable pauses, the longest first."""
+    moves = _leave_out_standing(own)
     pauses = [
         Pause(began=one, ended=other, seconds=other.time - one.time)
-        for one, other in zip(own, own[1:], strict=False)
+        for one, other in zip(moves, moves[1:], strict=False)
         if other.time - one.time >= NOTABLE_S
     ]
     return sorted(pauses, key=lambda pause: -pause.seconds)
@@ -215,6 +221,7 @@
         f"nothing happened for {pause.seconds:.1f} s after "
         f"{pause.began.name} ({describe(pause.began)})"
     ]
+    causes.extend(_find_standing(pause, own, until))
     causes.extend(
         f"{event.vm}: {event.name} ({describe(event)})"
         for event in around
@@ -227,6 +234,36 @@
     return causes
 
 
+def _leave_out_standing(own: tuple[Event, ...]) -> tuple[Event, ...]:
+    return tuple(event for event in own if event.name != _STANDING)
+
+
+def _find_standing(
+    pause: Pause, own: tuple[Event, ...], until: float
+) -> list[str]:
+    """Return what the owner said of a job that stood still."""
+    return [
+        f"{event.vm}: stood still for {event.get('seconds')} s: "
+        + _describe_standing(event)
+        for event in own
+        if event.name == _STANDING and pause.began.time <= event.time <= until
+    ]
+
+
+def _describe_standing(event: Event) -> str:
+    parts = [str(event.get("reason"))]
+    if event.get("task"):
+        parts.append(f"task {event.get('task')}")
+    if event.get("workers"):
+        parts.append("workers " + ", ".join(event.get("workers")))
+    if event.get("proof_in") != "":
+        parts.append(
+            f"to be proved over in {event.get('proof_in')} s at the latest, "
+            f"by {event.get('awaited')}"
+        )
+    return "; ".join(parts)
+
+
 def _find_want_of_right(
     own: tuple[Event, ...], around: list[Event]
 ) -> list[str]:
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -58,12 +58,18 @@
     "worker.established": "A worker has taken the owner's fencing token.",
     "worker.draining": "A worker says that it will leave.",
     "worker.lost": "What ran on a silent worker is over: its VM is off.",
+    "worker.released": "Runs of a worker are over without its word; says what "
+    "proves it and how many.",
     "worker.over": "A worker's life is over; says what proves it.",
     "job.accepted": "A job is kept and its caller was told so.",
     "job.taken": "The owner learned of a job.",
     "job.cancel_recorded": "A caller's cancelling is kept.",
     "job.cancelled": "The owner ends a job at its caller's wish.",
     "job.ended": "A job's last state is in the store.",
+    "job.standing": "A task's turn has come and nothing of its job is at "
+    "work; says why, once for each reason.",
+    "pool.standing": "How many jobs of a pool stand still, by reason; says "
+    "which one longest and what its workers are at.",
     "workspace.held": "Tasks wait since their workspace has as much running "
     "as its bound allows.",
     "run.ordered": "A worker is told to start a run.",
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -36,6 +36,7 @@
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
 from rackvalve.scheduling import queues
+from rackvalve.scheduling import releases
 from rackvalve.scheduling import reports
 from rackvalve.scheduling import sharing
 from rackvalve.scheduling import workers
@@ -171,6 +172,7 @@
         """
         self.deposed = self.deposed or reason
         self._roster.close()
+        self._reporter.close()
         current = gevent.getcurrent()
         others = [green for green in self._greenlets if green is not current]
         gevent.killall(others, block=False)
@@ -279,6 +281,9 @@
         :param identity: The worker.
         :param reason: What proves it.
         """
+        worker = self._book.workers.get(identity)
+        if worker is not None:
+            self._reporter.log_release(releases.make(worker, reason))
         self._roster.end_life(identity, reason)
 
     # -- beginning ---------------------------------------------------------
@@ -420,8 +425,10 @@
         if configuration is not None:
             if configuration.version != self._book.configuration.version:
                 self._book.set_configuration(configuration)
-        self._planner.stop_and_release(now)
+        for release in self._planner.stop_and_release(now):
+            self._reporter.log_release(release)
         self._reporter.log_held(now)
+        self._reporter.log_standing(now)
         self._roster.forget_gone(now)
         self._recorder.publish_waiting(now)
         self._recorder.collect(now, clocks.read_wall())
--- a/src/rackvalve/manager/reporter.py
+++ b/src/rackvalve/manager/reporter.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import collections
+
 from rackvalve import clocks
 from rackvalve import logs
 from rackvalve.manager import timing
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import hindrance as hindrances
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
+from rackvalve.scheduling import releases
 from rackvalve.scheduling import reports
+from rackvalve.scheduling import standing
 from rackvalve import telemetry as telemetries
 
+# Workers that a line names at most.
+WORKERS_MOST = 5
+
 
 class Reporter:
-    """Tells of one owner's orders, of ends of runs, and of bounds.
+    """Tells of one owner's orders, of ends, of bounds and of what stands.
 
     :param book: The owner's book.
     :param handler: Handles the reports of workers.
@@ -21,7 +29,15 @@
     :param telemetry: Counts what happens.
     """
 
-    __slots__ = ("_book", "_handler", "_planner", "_telemetry", "_held_at")
+    __slots__ = (
+        "_book",
+        "_handler",
+        "_planner",
+        "_telemetry",
+        "_held_at",
+        "_standing",
+        "_standing_at",
+    )
 
     def __init__(
         self,
@@ -36,6 +52,14 @@
         self._telemetry = telemetry
         # When workspaces at their bounds were told of last, in seconds.
         self._held_at = float("-inf")
+        self._standing = standing.Watch(book, planner, timing.FRESHNESS_S)
+        # When jobs that stand still were looked for last, in seconds.
+        self._standing_at = float("-inf")
+
+    def close(self) -> None:
+        """Tell no more of what stood: another process may own."""
+        for cause in hindrances.Cause:
+            self._telemetry.jobs_standing.labels(cause.value).set(0)
 
     def log_order(self, order: messages.Order) -> None:
         """Tell of an order to a worker.
@@ -104,6 +128,8 @@
     def log_ends(self) -> None:
         """Tell of the ends that were handled since the last time."""
         for end in self._handler.ended:
+            if end.counted:
+                self._standing.note_end(end.task)
             self._telemetry.runs_ended.labels(end.cause).inc()
             logs.write_event(
                 "run.ended",
@@ -114,3 +140,99 @@
                 counted=end.counted,
             )
         self._handler.ended.clear()
+
+    def log_release(self, release: releases.Release) -> None:
+        """Tell of runs that a proof has ended.
+
+        :param release: The runs and the proof.
+        """
+        if not release.runs:
+            return
+        logs.write_event(
+            "worker.released",
+            worker=release.worker,
+            proof=release.proof,
+            runs=len(release.runs),
+        )
+        for task, run in release.runs:
+            self._telemetry.runs_ended.labels(release.proof).inc()
+            logs.write_event(
+                "run.ended",
+                task=task,
+                run=run,
+                worker=release.worker,
+                cause=release.proof,
+                counted=True,
+            )
+
+    def log_standing(self, now: float) -> None:
+        """Tell which jobs stand still, once a second.
+
+        :param now: Present time, in seconds.
+        """
+        if now - self._standing_at < timing.SIZES_LOG_INTERVAL_S:
+            return
+        self._standing_at = now
+        found = self._standing.look(now)
+        counts = found.count()
+        for cause in hindrances.Cause:
+            gauge = self._telemetry.jobs_standing.labels(cause.value)
+            gauge.set(counts[cause])
+        for pool in found.pools:
+            _log_pool(pool, found.unjudged)
+        for job in found.jobs:
+            _log_job(job)
+
+
+def _log_pool(pool: standing.PoolStanding, unjudged: int) -> None:
+    logs.write_event(
+        "pool.standing",
+        pool=pool.pool,
+        jobs=pool.causes.total(),
+        unjudged=unjudged,
+        reasons=_list_counts(pool.causes),
+        workers=_list_counts(pool.workers),
+        job=pool.oldest.job,
+        task=pool.oldest.task,
+        queue=pool.oldest.queue,
+        seconds=round(pool.oldest.seconds, 3),
+        reason=pool.oldest.cause.value,
+        overtaken=pool.overtaken,
+    )
+
+
+def _log_job(job: standing.JobStanding) -> None:
+    fields: dict[str, logs.Field] = {}
+    hindrance = job.hindrance
+    if hindrance.need is not None:
+        fields["cpu"] = hindrance.need.cpu
+        fields["memory"] = hindrance.need.memory
+        fields["gpu"] = hindrance.need.gpu
+    if hindrance.workers:
+        fields["workers"] = list(hindrance.workers[:WORKERS_MOST])
+    if hindrance.proof_in is not None:
+        fields["proof_in"] = round(hindrance.proof_in, 3)
+    if hindrance.awaited is not None:
+        fields["awaited"] = hindrance.awaited.value
+    logs.write_event(
+        "job.standing",
+        job=job.job,
+        task=job.task,
+        queue=job.queue,
+        pool=hindrance.pool,
+        workspace=job.workspace,
+        reason=job.cause.value,
+        seconds=round(job.seconds, 3),
+        waiting=job.waiting,
+        **fields,
+    )
+
+
+def _list_counts(
+    counts: collections.Counter[hindrances.Cause]
+    | collections.Counter[hindrances.Availability],
+) -> list[str]:
+    """Return counts as texts, the greatest first."""
+    return [
+        f"{key.value}: {count}" for key, count in counts.most_common() if count
+    ]
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -19,6 +19,7 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import objectives
 from rackvalve.scheduling import placement
+from rackvalve.scheduling import releases
 from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
 
@@ -92,16 +93,20 @@
             planned += self._plan_pool(view, states, now)
         return planned
 
-    def stop_and_release(self, now: float) -> None:
+    def stop_and_release(self, now: float) -> list[releases.Release]:
         """Release runs that are proved over; stop those with no use here.
 
         A run has none if its job has ended, if it makes no progress, or if it
         lasts and its worker leaves.
 
         :param now: Present time, in seconds.
+        :return: What was released.
         """
+        released: list[releases.Release] = []
         for worker in list(self._book.workers.values()):
             if worker.runs and worker.is_over(now):
+                proof = releases.find_proof(worker)
+                released.append(releases.make(worker, proof))
                 for placed in list(worker.runs.values()):
                     self._book.release(placed, now)
                 continue
@@ -112,6 +117,7 @@
             self._book.speeds.judge(worker, self._book.durations, now)
             if now < worker.slow_until:
                 self._move_stragglers(worker, now)
+        return released
 
     def _is_silent(self, worker: workers.WorkerState, now: float) -> bool:
         """Return whether a worker has not answered this owner for a while."""
@@ -231,7 +237,12 @@
         missing = now - worker.gone_since > self._limits.entry_grace
         return missing and eviction.may_evict(self._book, placed, now)
 
-    def _view(self, pool: str, now: float) -> placement.PoolView:
+    def list_members(self, pool: str, now: float) -> list[workers.WorkerState]:
+        """Return the workers of a pool that work may be placed on.
+
+        :param pool: The pool.
+        :param now: Present time, in seconds.
+        """
         members = [
             worker
             for worker in self._book.members.get(pool, {}).values()
@@ -239,9 +250,12 @@
         ]
         quick = [worker for worker in members if now >= worker.slow_until]
         if len(quick) * 2 >= len(members):
-            members = quick
+            return quick
+        return members
+
+    def _view(self, pool: str, now: float) -> placement.PoolView:
         view = self._views.setdefault(pool, placement.PoolView([]))
-        view.members = members
+        view.members = self.list_members(pool, now)
         return view
 
     def _plan_pool(
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -30,6 +30,8 @@
     "rackvalve_vm_orders_total": "counter by order, outcome: orders to VMs",
     "rackvalve_pool_demand": "gauge by pool: demand, in VMs",
     "rackvalve_pool_size": "gauge by pool: VMs that work for it",
+    "rackvalve_jobs_standing": "gauge by reason: jobs that stand still, of "
+    "this owner",
 }
 # Bounds of the histograms, in seconds: from the store's answer (4 ms) to the
 # longest job of the users' sheets.
@@ -54,6 +56,7 @@
         self.vm_orders = self._count("vm_orders", "order", "outcome")
         self.pool_demand = self._gauge("pool_demand", "pool")
         self.pool_size = self._gauge("pool_size", "pool")
+        self.jobs_standing = self._gauge("jobs_standing", "reason")
 
     def make_app(self) -> Callable[..., Any]:
         """Make the WSGI application that tells the measures."""
