Look for jobs that stand after a plan, and leave starts that just began

And a job that had waited 4.9 s for room was told as "ordered and not confirmed" in the moment of its start.

--- a/features/standing.feature
+++ b/features/standing.feature
@@ -36,6 +36,11 @@
     When the run ends and the next one has not begun at the next look
     Then it says nothing
 
+  Scenario: A job that is just being started does not stand
+    Given a job of 1 small task on 2 workers, and a wave closes the workers
+    When the workers are opened after 3 s, and the job is planned
+    Then it says nothing
+
   Scenario: Each task of a job that lasts counts by itself
     Given a job of 2 lasting tasks on 2 workers, and its worker falls silent
     When the owner looks for 3 s
--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -194,6 +194,18 @@
     assert not any(found.pools for found in context.looks), context.looks
 
 
+@behave.when("the workers are opened after 3 s, and the job is planned")
+def open_workers(context):
+    look(context)
+    for name in NAMES:
+        context.bench.book.workers[name].closing = ""
+    context.bench.now += 1.0
+    for name in NAMES:
+        context.bench.report(name)
+    context.bench.plan()
+    context.looks = [context.watch.look(context.bench.now)]
+
+
 @behave.when("the run ends and the next one has not begun at the next look")
 def end_run(context):
     for name in NAMES:
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -417,6 +417,8 @@
                 checked = now
                 self._check(now)
             self._planner.plan(now, clocks.read_wall())
+            # Room that is free before a plan is not free after it.
+            self._reporter.log_standing(now)
             self._recorder.mark_changed()
             self._send_orders()
 
@@ -428,7 +430,6 @@
         for release in self._planner.stop_and_release(now):
             self._reporter.log_release(release)
         self._reporter.log_held(now)
-        self._reporter.log_standing(now)
         self._roster.forget_gone(now)
         self._recorder.publish_waiting(now)
         self._recorder.collect(now, clocks.read_wall())
--- a/src/rackvalve/scheduling/standing.py
+++ b/src/rackvalve/scheduling/standing.py
@@ -1,8 +1,8 @@
 """Which jobs stand still: a task's turn has come and nothing is at work.
 
 A job that lasts serves with each of its tasks, so that each of them counts by
-itself.  The owner looks once a second; what starts and ends between two looks
-does not stand.
+itself.  The owner looks once a second, after a plan; what starts and ends
+between two looks does not stand.
 """
 
 from __future__ import annotations
@@ -23,6 +23,9 @@
 # A job stands still after this time with nothing at work, in seconds: half of
 # what the users' pages bear.  A start takes up to 0.3 s by a slow store.
 STANDING_S = 1.5
+# A start that is under way for less than this holds nothing up, in seconds;
+# a slow store takes 0.24 s for its record.
+START_S = 0.5
 # Jobs of one pool and cause that are told of at one look.
 TOLD_MOST = 2
 # Jobs that are judged at one look, in the order in which they came: an owner
@@ -218,7 +221,7 @@
                     continue
                 began = self._find_beginning(part, hindrance)
                 since[part.name] = began
-                if now - began >= STANDING_S:
+                if now - began >= STANDING_S and not _starts(hindrance, now):
                     found.append(_describe(part, hindrance, now - began))
         self._since = since
         return sorted(found, key=lambda job: -job.seconds)
@@ -307,6 +310,15 @@
         yield _Part(state=state, task=task, waiting=(), runs=(placed,))
 
 
+def _starts(hindrance: hindrances.Hindrance, now: float) -> bool:
+    """Return whether a start has only just begun."""
+    under_way = hindrance.cause in (
+        hindrances.Cause.NO_RECORD,
+        hindrances.Cause.NO_CONFIRMATION,
+    )
+    return under_way and now - hindrance.since < START_S
+
+
 def _describe(
     part: _Part, hindrance: hindrances.Hindrance, seconds: float
 ) -> JobStanding:
