A failing test: on a busy machine the ownership changes every few seconds

Cause, by the logs of a site without any fault beside 64 busy processes on 16 cores (25 s): five owners, the processes stood still for up to a second now and then, and a lease of 1 s is over before its holder renews it. 46 gaps of 2 s or more, 4.9 s at the longest; without the busy processes one owner and no gap.

Ruled out: answers that came while the process stood still and count as missed. A call whose answer is there is read before its time limit is looked at (20 of 20 calls with a limit of 0.3 s, the process stopped for 0.6 s).

Test: four processes in one store, each stands still for 0.9 s at each call.

--- a/features/outages.feature
+++ b/features/outages.feature
@@ -35,3 +35,12 @@
     Given an owner on the largest VM and 3 others in one store
     When its key is taken away and it is told to hand over at the same time
     Then 1.0 s later another one owns, under a greater token
+
+  # On a busy machine the ownership changed four times in 25 s though nothing had
+  # failed, and jobs stood still for up to 4.9 s: each process stood still for up to
+  # a second now and then, and a lease of one second was over before its holder
+  # could renew it.  The logs show no trouble near these changes but the lateness.
+  Scenario: An owner whose process stands still now and then stays the owner
+    Given an owner on the largest VM and 3 others in one store
+    When each of them stands still for 0.9 s at each call, for 9.0 s
+    Then nobody takes the ownership in the next 4.0 s
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -23,11 +23,15 @@
     def __init__(self):
         self.items = {}
         self.revision = 0
+        # When each lease ends, and how long it is from each renewal.
         self.leases = {}
+        self.lengths = {}
         self.history = []
         self.changed = gevent.event.Event()
         # Processes that get no answer; ``None`` for all.
         self.dark = frozenset()
+        # How long each process stands still at each of its calls, in seconds.
+        self.pause = 0.0
 
     def expire(self):
         now = time.monotonic()
@@ -78,7 +82,7 @@
             if time.monotonic() > until:
                 return False
             gevent.sleep(0.01)
-        gevent.sleep(ANSWER_S)
+        gevent.sleep(ANSWER_S + self.store.pause)
         self.store.expire()
         return True
 
@@ -89,6 +93,7 @@
         while identity in self.store.leases:
             identity += 1
         self.store.leases[identity] = time.monotonic() + duration
+        self.store.lengths[identity] = duration
         return stores.Lease(identity=identity, duration=duration)
 
     def renew_lease(self, identity, timeout):
@@ -96,7 +101,8 @@
             return stores.Unavailable(reason="silent")
         if identity not in self.store.leases:
             return False
-        self.store.leases[identity] = time.monotonic() + 1.0
+        length = self.store.lengths[identity]
+        self.store.leases[identity] = time.monotonic() + length
         return True
 
     def end_lease(self, identity):
@@ -356,3 +362,20 @@
     context.store.remove(election.KEY)
     gevent.sleep(2 * ANSWER_S)
     context.first.election.resign()
+
+
+@behave.when(
+    "each of them stands still for {pause:f} s at each call, for {seconds:f} s"
+)
+def slow_down(context, pause, seconds):
+    context.store.pause = pause
+    gevent.sleep(seconds)
+
+
+@behave.then("nobody takes the ownership in the next {seconds:f} s")
+def check_settled(context, seconds):
+    before = [len(process.owners) for process in context.processes]
+    gevent.sleep(seconds)
+    after = [len(process.owners) for process in context.processes]
+    assert before == after, (before, after)
+    assert len(find_owners(context)) == 1
