The owner's lease is as long as its process is late

Cause: the shortest lease that the store gives, 1 s, was over whenever a busy machine let the owner's process stand still for a second; each such change of owner cost 1 to 3 s without starts, though nothing had failed.

Ruled out: longer leases for all. A lost owner would cost each site as much more as the lease is longer; on a machine that is not busy nothing is bought by it.

Change: each process measures by how much its own waits and the answers that came were late; its lease is 1 s, and twice the worst of the last 20 s, 3 s at the most. An owner replaces a lease that is too short or too long under its term.

--- a/src/rackvalve/manager/candidacy.py
+++ b/src/rackvalve/manager/candidacy.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 import msgspec
 
 from rackvalve import logs
+from rackvalve.manager import timing
 
 # The owner is asked to hand over by a VM with so many times its processor.
 # Handing over costs half a second without starts; for less it is not worth it.
@@ -109,3 +111,41 @@
     if holder is None or held_for < SETTLED_S:
         return False
     return standing.own >= WORTHWHILE * holder.cores
+
+
+class Lateness:
+    """How late this process has lately been.
+
+    On a busy machine a process stands still for up to a second now and then,
+    though nothing has failed.  A lease of one second then ends with each such
+    pause: the ownership changed five times in 25 s, and jobs stood still for
+    up to 4.9 s (64 busy processes beside a site on 16 cores).
+    """
+
+    __slots__ = ("_late",)
+
+    def __init__(self) -> None:
+        # When it was late, and by how much, in seconds.
+        self._late: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+
+    def note(self, late: float, now: float) -> None:
+        """Note by how much something that this process did was late.
+
+        :param late: Time beyond what it was to take, in seconds.
+        :param now: Present time, in seconds.
+        """
+        if late >= timing.LATENESS_LEAST_S:
+            self._late.append((now, late))
+
+    def choose_lease(self, now: float) -> float:
+        """Return how long the owner's lease should be, in seconds.
+
+        :param now: Present time, in seconds.
+        """
+        while self._late and now - self._late[0][0] > timing.LATENESS_KEPT_S:
+            self._late.popleft()
+        worst = max((late for _, late in self._late), default=0.0)
+        length = timing.OWNER_LEASE_S + timing.LEASE_PER_LATENESS * worst
+        return min(timing.OWNER_LEASE_MOST_S, length)
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -34,6 +34,9 @@
 REQUEST_KEY = PREFIX + "request"
 # Candidates try at different times, so that one wins without conflict.
 CANDIDACY_SPREAD_S = 0.02
+# A lease is replaced if it is too long or too short by more than this, in
+# seconds: that takes two calls.
+LEASE_STEP_S = 0.3
 _TAKEN_BY_ANOTHER = "another process has taken the ownership"
 
 
@@ -80,6 +83,9 @@
         self._changed = event.Event()
         self._owner: ports.Tenure | None = None
         self._lease = 0
+        # Its length, in seconds, and what it should be as late as we are.
+        self._lease_length = timing.OWNER_LEASE_S
+        self._lateness = candidacy.Lateness()
         self._resigned = False
         self._tries = 0
 
@@ -94,8 +100,7 @@
         )
         gevent.spawn(watcher.run)
         while True:
-            self._changed.wait(timing.OWNER_RENEWAL_S)
-            self._changed.clear()
+            self._wait()
             if self._owner is not None:
                 self._keep()
             elif not self._known or not self._may_own() or self._resigned:
@@ -105,6 +110,32 @@
             else:
                 self._ask_holder()
 
+    def _wait(self) -> None:
+        """Wait for a change, or until it is time for the next renewal."""
+        began = clocks.read_steady()
+        self._changed.wait(timing.OWNER_RENEWAL_S)
+        self._changed.clear()
+        now = clocks.read_steady()
+        self._lateness.note(now - began - timing.OWNER_RENEWAL_S, now)
+
+    def _open_lease(self) -> stores.Lease | None:
+        """Open a lease as long as this process needs one.
+
+        :return: The lease; ``None`` if the store does not answer.
+        """
+        began = clocks.read_steady()
+        length = self._lateness.choose_lease(began)
+        lease = self._store.open_lease(length)
+        if isinstance(lease, stores.Unavailable):
+            return None
+        now = clocks.read_steady()
+        self._lateness.note(now - began, now)
+        return lease
+
+    def _take_lease(self, lease: stores.Lease) -> None:
+        self._lease = lease.identity
+        self._lease_length = lease.duration
+
     def _note_answer(self) -> None:
         """Note that the store has answered, and whether it was away."""
         now = clocks.read_steady()
@@ -223,8 +254,8 @@
         gevent.sleep(wait + random.uniform(0, CANDIDACY_SPREAD_S))
         if self._holder is not None or self._resigned:
             return
-        lease = self._store.open_lease(timing.OWNER_LEASE_S)
-        if isinstance(lease, stores.Unavailable):
+        lease = self._open_lease()
+        if lease is None:
             return
         payload = self._describe()
         outcome = self._store.commit(
@@ -236,10 +267,10 @@
         )
         fence = self._find_fence(outcome, payload)
         if fence is not None and not self._resigned:
-            self._begin_owning(fence, lease.identity)
+            self._begin_owning(fence, lease)
 
-    def _begin_owning(self, fence: int, lease: int) -> None:
-        self._lease = lease
+    def _begin_owning(self, fence: int, lease: stores.Lease) -> None:
+        self._take_lease(lease)
         logs.write_event("ownership.taken", fence=fence)
         self._telemetry.ownership.labels("taken").inc()
         self._owner = self._make_owner(fence)
@@ -297,35 +328,46 @@
         if isinstance(renewed, stores.Unavailable):
             return ""
         self._note_answer()
+        now = clocks.read_steady()
+        self._lateness.note(now - began, now)
         if not renewed:
-            return self._hold_again(owner)
+            return self._hold_again(owner, known=0)
         owner.note_contact(began)
         if self._holder is None and self._known:
             return self._check_key(owner)
+        if self._holder is not None and self._is_lease_unfit(now):
+            return self._hold_again(owner, known=self._holder.revision)
         return ""
 
+    def _is_lease_unfit(self, now: float) -> bool:
+        """Return whether another length would suit this process better."""
+        wanted = self._lateness.choose_lease(now)
+        return abs(wanted - self._lease_length) > LEASE_STEP_S
+
     def _check_key(self, owner: ports.Tenure) -> str:
         """Look whether the key is really gone though the lease runs."""
         found = self._store.read(KEY)
         if isinstance(found, stores.Item):
             self._holder = found
         if isinstance(found, stores.Missing):
-            return self._hold_again(owner)
+            return self._hold_again(owner, known=0)
         return ""
 
-    def _hold_again(self, owner: ports.Tenure) -> str:
-        """Take the key anew under the term that stands.
+    def _hold_again(self, owner: ports.Tenure, *, known: int) -> str:
+        """Write the key anew, with another lease, under the term that stands.
 
+        :param owner: The owner.
+        :param known: The key's revision; 0 if its lease has ended it.
         :return: Why the ownership is lost, empty if it is not.
         """
-        lease = self._store.open_lease(timing.OWNER_LEASE_S)
-        if isinstance(lease, stores.Unavailable):
+        lease = self._open_lease()
+        if lease is None:
             return ""
         began = clocks.read_steady()
         payload = self._describe()
         outcome = self._store.commit(
             [
-                stores.Condition(key=KEY, revision=0),
+                stores.Condition(key=KEY, revision=known),
                 stores.Condition(key=TERM_KEY, revision=owner.fence),
             ],
             [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
@@ -339,10 +381,12 @@
                 # It was told to hand over meanwhile.
                 self._store.end_lease(lease.identity)
                 return ""
-            self._lease = lease.identity
+            self._take_lease(lease)
             owner.note_contact(began)
             logs.write_event(
                 "ownership.kept",
                 fence=owner.fence,
+                lease=lease.duration,
+                was_over=known == 0,
             )
         return ""
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -67,9 +67,19 @@
 COMMIT_TIMEOUT_MOST_S = 1.6
 
 # -- ownership -------------------------------------------------------------
-# Length of the owner's lease: the least that the store gives.  It is what a
-# lost owner costs without starts.
+# Length of the owner's lease where nothing is late: the least that the store
+# gives.  It is what a lost owner costs without starts.
 OWNER_LEASE_S = 1.0
+# Its greatest length, in seconds, where processes stand still or the store is
+# slow: more would cost a lost owner's jobs more than 3 s.
+OWNER_LEASE_MOST_S = 3.0
+# How much longer it is for each second by which this process was late lately:
+# once for the renewal itself, once for the one before.
+LEASE_PER_LATENESS = 2.0
+# What was late is remembered for this long, in seconds; less than the second
+# figure does not count: the shortest lease bears it twice between renewals.
+LATENESS_KEPT_S = 20.0
+LATENESS_LEAST_S = 0.25
 # Pause between two renewals, and the longest wait for an answer to one: one
 # renewal may not arrive, any number of answers may be lost, and a slow store
 # answers within 0.24 s.
