--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -27,6 +27,7 @@
 JOB = benches.IDENTITY
 NAMES = ("w1", "w2")
 FULL = models.CAPACITY
+HALF = dataclasses.replace(FULL, cpu=FULL.cpu // 2)
 JOBS = {
     "1 small task": definition.Step(tasks=1, cpu=1),
     "1 large task": definition.Step(tasks=1, cpu=FULL.cpu),
@@ -35,12 +36,14 @@
 }
 
 
-def change_workers(change):
+def change_workers(**fields):
     """Make a hindrance that changes both workers before the job is planned."""
 
     def apply(context):
         for name in NAMES:
-            change(context.bench.book.workers[name])
+            worker = context.bench.book.workers[name]
+            for field, value in fields.items():
+                setattr(worker, field, value)
         context.bench.plan()
 
     return apply
@@ -74,27 +77,11 @@
     context.answering.remove(order.worker)
 
 
-def never_heard(worker):
-    worker.established = False
-
-
-def close(reason):
-    def change(worker):
-        worker.closing = reason
-
-    return change
-
-
-def drain(worker):
-    worker.entry = dataclasses.replace(worker.entry, draining=True)
-
-
-def lose_entry(worker):
-    worker.gone_since = 0.0
-
-
-def fill_half(worker):
-    worker.free = worker.free.minus(fleet.Room(cpu=2, memory=0, gpu=0))
+def drain(context):
+    for name in NAMES:
+        worker = context.bench.book.workers[name]
+        worker.entry = dataclasses.replace(worker.entry, draining=True)
+    context.bench.plan()
 
 
 def silence_all(context):
@@ -115,15 +102,15 @@
         context.bench.now, context.bench.now
     ),
     "no worker confirms a start": lambda context: context.bench.plan(),
-    "a wave closes the workers": change_workers(close(upkeep.CLOSED)),
-    "the workers are surplus": change_workers(close("surplus")),
+    "a wave closes the workers": change_workers(closing=upkeep.CLOSED),
+    "the workers are surplus": change_workers(closing="surplus"),
     "the workers fall silent": silence_all,
-    "the workers were never heard": change_workers(never_heard),
-    "the workers drain": change_workers(drain),
-    "the entries are gone": change_workers(lose_entry),
+    "the workers were never heard": change_workers(established=False),
+    "the workers drain": drain,
+    "the entries are gone": change_workers(gone_since=0.0),
     "the workers are over": end_workers,
     "its workspace is at a bound": bound_workspace,
-    "the workers are half full": change_workers(fill_half),
+    "the workers are half full": change_workers(free=HALF),
     "no worker is admitted": ask_adviser,
     "its worker falls silent": silence_own,
     "nobody plans": lambda context: None,
