Have the record of orders forget those older than the pause

Cause: the record says how old an order was when it was written. An owner that gave no order wrote none, and since the orders of an owner before are kept in the record, each next owner left their VMs alone for 3 s anew. Found on a play of slow answers about VMs with the owner stopped each 4 s: no VM moved from 2 to 19 s. Ruled out: the time of day in the record, which a clock that jumps ahead would shorten. Change: once an order is older than the pause the record is written without it. A move that was given up goes on being one until its pause is over, so that a worker of the new pool gets work.

--- a/features/steps/caretaker_steps.py
+++ b/features/steps/caretaker_steps.py
@@ -30,6 +30,7 @@
         self.clock = clock
         self.jumps = jumps
         self.number = 0
+        self.records = {}
 
     @property
     def durable(self):
@@ -37,6 +38,7 @@
 
     def mark(self, key, make, urgent=True):
         self.number += 1
+        self.records[key] = make
         if self.jumps:
             self.clock["now"] += self.jumps.pop(0)
 
@@ -266,6 +268,7 @@
             context.clock["now"] += 0.1
             context.bench.now += 0.1
             context.caretaker._release_held(context.clock["now"])
+            context.caretaker._forget_ordered(context.clock["now"])
             context.caretaker._step(context.clock["now"])
     return found
 
@@ -322,3 +325,9 @@
     with mock.patch.object(caretaker.gevent, "sleep"):
         give_orders(context, "w0")
     context.tenths = place_tasks(context, 40)
+
+
+@behave.then("its own record names no VM any more")
+def check_record(context):
+    made = context.caretaker._writer.records[caretaker.ORDERS_KEY]()
+    assert made.payload == b"{}", made.payload
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -168,6 +168,13 @@
     When another owner takes over and a worker comes to the new pool on that VM
     Then a task is placed there at once
 
+  # A record that told of orders of long ago made each next owner leave their
+  # VMs alone anew, though the one before had waited for them.
+  Scenario: An order older than the pause is told to no next owner
+    Given an owner whose order to move a VM is on its way
+    When another owner takes over, with a pause of 3 seconds, and work waits
+    Then its own record names no VM any more
+
   Scenario: An order to a VM without an answer is given again, not to another VM
     Given an interface to VMs whose first 2 answers are lost
     When it gives an order to a VM
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -149,6 +149,7 @@
             if now - self._listed >= self._choose_list_interval():
                 self._list()
             self._release_held(now)
+            self._forget_ordered(now)
             self._step(now)
             gevent.sleep(timing.CARE_INTERVAL_S)
 
@@ -184,6 +185,26 @@
                 self._sizing.give_up(vm)
         self._upkeep.held = frozenset(self._held)
 
+    def _forget_ordered(self, now: float) -> None:
+        """Have the record forget what was ordered longer ago than the pause.
+
+        A record says how old an order was when it was written, and a next
+        owner cannot know how long ago that was.
+        """
+        if self._find_recent(now) != self._ordered:
+            self._writer.mark(ORDERS_KEY, self._make_ordered, urgent=False)
+
+    def _find_recent(self, now: float) -> dict[str, float | None]:
+        """Return the VMs that the next owner has to leave alone.
+
+        One whose order was never answered stays until this owner ends.
+        """
+        return {
+            vm: time
+            for vm, time in self._ordered.items()
+            if time is None or now - time < self._order_pause
+        }
+
     def _take_waves(self) -> None:
         for wave in self._view.waves.values():
             if self._upkeep.add_wave(wave, clocks.read_steady()):
@@ -297,26 +318,22 @@
         """Leave a VM alone whose order was given up without an answer."""
         now = clocks.read_steady()
         self._held[vm] = now + self._order_pause
-        self._uncertain.add(vm)
+        if vm in self._moves:
+            self._sizing.restore(vm, self._moves[vm])
+        else:
+            self._uncertain.add(vm)
         self._release_held(now)
         self._apply_closing()
 
     def _make_ordered(self) -> backlogs.Record:
-        """Make the record of VMs that the next owner leaves alone.
-
-        A VM whose order was answered longer ago than the pause is left out;
-        one whose order never was stays until this owner ends.
-        """
+        """Make the record of VMs that the next owner leaves alone."""
         now = clocks.read_steady()
+        self._ordered = self._find_recent(now)
         ages = {
             vm: 0.0 if time is None else now - time
             for vm, time in self._ordered.items()
         }
-        recent = {
-            vm: age for vm, age in ages.items() if age < self._order_pause
-        }
-        self._ordered = {vm: self._ordered[vm] for vm in recent}
-        return backlogs.Record(payload=msgspec.json.encode(recent))
+        return backlogs.Record(payload=msgspec.json.encode(ages))
 
     def _make_moves(self) -> backlogs.Record:
         """Make the record of where VMs were ordered to move lately."""
@@ -373,7 +390,9 @@
             reason=getattr(outcome, "reason", ""),
         )
         if not isinstance(outcome, clients.Ordered):
-            self._sizing.give_up(order.vm)
+            # One that may still be carried out is given up after the pause.
+            if order.vm not in self._held:
+                self._sizing.give_up(order.vm)
 
     def _record_waves(self) -> None:
         for number, state in self._upkeep.waves.items():
