--- a/features/job_models.py
+++ b/features/job_models.py
@@ -46,6 +46,7 @@
     :param bound: The most tasks that the one workspace of the history may
         have running; 0 for no bound.
     :param keep_bound: Whether owners know of the bound.
+    :param lag: How far the platform's list may be behind, in seconds.
     """
 
     fence: bool = True
@@ -54,6 +55,7 @@
     acknowledge: bool = True
     bound: int = 0
     keep_bound: bool = True
+    lag: float = 0.0
 
 
 class Violation(Exception):
@@ -101,12 +103,58 @@
         self.running.get(task, set()).discard((worker, run))
 
 
+class FakePlatform:
+    """The VMs, and a list of them that tells of a moment ago."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.vms: dict[str, fleet.Vm] = {}
+        self.past: list[tuple[float, list[fleet.Vm]]] = []
+        # The moment that the newest reading told of: no later one goes back.
+        self.told = world.now
+
+    def set_worker(self, vm: str, worker: str) -> None:
+        """Let a worker live on a VM, or nobody: then it is off."""
+        condition = fleet.Condition.UP if worker else fleet.Condition.DOWN
+        self.vms[vm] = fleet.Vm(
+            identity=vm,
+            pool=POOL,
+            condition=condition,
+            worker=worker,
+            hall="h",
+        )
+        self.past.append((self.world.now, list(self.vms.values())))
+
+    def remove(self, vm: str) -> None:
+        del self.vms[vm]
+        self.past.append((self.world.now, list(self.vms.values())))
+
+    def read(self, lag: float) -> list[fleet.Vm]:
+        self.told = max(self.told, self.world.now - lag)
+        return [vms for time, vms in self.past if time <= self.told][-1]
+
+    def is_replaced(self, vm: str, worker: str) -> bool:
+        """Return whether another life answers at a worker's address."""
+        listed = self.vms.get(vm)
+        return listed is not None and listed.worker not in ("", worker)
+
+
 class FakeWorker:
     """One life of a worker, with the platform's rules."""
 
-    def __init__(self, world: World, identity: str, rules: Rules, rate: float):
+    def __init__(
+        self,
+        world: World,
+        identity: str,
+        rules: Rules,
+        rate: float,
+        vm: str = "",
+    ):
         self.world = world
         self.identity = identity
+        self.vm = vm or identity
+        # When it answers nothing, though it runs.
+        self.quiet = (world.now, world.now)
         self.rules = rules
         self.rate = rate
         self.started = world.now
@@ -121,13 +169,18 @@
     def clock(self) -> float:
         return (self.world.now - self.started) * self.rate
 
+    @property
+    def answers(self) -> bool:
+        began, ended = self.quiet
+        return self.alive and not began <= self.world.now < ended
+
     def entry(self) -> fleet.Entry:
         return fleet.Entry(
             identity=self.identity,
             pool=POOL,
             host="",
             port=0,
-            vm=self.identity,
+            vm=self.vm,
             rack="",
             hall="h",
             labels=frozenset(),
--- /dev/null
+++ b/features/job_owner.py
@@ -0,0 +1,232 @@
+"""One owner of generated histories: the product's cores, step by step."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from features import job_cores as cores
+from features import job_models as models
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
+from rackvalve.manager import contact as contacts
+from rackvalve.manager import owner as owners
+from rackvalve.manager import timing
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import silence
+from rackvalve.scheduling import upkeep
+from rackvalve.workspaces import account
+from rackvalve.workspaces import directory
+
+WORKSPACE = "north"
+
+
+def make_configuration(bound: int) -> queues.Configuration:
+    """Return the configuration with a workspace that has a bound, or none."""
+    room = fleet.Room(cpu=bound, memory=0, gpu=0)
+    workspace = account.Workspace(name=WORKSPACE, rate=1.0, bound=room)
+    return dataclasses.replace(
+        models.CONFIGURATION, workspaces=directory.Directory([workspace])
+    )
+
+
+class ActingOwner:
+    """One owner: the product's cores, driven step by step."""
+
+    def __init__(self, world, store, platform, lives, rules, fence):
+        self.world = world
+        self.store = store
+        self.platform = platform
+        self.lives = lives
+        self.rules = rules
+        self.fence = fence
+        self.deposed = False
+        self.heard = world.now
+        self.cut: set[str] = set()
+        self.clocks: dict[str, contacts.WorkerClock] = {}
+        # Answers that were not handled yet, with the worker's clock, and the
+        # platform's list with the time at which its reading began.
+        self.answers: list[tuple[str, messages.Report, float]] = []
+        self.listed: tuple[list[fleet.Vm], float] | None = None
+        self.paused_until = 0.0
+        self.writes = 0
+        self.durable = 0
+        self.planned: list[messages.Order] = []
+        self.uncertain: set[tuple[str, str, int]] = set()
+        lease = owners.INHERITED_LEASE_S if rules.proof else 0.0
+        made = cores.make_cores(world.now, inherited_lease=lease)
+        self.book, self.handler = made.book, made.handler
+        self.planner = made.planner
+        self.upkeep = upkeep.Upkeep(self.book)
+        self.silence = silence.Silence(self.book, self.upkeep)
+        if rules.keep_bound:
+            self.book.set_configuration(make_configuration(rules.bound))
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Learn of jobs, cancels and workers as a watch would."""
+        now = self.world.now
+        for identity, payload in self.store.definitions.items():
+            if identity not in self.book.jobs:
+                state = records.read_definition("queue", identity, payload)
+                stored = self.store.progress.get(identity)
+                if stored is not None:
+                    records.read_progress(state, stored, now)
+                self.book.add_job(state, now, now)
+        for identity in self.store.cancels:
+            self.book.cancel_job(identity, now)
+        for life in self.lives.values():
+            if life.alive and life.identity not in self.book.workers:
+                self.book.set_entry(life.entry())
+            elif life.alive and self.book.workers[life.identity].entry is None:
+                self.book.set_entry(life.entry())
+
+    def write(self) -> None:
+        """Commit all marked records, under the condition of ownership."""
+        if not self.book.changed:
+            self.durable = self.writes
+            return
+        if self.store.owner != self.fence:
+            self.deposed = True
+            return
+        self.heard = self.world.now
+        for identity in list(self.book.changed):
+            state = self.book.jobs[identity]
+            planned = state.list_planned()
+            self.store.progress[identity] = records.write_progress(state)
+            if state.phase is progress.Phase.COMPLETED:
+                self.world.completed.add(identity)
+            self.book.take_recorded(identity, planned, self.world.now)
+        self.book.changed.clear()
+        self.durable = self.writes
+
+    def plan(self) -> None:
+        if self.deposed:
+            return
+        if self.listed is not None:
+            self.upkeep.take_list(*self.listed)
+            self.listed = None
+        self.silence.look(self.world.now)
+        self.planner.stop_and_release(self.world.now)
+        self.planner.plan(self.world.now, self.world.now)
+        if not self.rules.record:
+            for identity in list(self.book.changed):
+                state = self.book.jobs[identity]
+                planned = state.list_planned()
+                self.book.take_recorded(identity, planned, self.world.now)
+
+    def list_vms(self, lag: float) -> None:
+        self.listed = (self.platform.read(lag), self.world.now)
+
+    def pause(self, seconds: float) -> None:
+        """Stand still while answers to what was asked come in."""
+        for identity in list(self.book.workers):
+            self.ask(identity)
+        self.paused_until = self.world.now + seconds
+
+    def lease_until(self, identity: str) -> float | None:
+        clock = self.clocks.setdefault(identity, contacts.WorkerClock())
+        shown = clock.read(self.world.now)
+        return None if shown is None else shown + timing.WORKER_LEASE_S
+
+    def hold(self, identity: str, lose_answer: bool) -> None:
+        self.take_answers()
+        self.ask(identity)
+        if lose_answer:
+            self.answers.clear()
+        self.take_answers()
+
+    def ask(self, identity: str) -> None:
+        """Hold a worker; its answer is handled later."""
+        life = self.lives.get(identity)
+        worker = self.book.workers.get(identity)
+        if worker is None or worker.entry is None or self.deposed:
+            return
+        reachable = identity not in self.cut
+        if life is None:
+            vm = worker.entry.vm
+            if reachable and self.platform.is_replaced(vm, identity):
+                self.book.end_life(identity, self.world.now)
+            return
+        until = None
+        fresh = self.world.now - worker.answered < 1.0
+        extend = self.world.now - self.heard <= timing.EXTENSION_LIMIT_S
+        if fresh and extend:
+            until = self.lease_until(identity)
+            if until is not None:
+                worker.note_extension(self.world.now, timing.WORKER_LEASE_S)
+        if not reachable or not life.answers:
+            return
+        if self.rules.acknowledge:
+            seen = worker.acknowledged(self.durable)
+        else:
+            seen = worker.handled
+        report = life.hold(self.fence, seen, until, self.world.now)
+        if report is None:
+            self.deposed = True
+            return
+        self.answers.append((identity, report, life.clock()))
+
+    def take_answers(self) -> None:
+        for identity, report, clock in self.answers:
+            worker = self.book.workers.get(identity)
+            if worker is None or self.deposed:
+                continue
+            known = self.clocks.setdefault(identity, contacts.WorkerClock())
+            known.note(clock, self.world.now)
+            self.handler.take(
+                worker, report, now=self.world.now, wall=self.world.now
+            )
+            self.writes += 1
+            worker.note_write(self.writes)
+        self.answers.clear()
+        if not self.book.changed:
+            self.durable = self.writes
+
+    def deliver(self, order: messages.Order, lose_answer: bool) -> bool:
+        """Carry out one order.
+
+        :return: Whether the owner knows what became of it.
+        """
+        life = self.lives.get(order.worker)
+        if life is None or not life.answers or order.worker in self.cut:
+            return False
+        if isinstance(order, messages.StopRun):
+            taken = life.stop(order.task, order.run, self.fence)
+            if lose_answer:
+                return False
+            if taken:
+                self.book.take_stop(
+                    order.worker, (order.task, order.run), self.world.now
+                )
+            else:
+                self.deposed = True
+            return True
+        return self.deliver_start(order, life, lose_answer)
+
+    def deliver_start(self, order, life, lose_answer: bool) -> bool:
+        full = f"{order.job}.{order.task}"
+        worker = self.book.workers.get(order.worker)
+        placed = worker.runs.get((full, order.run)) if worker else None
+        if placed is None or placed.run.stop_wanted:
+            return True
+        until = self.lease_until(order.worker)
+        if until is None:
+            return False
+        worker.note_extension(self.world.now, timing.WORKER_LEASE_S)
+        result = life.start(full, order.run, self.fence, until)
+        key = (order.worker, full, order.run)
+        if lose_answer:
+            self.uncertain.add(key)
+            return False
+        if result is None:
+            self.deposed = True
+            return True
+        self.book.take_start(
+            placed,
+            result,
+            uncertain=key in self.uncertain,
+            now=self.world.now,
+        )
+        return True
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -33,6 +33,16 @@
     )
 
 
+@behave.when(
+    "{count:d} generated job histories run beside a list up to {lag:g} s "
+    "behind"
+)
+def run_beside_late_list(context, count, lag):
+    context.violations = histories.explore(
+        count, HISTORY_STEPS, models.Rules(lag=lag), 1000
+    )
+
+
 @behave.then("no promise to callers was broken")
 def check_no_violation(context):
     assert not context.violations, context.violations
