A list of VMs proves the end of a life only if it tells of a time after it

Change: scheduling/listings.py keeps what this owner's lists have said of lives. A life is over if the newest list no longer names it on its VM, was read after its last answer, and either an earlier list has named it (lists don't go back), or was read 2 s after that answer (the longest lag we reckon with; the sheets give 0.8 s for what workers say of themselves, and none for this list).

A life that is proved over gets no new work, however short ago its last answer was (release after 0.6 s, new work until 0.9 s).

An answer is dated by when its hold was sent, and the 0.5 s that the worker may wait with it, in place of when it is handled: after a pause of the owner answers of before made workers fresh.

Tests: "What ran on a VM that is listed as off starts elsewhere at once" asserted the rule that is unsound: there no list had ever named the life. It is replaced by one in which a list has, with the same bound of 1 s and four ways of being gone, and by one in which none has (kept for 1.9 s, elsewhere by 2.2 s). "A list that is older than a worker's last answer" now has such a list too, so that only the age decides.

It is not shown that the users' seven cases came this way.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -1,10 +1,31 @@
 Feature: Decisions under faults: what is lost, out of reach or slow
 
-  Scenario: What ran on a VM that is listed as off starts elsewhere at once
+  Scenario Outline: What ran on a VM that is no longer listed with it starts elsewhere at once
     Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
-    When the worker of one VM is silent and the VM is listed as off
+    And the platform's list has named all of them
+    When the worker of one VM is silent and the VM is listed <how>
     Then its tasks run on the other VMs within 1 s
 
+    Examples:
+      | how                     |
+      | as off                  |
+      | as moved                |
+      | as up with another life |
+      | no more                 |
+
+  # A VM that has just come back is still listed as off.
+  Scenario: A life that no list has named is over only once the list tells of it
+    Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
+    When the worker of one VM is silent and the VM is listed as off
+    Then its tasks run on no other VM within 1.9 s
+    And its tasks run on the other VMs within 0.3 s
+
+  Scenario: A list that leaves a VM out once proves nothing
+    Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
+    And the platform's list has named all of them
+    When the worker of one VM is silent and one list leaves that VM out
+    Then its tasks run on no other VM within 1 s
+
   Scenario: A VM that is only silent keeps its tasks until its lease is over
     Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
     When the worker of one VM is silent and the VM is listed as up
@@ -12,6 +33,7 @@
 
   Scenario: A list that is older than a worker's last answer proves nothing
     Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
+    And the platform's list has named all of them
     When the worker of one VM is silent and an old list says that it is off
     Then its tasks run on no other VM within 1 s
 
--- a/features/job_cores.py
+++ b/features/job_cores.py
@@ -38,7 +38,10 @@
     return Cores(
         book=book,
         handler=reports.Handler(
-            book, lease=timing.WORKER_LEASE_S, settling=0.0
+            book,
+            lease=timing.WORKER_LEASE_S,
+            settling=0.0,
+            hold_wait=timing.HOLD_WAIT_S,
         ),
         planner=planners.Planner(
             book,
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -143,6 +143,16 @@
       | may     | is     |
       | may not | is not |
 
+  Scenario: A lease ends in time on a slow clock that was read long ago
+    Given a worker whose clock is 2 % slow, read 60 s ago
+    Then a lease of 4 s that begins now is over by then
+
+  # An owner that was paused handled what workers had told before as if it were
+  # new, gave them work, and counted lasting tasks as at work.
+  Scenario: An answer that waited while its owner was paused makes no worker fresh
+    Given a worker whose answer waited 3 s for its owner
+    Then it gets no work before it answers again
+
   # A start is held up on its way, its owner is removed, its job is cancelled,
   # and the worker's entry is away while the next owner reads the records.
   Scenario: A cancelled job's run is stopped once its worker's entry is back
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -8,6 +8,7 @@
 from features import vm_bench as vms
 from rackvalve.jobs import definition
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import silence
 from rackvalve.scheduling import upkeep
 
 # Half of a VM, so that two tasks fill one.
@@ -80,12 +81,42 @@
     context.listed["another"] = vms.list_vm("another")
 
 
+@behave.given("the platform's list has named all of them")
+def list_all(context):
+    read = context.bench.now - 2.0
+    context.upkeep.take_list(list(context.listed.values()), read)
+    context.silence.look(context.bench.now)
+
+
+CONDITIONS = {
+    "off": {"lost": True, "worker": ""},
+    "up": {},
+    "up with another life": {"worker": "w99"},
+    "moved": {"up": False, "worker": ""},
+}
+
+
 @behave.when(
     "the worker of one VM is silent and the VM is listed as {condition}"
 )
 def silence_listed(context, condition):
-    off = condition == "off"
-    silence_one(context, **({"lost": True, "worker": ""} if off else {}))
+    silence_one(context, **CONDITIONS[condition])
+
+
+@behave.when("the worker of one VM is silent and the VM is listed no more")
+def silence_unlisted(context):
+    silence_one(context)
+    del context.listed[context.lost]
+
+
+@behave.when("the worker of one VM is silent and one list leaves that VM out")
+def silence_left_out(context):
+    silence_one(context)
+    pass_time(context, silence.NOTICE_S + TICK_S)
+    left_out = context.listed.pop(context.lost)
+    pass_time(context, TICK_S)
+    context.silence.look(context.bench.now)
+    context.listed[context.lost] = left_out
 
 
 @behave.when(
@@ -96,17 +127,17 @@
     silence_one(context, lost=True, worker="")
 
 
-@behave.then("its tasks run on the other VMs within 1 s")
-def check_elsewhere(context):
-    pass_time(context, 1.0)
+@behave.then("its tasks run on the other VMs within {seconds:g} s")
+def check_elsewhere(context, seconds):
+    pass_time(context, seconds)
     for task in context.tasks:
         (run,) = task.runs.values()
         assert run.worker != context.lost, run.worker
 
 
-@behave.then("its tasks run on no other VM within 1 s")
-def check_kept(context):
-    pass_time(context, 1.0)
+@behave.then("its tasks run on no other VM within {seconds:g} s")
+def check_kept(context, seconds):
+    pass_time(context, seconds)
     for task in context.tasks:
         (run,) = task.runs.values()
         assert run.worker == context.lost, run.worker
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -7,13 +7,16 @@
 import behave
 
 from features import job_bench as benches
+from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.manager import contact as contacts
 from rackvalve.manager import roster as rosters
+from rackvalve.manager import timing
 from rackvalve.platform import documents
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import workers
 
 RUNNING_ON = "w9"
 
@@ -178,3 +181,41 @@
     context.roster.end_life(RUNNING_ON, "its entry is gone")
     add_entry(context)
     assert not context.roster.contact(RUNNING_ON).sent
+
+
+@behave.given("a worker whose clock is 2 % slow, read {seconds:g} s ago")
+def read_slow_clock(context, seconds):
+    context.now = seconds
+    context.clock = contacts.WorkerClock()
+    context.clock.note(0.0, 0.0)
+
+
+@behave.then("a lease of 4 s that begins now is over by then")
+def check_lease_over(context):
+    worker = workers.WorkerState("w1", None, 0.0)
+    worker.note_extension(context.now, timing.WORKER_LEASE_S)
+    until = context.clock.read(context.now) + timing.WORKER_LEASE_S
+    assert until / models.SLOWEST <= worker.lease_over
+
+
+@behave.given("a worker whose answer waited {seconds:g} s for its owner")
+def handle_late(context, seconds):
+    context.bench = benches.Bench(["w1"])
+    context.bench.add(definition.Step(tasks=1, cpu=1))
+    sent = context.bench.now
+    context.bench.now += seconds
+    context.bench.handler.take(
+        context.bench.book.workers["w1"],
+        messages.Report(sent=sent, running=(), ended=()),
+        now=context.bench.now,
+        wall=context.bench.now,
+    )
+
+
+@behave.then("it gets no work before it answers again")
+def check_not_fresh(context):
+    context.bench.plan()
+    assert not context.bench.starts()
+    context.bench.report("w1")
+    context.bench.plan()
+    assert context.bench.starts()
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -51,7 +51,7 @@
         """
         if self._told is None:
             return None
-        return self._told + (now - self._heard)
+        return self._told + (now - self._heard) * (1 - workers.CLOCK_TOLERANCE)
 
 
 class Contact:
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -119,6 +119,7 @@
             self._book,
             lease=timing.WORKER_LEASE_S,
             settling=rules.stop_time + timing.STOP_MARGIN_S,
+            hold_wait=timing.HOLD_WAIT_S,
         )
         self._planner = planners.Planner(
             self._book,
--- /dev/null
+++ b/src/rackvalve/scheduling/listings.py
@@ -0,0 +1,76 @@
+"""When the platform's list of VMs proves that a worker's life is over.
+
+The list is behind reality: it may tell that a VM is off that is back by now,
+with another life on it.  So a VM that is listed without a worker proves
+nothing by itself.  It proves that a life is over if an earlier list has named
+that life, since lists don't go back, or if the list was read so long after the
+life's last answer that it must tell of a time after it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import workers
+
+# How far the list may be behind at most, in seconds.  The pages name no bound;
+# the sheets give 0.8 s for what workers say of themselves, and the rest is for
+# a busy machine.  More would only delay the proof for a life that was lost
+# before an owner's first list.
+LIST_LAG_S = 2.0
+
+
+class Listings:
+    """What the lists that one owner has read say of workers' lives."""
+
+    __slots__ = ("_vms", "_before", "_named", "_read")
+
+    def __init__(self) -> None:
+        self._vms: Mapping[str, fleet.Vm] = {}
+        self._before: Mapping[str, fleet.Vm] = {}
+        # Lives that a list has named.
+        self._named: set[str] = set()
+        # When the reading of the newest list began, in seconds.
+        self._read = float("-inf")
+
+    def take(
+        self,
+        vms: Mapping[str, fleet.Vm],
+        read: float,
+        known: Mapping[str, workers.WorkerState],
+    ) -> None:
+        """Take the platform's newest list.
+
+        :param vms: All VMs by identity.
+        :param read: When the reading began, in seconds.
+        :param known: All lives that the owner knows.
+        """
+        if read <= self._read:
+            return
+        self._before, self._vms, self._read = self._vms, vms, read
+        self._named &= known.keys()
+        self._named |= {vm.worker for vm in vms.values() if vm.worker}
+
+    def prove_over(self, entry: fleet.Entry, heard: float) -> bool:
+        """Return whether the lists prove that a life is over.
+
+        :param entry: What the life has said of itself.
+        :param heard: When it has answered last, or was first seen, in seconds.
+        """
+        if self._lists(entry):
+            return False
+        if entry.identity in self._named:
+            return self._read > heard
+        return self._read > heard + LIST_LAG_S
+
+    def _lists(self, entry: fleet.Entry) -> bool:
+        """Return whether a life may be on its VM by the newest list."""
+        vm = self._vms.get(entry.vm)
+        if vm is None:
+            # The pages of a list are no snapshot: one that misses a VM may
+            # have been read while the VM passed from one page to another.
+            return entry.vm in self._before or not self._before
+        if vm.worker:
+            return vm.worker == entry.identity
+        return vm.up
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -49,9 +49,11 @@
     :param book: The book.
     :param lease: Length of a lease on a worker, in seconds.
     :param settling: How long a stop takes at most, in seconds.
+    :param hold_wait: How long a worker waits with its answer to a hold at
+        most, in seconds.
     """
 
-    __slots__ = ("_book", "_lease", "_settling", "ended")
+    __slots__ = ("_book", "_lease", "_settling", "_hold_wait", "ended")
 
     def __init__(
         self,
@@ -59,10 +61,12 @@
         *,
         lease: float,
         settling: float,
+        hold_wait: float,
     ) -> None:
         self._book = book
         self._lease = lease
         self._settling = settling
+        self._hold_wait = hold_wait
         # Ends that were handled and not yet logged.
         self.ended: list[RunEnded] = []
 
@@ -81,7 +85,8 @@
         :param now: Present time, in seconds.
         :param wall: Present time, seconds since 1970.
         """
-        worker.answered = now
+        # After a pause of this process the answer tells of a time before it.
+        worker.answered = min(now, report.sent + self._hold_wait)
         for row in report.ended:
             if row.number <= worker.handled:
                 continue
--- a/src/rackvalve/scheduling/silence.py
+++ b/src/rackvalve/scheduling/silence.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import listings
 from rackvalve.scheduling import upkeep as upkeeps
 from rackvalve.scheduling import workers
 
@@ -39,6 +40,7 @@
     __slots__ = (
         "_book",
         "_upkeep",
+        "_listings",
         "_since",
         "_lost",
         "workers",
@@ -49,6 +51,7 @@
     def __init__(self, book: books.Book, upkeep: upkeeps.Upkeep) -> None:
         self._book = book
         self._upkeep = upkeep
+        self._listings = listings.Listings()
         # When each worker was first seen here, in seconds.
         self._since: dict[str, float] = {}
         # Workers that were told to be lost.
@@ -66,6 +69,9 @@
         :param now: Present time, in seconds.
         :return: Workers that were newly found to be lost.
         """
+        self._listings.take(
+            self._upkeep.vms, self._upkeep.read, self._book.workers
+        )
         known = {
             worker.identity: worker
             for worker in self._book.workers.values()
@@ -95,18 +101,13 @@
         return max(worker.answered, self._since[worker.identity])
 
     def _release(self, worker: workers.WorkerState) -> bool:
-        """Let the lease of a worker be over if the platform lists its VM off.
-
-        The list has to be newer than the worker's last answer: an older one
-        may tell of the life before.
+        """Let the lease of a worker be over if the lists prove its life over.
 
         :return: Whether that is new.
         """
         assert worker.entry is not None
-        vm = self._upkeep.vms.get(worker.entry.vm)
-        if vm is None or not vm.lost or vm.worker:
-            return False
-        if self._upkeep.read <= self._last_heard(worker):
+        heard = self._last_heard(worker)
+        if not self._listings.prove_over(worker.entry, heard):
             return False
         worker.note_lost()
         if worker.identity in self._lost:
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -85,7 +85,7 @@
         self.established = False
         # When all stops of earlier owners have ended.
         self.settled = float("inf")
-        # Time of its last answer to a hold.
+        # Time that its last answer to a hold tells of.
         self.answered = float("-inf")
         self.lease_over = lease_over
         # Number of the last end that was handled.
@@ -162,8 +162,12 @@
         self.note_extension(now, length)
 
     def note_lost(self) -> None:
-        """Note that the worker's life is over, whatever leases it had."""
+        """Note that the worker's life is over, whatever leases it had.
+
+        It gets no work from then on, however short ago its last answer was.
+        """
         self.lease_over = float("-inf")
+        self.answered = float("-inf")
 
     def is_over(self, now: float) -> bool:
         """Return whether all leases given so far are over.
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -75,7 +75,10 @@
             _make_configuration(pools), inherited_lease=0.0, now=0.0
         )
         self.handler = reports.Handler(
-            self.book, lease=timing.WORKER_LEASE_S, settling=0.0
+            self.book,
+            lease=timing.WORKER_LEASE_S,
+            settling=0.0,
+            hold_wait=timing.HOLD_WAIT_S,
         )
         self.book.speeds = policy.speeds()
         self.planner = policy.planner(
