An ended job whose records are being removed does not begin anew

Cause: the records of a job that ended 150 s ago were removed in any order, in commits side by side, and the book forgot the job before that. Where an owner read all jobs meanwhile (as it does after each watch that failed, or at its beginning) and found the definition without its progress, or without the job in its book, it took it for a job that had just come: all its tasks ran again.

Change: the definition's removal goes first; that of the progress and of the cancel once it is in the store; the book forgets the job at the next round, 5 s later, when no reading is under way any more that still found it. An owner that ends between the two leaves a progress record without a definition; it is taken for nothing (as such left-overs were before) and stays in the store.

--- /dev/null
+++ b/features/steps/removal_steps.py
@@ -0,0 +1,150 @@
+"""Steps about the removal of ended jobs from the store."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import behave
+
+from features import job_cores as cores
+from rackvalve import clocks
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
+from rackvalve.manager import intake
+from rackvalve.manager import recorder
+from rackvalve.manager import timing
+from rackvalve.platform import store
+
+IDENTITY = "00000000000000aa"
+KEEP_S = 120.0
+LONG_S = 1000.0
+
+
+class FakeWriter:
+    """Keeps what is marked until the test lets it be written."""
+
+    def __init__(self, items):
+        self.items = items
+        self.marked = {}
+
+    def mark(self, key, make, *, urgent=True):
+        self.marked[key] = make
+
+    def write(self, key):
+        record = self.marked.pop(key)()
+        assert record.payload is None, key
+        self.items.pop(key, None)
+        if record.written is not None:
+            record.written()
+
+
+def read(items, prefix):
+    return tuple(
+        store.Item(key=key, payload=payload, revision=1, created=1)
+        for key, payload in items.items()
+        if key.startswith(prefix)
+    )
+
+
+def load(items):
+    """Return the book of an owner that takes over now."""
+    book = cores.make_cores(clocks.read_steady(), inherited_lease=0.0).book
+    known = read(items, records.PROGRESS_PREFIX)
+    jobs = intake.JobIntake(book, known, on_change=mock.Mock())
+    jobs.take_range(read(items, records.PREFIX))
+    return book, jobs
+
+
+@behave.given("an owner with a job of {tasks:d} tasks that ended long ago")
+def make_ended(context, tasks):
+    job = definition.Job(
+        spec="x", steps=(definition.Step(tasks=tasks, cpu=1),)
+    )
+    state = progress.JobState(IDENTITY, "queue", job, 1.0)
+    state.open_steps(1.0)
+    for task in state.tasks.values():
+        task.done = True
+    state.finish_if_done(1.0)
+    payloads = {
+        records.Part.DEFINITION: records.write_definition(job, 1.0),
+        records.Part.PROGRESS: records.write_progress(state),
+    }
+    context.items = {
+        records.write_key("queue", IDENTITY, part): payload
+        for part, payload in payloads.items()
+    }
+    context.writer = FakeWriter(context.items)
+    context.book, context.jobs = load(context.items)
+    assert IDENTITY in context.book.jobs
+    context.recorder = recorder.Recorder(
+        context.book,
+        context.writer,
+        mock.Mock(),
+        keep=KEEP_S,
+        on_recorded=mock.Mock(),
+    )
+    context.now = clocks.read_steady()
+    context.begun = []
+    collect(context)
+
+
+def collect(context):
+    """Let the owner look for jobs that ended long ago."""
+    context.now += timing.COLLECT_INTERVAL_S
+    context.recorder.collect(context.now, LONG_S)
+
+
+def remove_all(context, look):
+    """Write all that is marked, a commit a key, progress as early as may be.
+
+    :param look: Called before the first commit and after each.
+    """
+    look()
+    while context.writer.marked:
+        keys = sorted(context.writer.marked)
+        context.writer.write(keys[-1])
+        look()
+
+
+@behave.when("its records are removed, and an owner loads after each commit")
+def remove_and_load(context):
+    def look():
+        book, _ = load(context.items)
+        context.begun.extend(book.open_jobs)
+
+    remove_all(context, look)
+
+
+@behave.when(
+    "its records are removed, and the owner reads all jobs after each commit"
+)
+def remove_and_read(context):
+    def look():
+        context.jobs.take_range(read(context.items, records.PREFIX))
+
+    remove_all(context, look)
+
+
+@behave.when("its records are removed while the owner reads all jobs")
+def remove_while_reading(context):
+    found = read(context.items, records.PREFIX)
+    remove_all(context, lambda: None)
+    context.jobs.take_range(found)
+
+
+@behave.then("no owner has found a job to begin")
+def check_none_begun(context):
+    assert not context.begun, context.begun
+    assert not context.book.open_jobs, context.book.open_jobs
+
+
+@behave.then("none of its records is left")
+def check_none_left(context):
+    assert not context.items, context.items
+
+
+@behave.then("the owner forgets the job at its next round")
+def check_forgotten(context):
+    collect(context)
+    assert not context.book.jobs
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -51,6 +51,10 @@
         self._collected_at = clocks.read_steady()
         # Jobs whose end was told; records of late ends of runs may follow.
         self._ended: set[str] = set()
+        # Jobs that are being removed, and those whose definitions are gone
+        # from the store.
+        self._leaving: set[str] = set()
+        self._removed: set[str] = set()
 
     def mark_changed(self) -> None:
         """Have the records of all jobs that changed written."""
@@ -86,24 +90,56 @@
     def collect(self, now: float, wall: float) -> None:
         """Remove the records of jobs that ended long ago.
 
+        The definition goes first: without its progress it would be a job that
+        has just come, and all its tasks would run again.  For the same reason
+        the book forgets a job only a round after that, when no reading is
+        under way any more that still found it.
+
         :param now: Present time, in seconds.
         :param wall: Present time, seconds since 1970.
         """
         if now - self._collected_at < timing.COLLECT_INTERVAL_S:
             return
         self._collected_at = now
+        self._forget_removed()
         limit = wall - self._keep - timing.KEEP_MARGIN_S
         for state in list(self._book.jobs.values()):
             busy = any(task.runs for task in state.tasks.values())
             if not state.finished or state.finished > limit or busy:
                 continue
-            del self._book.jobs[state.identity]
-            self._ended.discard(state.identity)
-            for part in records.Part:
-                self._writer.mark(
-                    records.write_key(state.queue, state.identity, part),
-                    _remove,
-                )
+            if state.identity in self._leaving:
+                continue
+            self._leaving.add(state.identity)
+            self._remove(
+                state,
+                records.Part.DEFINITION,
+                functools.partial(self._take_undefined, state),
+            )
+
+    def _forget_removed(self) -> None:
+        for identity in self._removed:
+            self._book.jobs.pop(identity, None)
+            self._ended.discard(identity)
+            self._leaving.discard(identity)
+        self._removed.clear()
+
+    def _take_undefined(self, state: progress.JobState) -> None:
+        """Remove the other records of a job whose definition is gone."""
+        self._removed.add(state.identity)
+        self._remove(state, records.Part.CANCEL)
+        self._remove(state, records.Part.PROGRESS)
+
+    def _remove(
+        self,
+        state: progress.JobState,
+        part: records.Part,
+        written: Callable[[], None] | None = None,
+    ) -> None:
+        record = backlogs.Record(payload=None, written=written)
+        self._writer.mark(
+            records.write_key(state.queue, state.identity, part),
+            lambda: record,
+        )
 
     def _make_record(self, state: progress.JobState) -> backlogs.Record:
         planned = state.list_planned()
@@ -146,7 +182,3 @@
             stretch=queue.stretch if queue is not None else 0.0,
             allowance=queue.allowance if queue is not None else 0.0,
         )
-
-
-def _remove() -> backlogs.Record:
-    return backlogs.Record(payload=None)
