Show that a task that may have come to work is stopped beside one away

Cause, by reading: a lasting task that is not at work 5 s after its start is stopped without a look at the others of its step. Its last report may be half a second old, so it may be at work.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -91,6 +91,14 @@
       | 2.5  | 0    | is     |
       | 2.5  | 1    | is not |
 
+  # Read in the code: tasks of a step that are long in coming to work, as on a
+  # busy VM, were stopped each for itself, though one of which the last report
+  # is half a second old may have come to work since.
+  Scenario: A task that may have come to work is not stopped while one is away
+    Given a lasting job of 3 tasks of which 1 may be away
+    When the first task has not come to work for 6 s, and 1 others are silent
+    Then the first task is not ordered to stop
+
   Scenario: Tasks that start together are not all moved before they are at work
     Given a lasting job of 3 tasks of which 1 may be away
     When none of them is known to be at work
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -323,6 +323,21 @@
     bench.planner.stop_and_release(bench.now)
 
 
+@behave.when(
+    "the first task has not come to work for {time:d} s, and {away:d} others "
+    "are silent"
+)
+def stay_at_start(context, time, away):
+    bench = context.bench
+    bench.now += time
+    for worker in bench.book.workers.values():
+        worker.answered = worker.settled = bench.now
+        worker.note_extension(bench.now, timing.WORKER_LEASE_S)
+    bench.placed(context.orders[0]).run.percent = 0.0
+    take_away(context, away, "silent")
+    bench.planner.stop_and_release(bench.now)
+
+
 @behave.then("the first task {answer} ordered to stop")
 def check_first_stop(context, answer):
     stopped = {order.task for order in context.bench.stops()}
