A contact that fails has its owner give up, and says so

Cause, by reading, while looking for the same cause elsewhere: the tasks that hold a worker and send it orders had no guard. An exception ended one of them unseen, and the worker's room was unused, or its runs never confirmed, for as long as that owner lived, though the worker answers.

Test first: jobs.feature, two examples, both failed before (41 passed, 2 failed), both pass after (43 passed).

Not seen in a run; suspected only.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -189,3 +189,14 @@
     When the order to stop is due before the worker has an entry
     Then it is sent to the worker once its entry is there
     And no such order is kept for a worker whose life is over
+
+  # Found by reading: a worker's room would stay unused as long as its owner lives.
+  Scenario Outline: A contact whose <task> fails does not fall silent unseen
+    Given a contact whose client fails at each <task>
+    When it is started and told to stop a run
+    Then its owner gives up, and says so
+
+    Examples:
+      | task |
+      | hold |
+      | stop |
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import behave
+import gevent
 
 from features import job_bench as benches
 from features.steps import late_start_steps
@@ -12,6 +13,7 @@
 from rackvalve.manager import timing
 from rackvalve.platform import connections
 from rackvalve.platform import workers as clients
+from rackvalve.scheduling import messages
 
 
 class _OverError(Exception):
@@ -98,3 +100,28 @@
 def check_lease(context):
     client = context.client
     assert not client.has_lapsed and client.now < client.lease
+
+
+@behave.given("a contact whose client fails at each {task}")
+def make_failing(context, task):
+    client = mock.Mock()
+    client.hold.return_value = connections.NoAnswer(reason="", sent=False)
+    getattr(client, task).side_effect = TypeError("an odd document")
+    worker = benches.Bench(["w1"]).book.workers["w1"]
+    context.owner = mock.Mock(fence=7, durable=0)
+    context.contact = contacts.Contact(context.owner, worker, client)
+
+
+@behave.when("it is started and told to stop a run")
+def start_and_stop(context):
+    context.contact.start()
+    context.contact.send(
+        messages.StopRun(worker="w1", task="t", run=1, reason="")
+    )
+    gevent.sleep(0.05)
+    context.contact.close()
+
+
+@behave.then("its owner gives up, and says so")
+def check_given_up(context):
+    context.owner.depose.assert_called_once()
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import functools
 
 import gevent
@@ -85,9 +86,11 @@
 
     def start(self) -> None:
         """Start to hold and to send."""
-        self._greenlets = [gevent.spawn(self._hold_forever)]
+        self._greenlets = [gevent.spawn(self._guard, self._hold_forever)]
         for _ in range(timing.ORDER_SENDERS):
-            self._greenlets.append(gevent.spawn(self._send_forever))
+            self._greenlets.append(
+                gevent.spawn(self._guard, self._send_forever)
+            )
 
     def close(self) -> None:
         """End all traffic with the worker."""
@@ -101,6 +104,15 @@
         """
         self._orders.put(order)
 
+    def _guard(self, function: Callable[[], None]) -> None:
+        try:
+            function()
+        except Exception:
+            # Without it the worker's room would be unused, unseen, for as
+            # long as this owner lives.
+            logs.write_failure("task.failed", message=self._worker.identity)
+            self._owner.depose("an unexpected error; see task.failed")
+
     def _hold_forever(self) -> None:
         while True:
             outcome = self._hold()
