Soak: see jobs that stand still in calm times

Runs were judged by what jobs came to at the end, so a job that waited for seconds in between passed. Each run now tells its longest gap, and a gap that holds 3 s free of faults, as the 4 s before them, while others of its pool start or its workers have room, breaks a promise.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,22 @@
       | a connection is refused just after its manager was told to end | a planned stop cuts nothing off |
       | a VM is moved with work on it               | VMs leave empty                      |
 
+  # Of a users' run: accepted jobs had no run for seconds though nothing was
+  # harmed and other jobs moved.  Runs were judged by what jobs came to at the
+  # end, so no run of ours showed it.
+  Scenario Outline: A job that stands still in a calm time is seen
+    Given a job of one task, accepted at 10 s and started at <start> s
+    And a fault from 2 s to <healed> s, and a worker that is <load>
+    Then the soak reports <found> of standing still
+
+    Examples:
+      | start | healed | load | found   |
+      | 13.5  | 5      | idle | a case  |
+      | 13.5  | 5      | full | no case |
+      | 12.9  | 5      | idle | no case |
+      | 13.5  | 7      | idle | no case |
+      | 15    | 7      | idle | a case  |
+
   # Two whole runs side by side drew the same free port before either had bound
   # it, on two occasions: a daemon ended with "address is taken".
   Scenario: Runs of the tests side by side draw no port twice
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,6 +11,8 @@
 from tools.soak import checks
 from tools.soak import plan
 from tools.soak import runner
+from tools.soak import spans
+from tools.soak import stillness
 
 MANAGERS = 3
 JOB = "00000000000000aa"
@@ -165,6 +167,42 @@
     assert promise in {broken.promise for broken in judge(context)}
 
 
+@behave.given(
+    "a job of one task, accepted at {accepted:g} s and started at {begun:g} s"
+)
+def make_still(context, accepted, begun):
+    job = callers.Job(identity=JOB, queue="lookup", steps=[{"count": 1}])
+    job.accepted, job.accepted_at = True, accepted
+    context.jobs = [job]
+    context.journal = [
+        [begun, "start", "w1", f"{JOB}.0.0.0", 1, ""],
+        [begun + 1, "end", "w1", f"{JOB}.0.0.0", 1, "done"],
+    ]
+
+
+@behave.given(
+    "a fault from {began:g} s to {ended:g} s, and a worker that is {load}"
+)
+def make_fault(context, began, ended, load):
+    context.spans = [spans.Span(began=began, ended=ended, kind="", place="")]
+    before = [[1.0, "life", "w1", "m1", 0, "lookups"]]
+    if load == "full":
+        before += [
+            [1.5, "start", "w1", f"{REFUSED}.0.0.{number}", 1, ""]
+            for number in range(runner.SLOTS)
+        ]
+    context.journal = before + context.journal
+
+
+@behave.then("the soak reports {found} of standing still")
+def check_still(context, found):
+    gaps = stillness.find_gaps(context.jobs, context.journal, 100.0)
+    broken = stillness.check_stillness(
+        gaps, context.journal, context.spans, runner.SLOTS
+    )
+    assert len(list(broken)) == (found == "a case")
+
+
 @behave.when("another run draws {count:d} ports with the same luck")
 def draw_ports(context, count):
     kept = fleets._random, fleets._taken
--- a/standins/site.py
+++ b/standins/site.py
@@ -110,6 +110,7 @@
         life.server = serving.make_server(HOST, machine.port, life)
         life.server.start()
         machine.worker = life
+        self.note("life", life, name, 0, machine.pool)
         machine.state = "up"
         self.store.put(
             WORKER_PREFIX + life.identity,
@@ -122,6 +123,7 @@
         if life is None:
             return
         life.end()
+        self.note("over", life, name, 0, "")
         life.server.stop(timeout=0)
         self.store.remove(WORKER_PREFIX + life.identity)
         self.machines[name].worker = None
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -11,6 +11,7 @@
 import signal  # noqa: E402
 import sys  # noqa: E402
 
+from tools.soak import plan  # noqa: E402
 from tools.soak import regressions  # noqa: E402
 from tools.soak import runner  # noqa: E402
 
@@ -30,8 +31,8 @@
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_ENDED))
     seconds = options.minutes * 60
     bad = 0
-    for seed, managers in list_runs(options):
-        result = runner.Runner(seed, seconds, managers).run()
+    for seed, managers, shape in list_runs(options):
+        result = runner.Runner(seed, seconds, managers, shape).run()
         bad += bool(result.broken)
         print_result(seed, seconds, result)
     return 1 if bad else 0
@@ -44,6 +45,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--minutes", type=float, default=0.5)
     parser.add_argument("--managers", type=int, default=4)
+    parser.add_argument(
+        "--shape", choices=(plan.STEADY, plan.BURSTS), default=plan.BURSTS
+    )
     parser.add_argument(
         "--regressions",
         action="store_true",
@@ -53,11 +57,14 @@
 
 
 def list_runs(options):
-    """Return the runs that were asked for, as seed and managers."""
+    """Return the runs that were asked for: seed, managers and shape."""
     if options.regressions:
-        return [(one.seed, one.managers) for one in regressions.REGRESSIONS]
+        return [
+            (one.seed, one.managers, one.shape)
+            for one in regressions.REGRESSIONS
+        ]
     seeds = range(options.seed, options.seed + options.seeds)
-    return [(seed, options.managers) for seed in seeds]
+    return [(seed, options.managers, options.shape) for seed in seeds]
 
 
 def print_result(seed, seconds, result):
@@ -69,6 +76,8 @@
         "accepted": result.accepted,
         "calls": result.calls,
         "broken": len(result.broken),
+        "longest gap": result.longest,
+        "longest calm gap": result.longest_calm,
         "logs": result.folder,
     }
     print(json.dumps(figures), flush=True)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import math
 import random
 import time
 
@@ -11,6 +12,8 @@
 from geventhttpclient import client as http_clients
 from geventhttpclient import response as http_response
 
+from tools import site as sites
+
 HOST = "127.0.0.1"
 KEY = "soak-key-north"
 # Ends with the number of the try that shows it.
@@ -68,8 +71,30 @@
     # Whether each try was answered that the job is not taken.
     refused: bool = True
     cancel_sent: bool = False
+    # When its end was asked for, and when it was accepted, on the monotonic
+    # clock.
+    cancelled_at: float = math.inf
+    accepted_at: float = math.inf
     states: list = dataclasses.field(default_factory=list)
 
+    @property
+    def lasting(self):
+        """Whether its tasks run until it is cancelled."""
+        return any(step.get("long-running") for step in self.steps)
+
+    @property
+    def pool(self):
+        """Pool whose workers run its tasks."""
+        return sites.QUEUES[self.queue]
+
+    def list_tasks(self):
+        """Return the names of all its tasks."""
+        return [
+            f"{self.identity}.0.{number}.{index}"
+            for number, step in enumerate(self.steps)
+            for index in range(step["count"])
+        ]
+
 
 class Caller:
     """Hands jobs in one after the other, over connections kept open.
@@ -133,6 +158,7 @@
             status, _ = self._call("POST", job, body)
             if status == 200:
                 job.accepted = True
+                job.accepted_at = time.monotonic()
                 job.refused = False
                 return
             if status not in REFUSED:
@@ -143,11 +169,20 @@
         if not job.accepted:
             return
         if self._rng.random() < CANCELLED_PART:
-            job.cancel_sent = True
-            self._call("DELETE", job)
+            self._cancel(job)
         else:
             self.ask(job)
 
+    def _cancel(self, job):
+        """Ask for a job's end.
+
+        :return: Whether that was answered well.
+        """
+        job.cancel_sent = True
+        job.cancelled_at = min(job.cancelled_at, time.monotonic())
+        status, _ = self._call("DELETE", job)
+        return status in (200, 410)
+
     def _call(self, method, job, body=None, *, invented=False):
         """Call any manager, and note the call.
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -100,7 +100,7 @@
             running[task].discard((worker, run))
             if detail == "done":
                 done.add(task)
-        elif detail == "done":
+        elif kind == "known" and detail == "done":
             known.add(task)
 
 
@@ -154,13 +154,11 @@
 
 
 def _check_tasks(job, good):
-    for number, step in enumerate(job.steps):
-        for index in range(step["count"]):
-            task = f"{job.identity}.0.{number}.{index}"
-            if task not in good:
-                yield Broken(
-                    promise="completed means every task is done", detail=task
-                )
+    for task in job.list_tasks():
+        if task not in good:
+            yield Broken(
+                promise="completed means every task is done", detail=task
+            )
 
 
 def check_output(output):
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -9,6 +9,7 @@
 from tools import site as sites
 from tools.soak import checks
 from tools.soak import links
+from tools.soak import spans
 
 TERM_TIMEOUT_S = 30.0
 # Time that a wave of the operator is given, and how many VMs it bears away.
@@ -31,6 +32,8 @@
         self.applied = 0
         # Times without one of the managers.
         self.absences = []
+        # What was harmed, and when.
+        self.spans = []
         self._site = site
         self._store_links = store_links
         self._worker_links = worker_links
@@ -46,23 +49,42 @@
         """Apply a fault from its beginning to its end."""
         self.applied += 1
         self._note(fault.kind, fault.length)
+        began = time.monotonic()
+        place = self._apply(fault)
+        # What is asked of a healthy system is no harm.
+        if fault.kind != "wave":
+            self.spans.append(
+                spans.Span(
+                    began=began,
+                    ended=time.monotonic(),
+                    kind=fault.kind,
+                    place=place,
+                )
+            )
+
+    def _apply(self, fault):
+        """Apply a fault.
+
+        :return: What was hit, if that is one VM or one link.
+        """
         subject, _, how = fault.kind.partition(" ")
+        if how.startswith("link "):
+            return self._harm_link(subject, how.removeprefix("link "), fault)
+        if subject == "worker":
+            return self._harm_worker(how, fault)
         if fault.kind == "all killed":
             self._kill_all(fault.length)
         elif subject in ("manager", "owner"):
             self._harm_manager(subject, how, fault)
-        elif how.startswith("link "):
-            self._harm_link(subject, how.removeprefix("link "), fault)
         elif how in STORE_FAULTS:
             self._harm_store(how, fault.length)
-        elif subject == "worker":
-            self._harm_worker(how, fault)
         elif fault.kind == "store forgets":
             self._site.set_store_fault("forget")
         elif fault.kind == "configuration":
             self._put_configuration(fault)
         else:
             self._put_wave()
+        return ""
 
     def heal(self):
         """End all harm to the store, links, managers and workers."""
@@ -159,6 +181,7 @@
         # Of several harms to one link the newest is in force.
         left = [other for one, other in self._link_harms if one is link]
         link.set_harm(left[-1] if left else links.Harm.NONE)
+        return f"m-{link.target}" if subject == "worker" else "store"
 
     def _harm_store(self, how, length):
         self._store_faults.append(how)
@@ -174,10 +197,11 @@
         machine = machines[int(fault.draw * len(machines))]
         if how == "crashed":
             self._site.order({"crash": machine})
-            return
+            return machine
         self._site.order({"machine": machine, "fault": how})
         gevent.sleep(fault.length)
         self._site.order({"machine": machine, "fault": ""})
+        return machine
 
     def _put_configuration(self, fault):
         extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -35,6 +35,13 @@
     "configuration": (3, 0.0, 0.0),
     "wave": (1, 0.0, 0.0),
 }
+# How faults are spread over a run: all along it, or in bursts with calm times
+# between them, in which what stands still shows.
+STEADY, BURSTS = "steady", "bursts"
+# Length of a burst, and of the calm time after the end of its last fault, in
+# seconds: what waits for a proof may wait 8.4 s.
+BURST_S = (2.0, 7.0)
+CALM_S = (9.0, 13.0)
 # Mean time between two faults, in seconds; their lengths make them overlap.
 MEAN_GAP_S = 1.2
 # The last fault begins this long before the end, in seconds.
@@ -65,18 +72,32 @@
         return self.at + self.length
 
 
-def draw_faults(seed, seconds):
+def draw_faults(seed, seconds, shape=STEADY):
     """Return the faults of a run, by their beginning.
 
     :param seed: The run's seed.
     :param seconds: Its length.
+    :param shape: :data:`STEADY` or :data:`BURSTS`.
     """
     rng = random.Random(seed)
+    last = seconds - QUIET_END_S
+    if shape == STEADY:
+        return _draw_burst(rng, rng.uniform(0.2, 1.0), last)
+    found = []
+    at = rng.uniform(0.2, 1.0)
+    while at < last:
+        burst = _draw_burst(rng, at, min(last, at + rng.uniform(*BURST_S)))
+        found += burst
+        at = max(fault.until for fault in burst) + rng.uniform(*CALM_S)
+    return found
+
+
+def _draw_burst(rng, at, last):
+    """Return faults from a time to another, by their beginning."""
     kinds = list(KINDS)
     weights = [KINDS[kind][0] for kind in kinds]
     found = []
-    at = rng.uniform(0.2, 1.0)
-    while at < seconds - QUIET_END_S:
+    while at < last:
         kind = rng.choices(kinds, weights)[0]
         fault = _draw_fault(rng, kind, at)
         found.append(fault)
--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from tools.soak import plan
+
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Regression:
@@ -12,11 +14,13 @@
     :param seed: The seed.
     :param managers: Number of managers it was run with.
     :param cause: What was found.
+    :param shape: How its faults were spread.
     """
 
     seed: int
     managers: int
     cause: str
+    shape: str = plan.STEADY
 
 
 _LATE = (
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -13,11 +13,15 @@
 from tools.soak import harms
 from tools.soak import links
 from tools.soak import plan
+from tools.soak import spans
+from tools.soak import stillness
 
 POOLS = {"lookups": 4, "rebuilds": 3, "spare": 2}
 CALLERS = 4
 # Longest wait for all accepted jobs to end once all is healed, in seconds.
 SETTLE_S = 60.0
+# Tasks that a worker bears: its processor, by that of a task.
+SLOTS = 16
 # Pause between two looks at a job meanwhile.
 ASK_PAUSE_S = 0.1
 
@@ -30,6 +34,8 @@
     :param faults: How many faults were applied.
     :param accepted: How many jobs were accepted.
     :param calls: How many calls were made.
+    :param longest: Longest time in which nothing ran of a job, in seconds.
+    :param longest_calm: The same, of those that held a calm time.
     :param folder: Where the processes' logs are.
     """
 
@@ -37,6 +43,8 @@
     faults: int
     accepted: int
     calls: int
+    longest: float
+    longest_calm: float
     folder: str
 
 
@@ -46,11 +54,13 @@
     :param seed: Draws the faults and the callers' choices.
     :param seconds: How long the site is harmed.
     :param managers: Number of managers.
+    :param shape: How the faults are spread over it.
     """
 
-    def __init__(self, seed, seconds, managers):
+    def __init__(self, seed, seconds, managers, shape=plan.STEADY):
         self.seed = seed
         self.seconds = seconds
+        self.shape = shape
         self._links = []
         self.site = sites.Site(
             managers,
@@ -88,21 +98,23 @@
             for number in range(CALLERS)
         ]
         began = time.monotonic()
+        # The managers have just started.
+        harm.spans.append(spans.Span(began=0.0, ended=began, kind="start"))
         working = [
             gevent.spawn(caller.run, began + self.seconds) for caller in active
         ]
         harming = [
             gevent.spawn(_apply_at, harm, fault, began)
-            for fault in plan.draw_faults(self.seed, self.seconds)
+            for fault in plan.draw_faults(self.seed, self.seconds, self.shape)
         ]
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
         _settle(active)
         for caller in active:
             caller.close()
-        return self._judge(active, harm)
+        return self._judge(active, harm, time.monotonic())
 
-    def _judge(self, active, harm):
+    def _judge(self, active, harm, ended):
         jobs = [job for caller in active for job in caller.jobs]
         calls = [call for caller in active for call in caller.calls]
         seen = self.site.journal()
@@ -113,12 +125,17 @@
         broken = checks.check_all(
             jobs, calls, harm.absences, rows, seen["orders"]
         )
+        gaps = stillness.find_gaps(jobs, rows, ended)
+        broken.extend(stillness.check_stillness(gaps, rows, harm.spans, SLOTS))
+        longest, longest_calm = stillness.measure(gaps, harm.spans)
         broken.extend(checks.check_output(self.site.read_output()))
         return Result(
             broken=broken,
             faults=harm.applied,
             accepted=sum(1 for job in jobs if job.accepted),
             calls=len(calls),
+            longest=longest,
+            longest_calm=longest_calm,
             folder=str(self.site.folder),
         )
 
--- /dev/null
+++ b/tools/soak/stillness.py
@@ -0,0 +1,142 @@
+"""No accepted job stands still in a calm time."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from tools.soak import checks
+from tools.soak import spans as harmed
+
+# A job may have nothing running for less than this, in seconds.
+STILL_S = 3.0
+# A lasting task may take so much longer to be started again, in seconds.
+AGAIN_S = 6.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Gap:
+    """A time in which nothing ran of a job, or of one lasting task.
+
+    :param name: The job or the task.
+    :param pool: Pool of its queue.
+    :param began: Its beginning, on the monotonic clock.
+    :param ended: Its end.
+    """
+
+    name: str
+    pool: str
+    began: float
+    ended: float
+
+    @property
+    def length(self):
+        """How long it lasted, in seconds."""
+        return self.ended - self.began
+
+
+def find_gaps(jobs, rows, until):
+    """Return all gaps of accepted jobs.
+
+    :param jobs: All jobs.
+    :param rows: What workers did, oldest first.
+    :param until: When the run was over.
+    """
+    runs = collections.defaultdict(list)
+    for row in rows:
+        if row[1] in ("start", "end"):
+            runs[row[3].split(".")[0]].append(row)
+    found = []
+    for job in jobs:
+        if not job.accepted:
+            continue
+        last = min(until, job.cancelled_at)
+        if job.lasting:
+            for task in job.list_tasks():
+                of_task = [row for row in runs[job.identity] if row[3] == task]
+                found += _find_gaps(job, task, of_task, last, AGAIN_S)
+        else:
+            rows_of_job = runs[job.identity]
+            found += _find_gaps(job, job.identity, rows_of_job, last, 0.0)
+    return found
+
+
+def _find_gaps(job, name, rows, last, allowed):
+    since, running, done = job.accepted_at, 0, set()
+    for time, kind, _, task, _, detail in rows:
+        if kind == "start":
+            if not running:
+                yield _make_gap(job, name, since, min(time, last))
+            running += 1
+            continue
+        running -= 1
+        since = time + allowed
+        if detail == "done":
+            done.add(task)
+    if not running and len(done) < len(job.list_tasks()):
+        yield _make_gap(job, name, since, last)
+
+
+def _make_gap(job, name, began, ended):
+    return Gap(name=name, pool=job.pool, began=began, ended=ended)
+
+
+def check_stillness(gaps, rows, spans, slots):
+    """In calm times, what has a turn and could run runs.
+
+    :param gaps: From :func:`find_gaps`.
+    :param rows: What workers did, oldest first.
+    :param spans: What was harmed.
+    :param slots: How many tasks a worker bears.
+    """
+    for gap in gaps:
+        calm = harmed.find_calm(spans, gap.began, gap.ended, STILL_S)
+        if calm is None:
+            continue
+        reason = _find_reason(rows, gap.pool, calm, calm + STILL_S, slots)
+        if reason:
+            yield checks.Broken(
+                promise="no job stands still",
+                detail=f"{gap.name}: {gap.length:.2f} s from "
+                f"{gap.began:.3f}, calm from {calm:.3f}, {reason}",
+            )
+
+
+def _find_reason(rows, pool, began, ended, slots):
+    """Return why something of a pool could have been started, or nothing."""
+    lives, used, starts = {}, collections.Counter(), 0
+    for time, kind, worker, _, _, detail in rows:
+        if time > ended:
+            break
+        if kind == "life":
+            # A worker that comes within the time might be too late.
+            lives[worker] = detail if time < began else ""
+        elif kind == "over":
+            lives.pop(worker, None)
+        elif kind == "start" and time >= began:
+            starts += lives.get(worker) == pool
+        elif kind in ("start", "end") and time < began:
+            used[worker] += 1 if kind == "start" else -1
+    if starts:
+        return f"{starts} other starts"
+    if any(
+        life == pool and used[worker] <= slots / 2
+        for worker, life in lives.items()
+    ):
+        return "workers have room"
+    return ""
+
+
+def measure(gaps, spans):
+    """Return the longest gap, and the longest that held a calm time."""
+    longest = max((gap.length for gap in gaps), default=0.0)
+    calm = max(
+        (
+            gap.length
+            for gap in gaps
+            if harmed.find_calm(spans, gap.began, gap.ended, STILL_S)
+            is not None
+        ),
+        default=0.0,
+    )
+    return round(longest, 2), round(calm, 2)
