Soak: lasting jobs, demand by turns, platform with lag, starved owners

The soak had no lasting jobs, one queue, prompt moves and a prompt list of VMs. Lasting jobs are handed in for both queues and cancelled at the end; an order that ends a task at work while as many others as may are away breaks a promise. Two queues of two pools are asked in turns. The stand-in's list of VMs lags by 0.8 s, moves take 1.5 s and upkeeps 2 s; crashed VMs are listed as down, workers may lose their entries, VMs may be lost for good, owners may be starved of processor time or stopped in a row.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,25 @@
       | 13.5  | 7      | idle | no case |
       | 15    | 7      | idle | a case  |
 
+  # Of a users' run: more tasks of a lasting step were away at once than it
+  # bears.  No run of ours had lasting jobs.
+  Scenario Outline: An order that takes too much of a lasting step is seen
+    Given a lasting job of 2 tasks at work at 10 s, of which 1 may be away
+    And its first task <first> at 20 s
+    When its second task <second> at <at> s
+    Then the soak reports <found> of too much away
+
+    Examples:
+      | first       | second        | at   | found   |
+      | is moving   | is moving     | 20   | a case  |
+      | is stopped  | is stopped    | 21.5 | a case  |
+      | is crashed  | is in upkeep  | 24   | no case |
+      | is crashed  | is in upkeep  | 25   | a case  |
+      | is moving   | is crashed    | 21   | no case |
+      | is lapsed   | is stopped    | 21   | a case  |
+      | is back     | is stopped    | 21   | no case |
+      | is moving   | is held up    | 21   | no case |
+
   # Two whole runs side by side drew the same free port before either had bound
   # it, on two occasions: a daemon ended with "address is taken".
   Scenario: Runs of the tests side by side draw no port twice
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 from tools import fleet as fleets
+from tools.soak import availability
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import plan
@@ -48,9 +49,9 @@
     drawn = {
         fault.kind
         for seed in range(count)
-        for fault in plan.draw_faults(seed, 60.0)
+        for fault in plan.draw_faults(seed, 60.0, plan.BURSTS)
     }
-    assert drawn == set(plan.KINDS), set(plan.KINDS) - drawn
+    assert drawn == set(plan.BURST_KINDS), set(plan.BURST_KINDS) - drawn
 
 
 @behave.given("a run in which all promises were kept")
@@ -203,6 +204,61 @@
     assert len(list(broken)) == (found == "a case")
 
 
+LASTING_ENDS = {
+    "is moving": "moving",
+    "is in upkeep": "upkeep",
+    "is stopped": "stopped",
+    "is held up": "stopped",
+    "is crashed": "crash",
+    "is lapsed": "lapsed",
+}
+
+
+@behave.given(
+    "a lasting job of {tasks:d} tasks at work at {begun:g} s, of which "
+    "{most:d} may be away"
+)
+def make_lasting(context, tasks, begun, most):
+    step = {"count": tasks, "long-running": True, "may_miss": most}
+    job = callers.Job(identity=JOB, queue="lookup", steps=[step])
+    job.accepted, job.accepted_at = True, begun
+    context.jobs, context.spans = [job], []
+    context.journal = [[0.0, "life", "w1", "m1", 0, "lookups"]]
+    for task in job.list_tasks():
+        context.journal.append([begun, "start", "w1", task, 1, ""])
+        context.journal.append([begun, "at work", "w1", task, 1, ""])
+
+
+@behave.given("its first task {what} at {at:g} s")
+def end_first(context, what, at):
+    add_end(context, f"{JOB}.0.0.0", "stopped" if "back" in what else what, at)
+    if what == "is back":
+        context.journal.append([at, "at work", "w1", f"{JOB}.0.0.0", 2, ""])
+
+
+def add_end(context, task, what, at):
+    how = LASTING_ENDS.get(what, what)
+    context.journal.append([at, "end", "w1", task, 1, how])
+    if what == "is held up":
+        kind = "worker link silent"
+        context.spans.append(
+            spans.Span(began=at - 2, ended=at - 0.1, kind=kind, place="m1")
+        )
+
+
+@behave.when("its second task {what} at {at:g} s")
+def end_second(context, what, at):
+    add_end(context, f"{JOB}.0.0.1", what, at)
+
+
+@behave.then("the soak reports {found} of too much away")
+def check_away(context, found):
+    broken = availability.check_availability(
+        context.jobs, context.journal, context.spans, []
+    )
+    assert len(list(broken)) == (found == "a case")
+
+
 @behave.when("another run draws {count:d} ports with the same luck")
 def draw_ports(context, count):
     kept = fleets._random, fleets._taken
--- a/standins/site.py
+++ b/standins/site.py
@@ -12,6 +12,7 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import collections  # noqa: E402
 import dataclasses  # noqa: E402
 import json  # noqa: E402
 import time  # noqa: E402
@@ -23,8 +24,11 @@
 from standins import worker as workers  # noqa: E402
 
 HOST = "127.0.0.1"
-# How long a VM is away for a move, its maintenance or a crash, in seconds.
+# How long a VM is away for a move, its maintenance or a crash unless told
+# otherwise, in seconds.
 AWAY_S = 0.3
+# How often the list of VMs is copied if it lags, in seconds.
+COPY_S = 0.1
 # The slowest clock that the platform's pages allow.
 SLOW_RATE = 0.98
 WORKER_PREFIX = "servers/"
@@ -59,11 +63,16 @@
     :param ports: Ports of the workers, each with the one that callers are
         shown.
     :param capacity: What each VM has.
-    :param slow_clocks: Whether the clocks of half of the workers are slow.
+    :param options: Of the command line: whether the clocks of half of the
+        workers are slow, how long VMs are away, and the lag of their list.
     """
 
-    def __init__(self, pools, ports, capacity, slow_clocks):
-        self.slow_clocks = slow_clocks
+    def __init__(self, pools, ports, capacity, options):
+        self.slow_clocks = options.slow_clocks
+        self.away = {"moving": options.move, "upkeep": options.upkeep}
+        self.list_lag = options.list_lag
+        # Copies of the list of VMs, each with its time.
+        self.lists = collections.deque()
         self.host = HOST
         self.store = keyvalue.Store()
         self.capacity = capacity
@@ -80,6 +89,8 @@
                     pool=pool, port=port, shown=shown, rate=self._choose_rate()
                 )
                 self.start_worker(name)
+        if self.list_lag:
+            gevent.spawn(self._copy_forever)
 
     def note(self, kind, worker, task, run, detail):
         """Write down what a worker did."""
@@ -112,26 +123,35 @@
         machine.worker = life
         self.note("life", life, name, 0, machine.pool)
         machine.state = "up"
-        self.store.put(
-            WORKER_PREFIX + life.identity,
-            json.dumps(life.describe()).encode(),
-        )
+        self._enlist(life)
 
-    def end_worker(self, name):
-        """End the life on a VM."""
-        life = self.machines[name].worker
+    def end_worker(self, name, cause, entry=0.0, *, is_silent=False):
+        """End the life on a VM.
+
+        :param name: The VM.
+        :param cause: Why, as the journal tells it.
+        :param entry: How much longer the worker's entry stays, in seconds.
+        :param is_silent: Whether its address is silent, not closed.
+        """
+        machine = self.machines[name]
+        life = machine.worker
         if life is None:
             return
-        life.end()
-        self.note("over", life, name, 0, "")
-        life.server.stop(timeout=0)
-        self.store.remove(WORKER_PREFIX + life.identity)
-        self.machines[name].worker = None
+        life.end(cause)
+        self.note("over", life, name, 0, cause)
+        if is_silent:
+            life.fault = "silent"
+        else:
+            life.server.stop(timeout=0)
+        machine.worker = None
+        machine.state = "down"
+        key = WORKER_PREFIX + life.identity
+        gevent.spawn_later(entry, self.store.remove, key)
 
     def __call__(self, environ, start_response):
         path = environ["PATH_INFO"]
         if path == "/machines":
-            return serving.answer_json(start_response, self._list())
+            return serving.answer_json(start_response, self._show_list())
         if path in ("/machine-move", "/machine-upkeep"):
             order = serving.read_json(environ)
             status, body = self._order(environ, path, order)
@@ -150,6 +170,20 @@
             )
         return self.store(environ, start_response)
 
+    def _copy_forever(self):
+        while True:
+            now = time.monotonic()
+            self.lists.append((now, self._list()))
+            while len(self.lists) > 1 and self.lists[1][0] <= (
+                now - self.list_lag
+            ):
+                self.lists.popleft()
+            gevent.sleep(COPY_S)
+
+    def _show_list(self):
+        """Return the list as it was a while ago."""
+        return self.lists[0][1] if self.lists else self._list()
+
     def _list(self):
         return {
             "machines": [
@@ -187,12 +221,15 @@
                 len(machine.worker.running),
             ]
         )
-        self.end_worker(order["machine"])
-        machine.state = "moving" if "pool" in order else "upkeep"
+        state = "moving" if "pool" in order else "upkeep"
+        self.end_worker(order["machine"], state)
+        machine.state = state
         machine.pool = order.get("pool", machine.pool)
         if "wave" in order:
             machine.waves.add(order["wave"])
-        gevent.spawn_later(AWAY_S, self.start_worker, order["machine"])
+        gevent.spawn_later(
+            self.away[state], self.start_worker, order["machine"]
+        )
         return "200 OK", {}
 
     def _is_done(self, machine, order):
@@ -209,12 +246,40 @@
             if machine.worker is not None:
                 machine.worker.fault = order["fault"]
         if "crash" in order:
-            self.end_worker(order["crash"])
-            gevent.spawn_later(AWAY_S, self.start_worker, order["crash"])
+            self._crash(order)
+        if "lose" in order:
+            self.end_worker(
+                order["lose"], "crash", order["entry"], is_silent=True
+            )
+        if "unlist" in order:
+            self._unlist(order["unlist"], order["away"])
         if "peek" in order:
             return {"item": self.store.items.get(order["peek"])}
         return {}
 
+    def _crash(self, order):
+        name = order["crash"]
+        if self.machines[name].worker is None:
+            return
+        self.end_worker(name, "crash", order.get("entry", 0.0))
+        away = order.get("away", AWAY_S)
+        gevent.spawn_later(away, self.start_worker, name)
+
+    def _unlist(self, name, away):
+        """Let a worker's entry be gone for a while."""
+        life = self.machines[name].worker
+        if life is None:
+            return
+        self.store.remove(WORKER_PREFIX + life.identity)
+        gevent.spawn_later(away, self._enlist, life)
+
+    def _enlist(self, life):
+        if life.alive:
+            self.store.put(
+                WORKER_PREFIX + life.identity,
+                json.dumps(life.describe()).encode(),
+            )
+
 
 def main():
     """Serve until killed."""
@@ -224,6 +289,9 @@
     parser.add_argument("--slow-clocks", action="store_true")
     parser.add_argument("--pools", required=True, help="pool=3,other=2")
     parser.add_argument("--cpu", type=int, default=8000)
+    parser.add_argument("--move", type=float, default=AWAY_S)
+    parser.add_argument("--upkeep", type=float, default=AWAY_S)
+    parser.add_argument("--list-lag", type=float, default=0.0)
     options = parser.parse_args()
     pools = {
         name: int(count)
@@ -236,7 +304,7 @@
         tuple(map(int, pair.split(":")))
         for pair in options.worker_ports.split(",")
     ]
-    site = Site(pools, ports, capacity, options.slow_clocks)
+    site = Site(pools, ports, capacity, options)
     serving.make_server(HOST, options.port, site).start()
     serving.serve_until_killed()
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,7 +1,8 @@
 """Stand-in for workers: each runs tasks under leases and fencing tokens.
 
 A task's spec says how long it works: ``work_ms=200``, ``fail`` to fail each
-time.  What each worker did stands in the site's journal of starts and ends.
+time, ``lasting`` to be at work after that time until it is stopped.  What each
+worker did, and what ended each run, stands in the site's journal.
 Faults on command: ``dead`` neither answers nor runs on, ``silent`` does not
 answer and runs on, ``late`` leaves orders unanswered and carries them out
 after a while.
@@ -69,11 +70,14 @@
         """Return what its steady clock shows, in seconds."""
         return time.monotonic() * self.rate
 
-    def end(self):
-        """End this life; all that runs dies."""
+    def end(self, cause):
+        """End this life; all that runs dies.
+
+        :param cause: Why, as the journal tells it.
+        """
         self.alive = False
         for task, run in list(self.running):
-            self.site.note("end", self, task, run, "died")
+            self.site.note("end", self, task, run, cause)
         self.running.clear()
 
     def __call__(self, environ, start_response):
@@ -122,6 +126,8 @@
             "began": self.clock(),
             "work": int(words.get("work_ms", "50")) / 1000,
             "fail": "fail" in words,
+            "lasting": "lasting" in words,
+            "is_noted": False,
             "stopped": 0.0,
         }
         return "200 OK", self._clock_body()
@@ -159,7 +165,8 @@
 
     def _percent(self, state):
         done = (self.clock() - state["began"]) / max(state["work"], 0.001)
-        return min(100, int(100 * done))
+        most = 99 if state["lasting"] and done < 1 else 100
+        return min(most, int(100 * done))
 
     def _extend(self, until):
         self.lease = max(self.lease, min(until, self.clock() + HOLD_MOST_S))
@@ -186,8 +193,13 @@
                 if state["stopped"]:
                     if now >= state["stopped"]:
                         self._finish(key, "stopped")
-                elif now - state["began"] >= state["work"]:
+                elif now - state["began"] < state["work"]:
+                    continue
+                elif not state["lasting"]:
                     self._finish(key, "failed" if state["fail"] else "done")
+                elif not state["is_noted"]:
+                    state["is_noted"] = True
+                    self.site.note("at work", self, *key, "")
 
     def _finish(self, key, how):
         task, run = key
--- a/tools/site.py
+++ b/tools/site.py
@@ -29,6 +29,7 @@
         managers then reach the platform, and each worker, through links.
     :param slow_clocks: Whether the clocks of half of the workers are slow.
     :param keys: Keys by workspace; ``None`` if callers need none.
+    :param platform: Further words for the platform's command line.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         make_link=None,
         slow_clocks=False,
         keys=None,
+        platform=(),
     ):
         # All calls show the first key, unless they name a header themselves.
         self.keys = keys
@@ -51,6 +53,7 @@
         self.version = 1
         self.jobs = 0
         self.platform = None
+        self._platform_words = platform
         self.managers = [self._make_manager(n) for n in range(managers)]
 
     def start(self):
@@ -68,6 +71,7 @@
                 "--worker-ports=" + ",".join(shown),
                 f"--pools={pools}",
                 *(["--slow-clocks"] if self.slow_clocks else []),
+                *self._platform_words,
             ],
             str(self.folder / "site.log"),
         )
@@ -210,10 +214,14 @@
                 return manager
         return None
 
-    def list_machines(self):
-        """Return the names of all VMs."""
+    def list_machines(self, state=None):
+        """Return the names of all VMs, or of those in a state."""
         listed = self._call(self.port, "GET", "/machines")
-        return [machine["machine"] for machine in listed["machines"]]
+        return [
+            machine["machine"]
+            for machine in listed["machines"]
+            if state in (None, machine["state"])
+        ]
 
     def wait_listening(self, manager):
         """Wait until a manager that was started again takes calls."""
--- /dev/null
+++ b/tools/soak/availability.py
@@ -0,0 +1,129 @@
+"""Orders leave enough tasks of each lasting step at work."""
+
+from __future__ import annotations
+
+import collections
+
+from tools.soak import checks
+from tools.soak import spans as harmed
+
+# Ends that are the system's doing.
+ORDERED = frozenset({"stopped", "moving", "upkeep"})
+# A task that has not been at work for this long is away, whatever the cause,
+# in seconds.
+NOTICE_S = 4.5
+# An order may have been held up by a fault that ended less than this before
+# it was carried out, in seconds.
+HELD_S = 1.5
+HOLDING = frozenset({"worker late", "worker crashed and silent"})
+
+
+class _Step:
+    """What is known of one lasting step's tasks at some time."""
+
+    def __init__(self, job, tasks):
+        self.job = job
+        self.tasks = tasks
+        # Tasks at work, and those that an order has ended since.
+        self.working = set()
+        self.ordered = set()
+        # Since when each task has not been at work.
+        self.since = dict.fromkeys(tasks, job.accepted_at)
+
+    def note_work(self, task):
+        self.working.add(task)
+        self.ordered.discard(task)
+
+    def note_end(self, task, time, *, is_ordered):
+        if task in self.working:
+            self.since[task] = time
+        self.working.discard(task)
+        if is_ordered:
+            self.ordered.add(task)
+
+    def list_away(self, task, time):
+        """Return the other tasks that are away."""
+        return [
+            other
+            for other in self.tasks
+            if other != task
+            and (
+                other in self.ordered
+                or (
+                    other not in self.working
+                    and time - self.since[other] >= NOTICE_S
+                )
+            )
+        ]
+
+
+def check_availability(jobs, rows, spans, orders):
+    """No order ends a task at work while as many as may are away.
+
+    :param jobs: All jobs.
+    :param rows: What workers did, oldest first.
+    :param spans: What was harmed.
+    :param orders: Orders to VMs.
+    """
+    steps = _list_steps(jobs)
+    machines = {row[2]: row[3] for row in rows if row[1] == "life"}
+    for time, kind, worker, task, run, detail in rows:
+        step = steps.get(task)
+        if step is None or time > step.job.cancelled_at:
+            continue
+        if kind == "at work":
+            step.note_work(task)
+        if kind != "end":
+            continue
+        is_ordered = _is_ordered(detail, time, spans)
+        away = step.list_away(task, time)
+        if (
+            is_ordered
+            and task in step.working
+            and len(away) >= _read_bound(step.job, task)
+            and not _is_held_up(detail, machines.get(worker), time, spans)
+        ):
+            near = harmed.name_near(spans, time, time)
+            sent = [order[:5] for order in orders if order[0] == time]
+            yield checks.Broken(
+                promise="enough of a lasting step stays at work",
+                detail=f"{task} run {run} on {worker} {detail} at {time:.3f} "
+                f"while {away} were away, near {near} {sent}",
+            )
+        step.note_end(task, time, is_ordered=is_ordered)
+
+
+def _list_steps(jobs):
+    """Return what is known of each lasting task's step, by task."""
+    steps = {}
+    for job in jobs:
+        if not job.accepted or not job.lasting:
+            continue
+        by_step = collections.defaultdict(list)
+        for task in job.list_tasks():
+            by_step[task.split(".")[2]].append(task)
+        for tasks in by_step.values():
+            steps.update(dict.fromkeys(tasks, _Step(job, tasks)))
+    return steps
+
+
+def _read_bound(job, task):
+    return job.steps[int(task.split(".")[2])]["may_miss"]
+
+
+def _is_ordered(detail, time, spans):
+    """Return whether an end is the system's doing."""
+    if detail == "lapsed":
+        return harmed.find_calm(spans, time, time, 0.0) is not None
+    return detail in ORDERED
+
+
+def _is_held_up(detail, machine, time, spans):
+    """Return whether an order may have been late at its worker or VM."""
+    place = machine if detail == "stopped" else "store"
+    return any(
+        span.place == place
+        and span.began < time < span.ended + HELD_S
+        and (" link " in span.kind or span.kind in HOLDING)
+        for span in spans
+    )
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -20,6 +20,7 @@
 INVENTED_KEY = "soak-key-invented-"
 # One of so many calls shows an invented key first.
 INVENTED_EVERY = 10
+QUEUES = tuple(sites.QUEUES)
 HEADERS = {
     "Host": "jobs.example",
     "Content-Type": "application/json",
@@ -34,6 +35,19 @@
 # A caller looks after one of so many of its newest jobs.
 RECENT = 8
 CANCELLED_PART = 0.1
+# Each queue in its turn is asked for five times its mean for a while, and
+# seldom in between; a turn's length and its first, busy part, in seconds.
+TURN_S = 8.0
+BUSY_S = 3.2
+BUSY_PAUSE_S = (0.02, 0.2)
+SELDOM_PAUSE_S = (0.4, 4.0)
+# Lasting jobs: how many a queue, their tasks, and how many of a step may be
+# away at once.
+LASTING_JOBS = 2
+LASTING_TASKS = 4
+MAY_MISS = 1
+# Start time of a lasting task, in milliseconds.
+LASTING_START_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,12 +128,42 @@
 
     def run(self, until):
         """Work until a time on the monotonic clock."""
-        while time.monotonic() < until:
-            job = self._make_job()
+        began = time.monotonic()
+        while (now := time.monotonic()) < until:
+            turn, into = divmod(now - began, TURN_S)
+            is_busy = into < BUSY_S
+            queue = QUEUES[int(turn) % len(QUEUES)]
+            if not is_busy:
+                queue = self._rng.choice(QUEUES)
+            job = self._make_job(queue)
             self.jobs.append(job)
             self._submit(job)
             self._look_after(self._rng.choice(self.jobs[-RECENT:]))
-            gevent.sleep(self._rng.uniform(0.02, 0.2))
+            pause = BUSY_PAUSE_S if is_busy else SELDOM_PAUSE_S
+            left = TURN_S - into if not is_busy else BUSY_S
+            gevent.sleep(min(left, self._rng.uniform(*pause)))
+
+    def run_lasting(self):
+        """Hand lasting jobs in for all queues."""
+        for queue in QUEUES * LASTING_JOBS:
+            step = {
+                "count": LASTING_TASKS,
+                "cpu": 250,
+                "long-running": True,
+                "may_miss": MAY_MISS,
+                "anti-affinity": self._rng.choice((1, 2)),
+            }
+            job = self._name_job(queue, [step])
+            self.jobs.append(job)
+            self._submit(job)
+
+    def cancel_all(self, until):
+        """Cancel all accepted jobs, as often as it takes."""
+        for job in self.jobs:
+            while job.accepted and time.monotonic() < until:
+                if self._cancel(job):
+                    break
+                gevent.sleep(self._rng.uniform(0.05, 0.5))
 
     def ask(self, job):
         """Ask for a job's state, at any manager.
@@ -138,7 +182,7 @@
         for client in self._clients.values():
             client.close()
 
-    def _make_job(self):
+    def _make_job(self, queue):
         rng = self._rng
         steps = []
         for number in range(rng.choice((1, 1, 2, 3))):
@@ -146,12 +190,18 @@
             if number:
                 step["after-rev"] = [number - 1]
             steps.append(step)
+        return self._name_job(queue, steps)
+
+    def _name_job(self, queue, steps):
         identity = f"{self.number:04x}{len(self.jobs):012x}"
-        return Job(identity=identity, queue="lookup", steps=steps)
+        return Job(identity=identity, queue=queue, steps=steps)
 
     def _submit(self, job):
         work = self._rng.choice((20, 100, 400, 900))
-        body = {"spec": f"work_ms={work}", "steps": job.steps}
+        spec = f"work_ms={work}"
+        if job.lasting:
+            spec = f"lasting work_ms={LASTING_START_MS}"
+        body = {"spec": spec, "steps": job.steps}
         if len(self.calls) % INVENTED_EVERY == 0:
             self._call("POST", job, body, invented=True)
         for _ in range(TRIES):
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -15,6 +15,21 @@
 # Time that a wave of the operator is given, and how many VMs it bears away.
 WAVE_S = 20
 WAVE_MOST_AWAY = 2
+# Least time between the beginnings of two waves.
+WAVE_GAP_S = 12
+# A crashed worker's entry stays so long: until three heartbeats were missed.
+ENTRY_S = 1.5
+# A life that is out of reach soon is heard for less than this, and silent for
+# so long after it, in seconds.
+HEARD_MOST_S = 0.8
+SILENT_S = 4.0
+# Most VMs that are lost for good in a run.
+LOST_MOST = 3
+# A starved process is stopped and let run in turn for so long, in seconds.
+STARVED_S = 0.08
+FED_S = 0.02
+# How long one of several owners that are stopped in a row is away, in seconds.
+OWNER_AWAY_S = 0.3
 # The store's faults, by the last word of their kind.
 STORE_FAULTS = frozenset({"busy", "silent", "slow", "lost"})
 
@@ -44,6 +59,9 @@
         # Numbers of managers that are to be started again.
         self._down = set()
         self._waves = 0
+        self._next_wave = 0.0
+        # How many VMs were lost for good.
+        self._lost = 0
 
     def apply(self, fault):
         """Apply a fault from its beginning to its end."""
@@ -74,6 +92,8 @@
             return self._harm_worker(how, fault)
         if fault.kind == "all killed":
             self._kill_all(fault.length)
+        elif fault.kind == "owners stopped":
+            self._stop_owners(fault)
         elif subject in ("manager", "owner"):
             self._harm_manager(subject, how, fault)
         elif how in STORE_FAULTS:
@@ -112,19 +132,24 @@
             owner = self._site.find_owner()
             if owner is not None:
                 number = self._site.managers.index(owner)
+        self._harm_number(number, how, fault.length)
+
+    def _harm_number(self, number, how, length):
         process = self._site.managers[number]["process"]
         if number in self._down:
             return
         self._note("manager", number, how)
         if how == "killed":
-            self._kill(number, fault.length)
+            self._kill(number, length)
         elif how == "stopped":
-            self._stop(number, fault.length)
+            self._stop(number, length)
         elif how == "reloaded":
             process.hang_up()
+        elif how == "starved":
+            self._starve(process, length)
         else:
             process.freeze()
-            gevent.sleep(fault.length)
+            gevent.sleep(length)
             process.resume()
 
     def _kill_all(self, length):
@@ -195,13 +220,60 @@
     def _harm_worker(self, how, fault):
         machines = self._site.list_machines()
         machine = machines[int(fault.draw * len(machines))]
-        if how == "crashed":
-            self._site.order({"crash": machine})
-            return machine
-        self._site.order({"machine": machine, "fault": how})
+        if how in ("crashed", "crashed and silent"):
+            self._crash(machine, how, fault)
+        elif how == "unlisted":
+            self._site.order({"unlist": machine, "away": fault.length})
+            gevent.sleep(fault.length)
+        elif how == "lost":
+            self._lose(machine, fault.length)
+        else:
+            self._site.order({"machine": machine, "fault": how})
+            gevent.sleep(fault.length)
+            self._site.order({"machine": machine, "fault": ""})
+        return machine
+
+    def _crash(self, machine, how, fault):
+        """Crash a worker; the next life may be out of reach soon."""
+        order = {"crash": machine, "away": fault.length, "entry": ENTRY_S}
+        self._site.order(order)
         gevent.sleep(fault.length)
+        if how == "crashed":
+            return
+        gevent.sleep(fault.draw * HEARD_MOST_S)
+        self._site.order({"machine": machine, "fault": "silent"})
+        gevent.sleep(SILENT_S)
         self._site.order({"machine": machine, "fault": ""})
-        return machine
+
+    def _lose(self, machine, length):
+        """Lose a VM for good, unless several are lost."""
+        if self._lost >= LOST_MOST:
+            return
+        self._lost += 1
+        self._site.order({"lose": machine, "entry": length})
+        gevent.sleep(length)
+
+    def _starve(self, process, length):
+        """Leave a process a small part of its processor's time."""
+        until = time.monotonic() + length
+        while time.monotonic() < until:
+            process.freeze()
+            gevent.sleep(STARVED_S)
+            process.resume()
+            gevent.sleep(FED_S)
+
+    def _stop_owners(self, fault):
+        """Tell two or three owners in a row to end."""
+        stops = 2 + (fault.draw > 0.5)
+        for number in range(stops):
+            if number:
+                gevent.sleep(fault.length / (stops - 1))
+            owner = self._site.find_owner()
+            if owner is None:
+                continue
+            self._harm_number(
+                self._site.managers.index(owner), "stopped", OWNER_AWAY_S
+            )
 
     def _put_configuration(self, fault):
         extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
@@ -210,13 +282,18 @@
         self._site.configure({**sites.QUEUES, **extra})
 
     def _put_wave(self):
+        """Ask for the upkeep of all VMs, if the last wave is not too near."""
+        now = time.monotonic()
+        if now < self._next_wave:
+            return
+        self._next_wave = now + WAVE_GAP_S
         self._waves += 1
         self._site.order(
             {
                 "put": f"op/wave/{self._waves}",
                 "value": {
                     "wave": self._waves,
-                    "machines": self._site.list_machines(),
+                    "machines": self._site.list_machines("up"),
                     "duration-s": WAVE_S,
                     "upper-bound": WAVE_MOST_AWAY,
                 },
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -24,7 +24,7 @@
     "worker link silent": (3, 0.5, 6.0),
     "worker link one way": (3, 0.5, 5.0),
     "worker link reset": (2, 0.1, 2.0),
-    "worker crashed": (3, 0.0, 0.0),
+    "worker crashed": (3, 0.5, 3.0),
     "worker late": (2, 0.5, 3.0),
     "store busy": (2, 0.3, 3.0),
     "store silent": (2, 0.3, 3.0),
@@ -35,6 +35,16 @@
     "configuration": (3, 0.0, 0.0),
     "wave": (1, 0.0, 0.0),
 }
+# Kinds that only bursts have, and what is drawn more often in them.
+BURST_KINDS = {
+    **KINDS,
+    "owner starved": (3, 2.0, 8.0),
+    "owners stopped": (3, 3.0, 11.0),
+    "worker crashed and silent": (3, 0.5, 3.0),
+    "worker unlisted": (3, 0.5, 3.0),
+    "worker lost": (3, 1.5, 4.0),
+    "wave": (8, 0.0, 0.0),
+}
 # How faults are spread over a run: all along it, or in bursts with calm times
 # between them, in which what stands still shows.
 STEADY, BURSTS = "steady", "bursts"
@@ -56,7 +66,7 @@
     """One fault.
 
     :param at: When it begins, in seconds from the start.
-    :param kind: A key of :data:`KINDS`.
+    :param kind: A key of :data:`BURST_KINDS`.
     :param length: How long it lasts, in seconds.
     :param draw: Chooses what is hit, from 0 to 1.
     """
@@ -82,34 +92,35 @@
     rng = random.Random(seed)
     last = seconds - QUIET_END_S
     if shape == STEADY:
-        return _draw_burst(rng, rng.uniform(0.2, 1.0), last)
+        return _draw_burst(rng, KINDS, rng.uniform(0.2, 1.0), last)
     found = []
     at = rng.uniform(0.2, 1.0)
     while at < last:
-        burst = _draw_burst(rng, at, min(last, at + rng.uniform(*BURST_S)))
+        end = min(last, at + rng.uniform(*BURST_S))
+        burst = _draw_burst(rng, BURST_KINDS, at, end)
         found += burst
         at = max(fault.until for fault in burst) + rng.uniform(*CALM_S)
     return found
 
 
-def _draw_burst(rng, at, last):
+def _draw_burst(rng, known, at, last):
     """Return faults from a time to another, by their beginning."""
-    kinds = list(KINDS)
-    weights = [KINDS[kind][0] for kind in kinds]
+    kinds = list(known)
+    weights = [known[kind][0] for kind in kinds]
     found = []
     while at < last:
         kind = rng.choices(kinds, weights)[0]
-        fault = _draw_fault(rng, kind, at)
+        fault = _draw_fault(rng, known, kind, at)
         found.append(fault)
         if rng.random() < TWICE:
             later = at + rng.uniform(0, TWICE_GAP_S)
-            found.append(_draw_fault(rng, kind, later))
+            found.append(_draw_fault(rng, known, kind, later))
         at += rng.expovariate(1 / MEAN_GAP_S)
     return sorted(found, key=lambda fault: fault.at)
 
 
-def _draw_fault(rng, kind, at):
-    _, least, most = KINDS[kind]
+def _draw_fault(rng, known, kind, at):
+    _, least, most = known[kind]
     return Fault(
         at=at,
         kind=kind,
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import time
 
 import gevent
 
 from tools import site as sites
+from tools.soak import availability
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import harms
@@ -16,12 +18,16 @@
 from tools.soak import spans
 from tools.soak import stillness
 
-POOLS = {"lookups": 4, "rebuilds": 3, "spare": 2}
+POOLS = {"lookups": 4, "rebuilds": 4, "spare": 4}
+# What the platform's VMs have, how long a move and an upkeep take, and how
+# old the platform's list of VMs is.
+CPU = 4000
+PLATFORM = (f"--cpu={CPU}", "--move=1.5", "--upkeep=2", "--list-lag=0.8")
 CALLERS = 4
 # Longest wait for all accepted jobs to end once all is healed, in seconds.
 SETTLE_S = 60.0
 # Tasks that a worker bears: its processor, by that of a task.
-SLOTS = 16
+SLOTS = CPU // 500
 # Pause between two looks at a job meanwhile.
 ASK_PAUSE_S = 0.1
 
@@ -68,6 +74,7 @@
             make_link=self._make_link,
             slow_clocks=True,
             keys={"north": [callers.KEY], "south": []},
+            platform=PLATFORM,
         )
         # A site makes these at once, those that lead to workers at its start.
         self._store_links = tuple(self._links)
@@ -97,6 +104,8 @@
             callers.Caller(number + 1, self.seed, fronts)
             for number in range(CALLERS)
         ]
+        lasting = callers.Caller(CALLERS + 1, self.seed, fronts)
+        lasting.run_lasting()
         began = time.monotonic()
         # The managers have just started.
         harm.spans.append(spans.Span(began=0.0, ended=began, kind="start"))
@@ -109,6 +118,8 @@
         ]
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
+        lasting.cancel_all(time.monotonic() + SETTLE_S)
+        active.append(lasting)
         _settle(active)
         for caller in active:
             caller.close()
@@ -125,8 +136,14 @@
         broken = checks.check_all(
             jobs, calls, harm.absences, rows, seen["orders"]
         )
+        self._keep(seen, harm.spans)
         gaps = stillness.find_gaps(jobs, rows, ended)
         broken.extend(stillness.check_stillness(gaps, rows, harm.spans, SLOTS))
+        broken.extend(
+            availability.check_availability(
+                jobs, rows, harm.spans, seen["orders"]
+            )
+        )
         longest, longest_calm = stillness.measure(gaps, harm.spans)
         broken.extend(checks.check_output(self.site.read_output()))
         return Result(
@@ -139,6 +156,12 @@
             folder=str(self.site.folder),
         )
 
+    def _keep(self, seen, harmed):
+        """Keep what was seen and harmed beside the processes' logs."""
+        told = [dataclasses.asdict(span) for span in harmed]
+        text = json.dumps({**seen, "harmed": told})
+        (self.site.folder / "journal.json").write_text(text)
+
 
 def _apply_at(harm, fault, began):
     gevent.sleep(max(0.0, began + fault.at - time.monotonic()))
--- a/tools/soak/stillness.py
+++ b/tools/soak/stillness.py
@@ -117,14 +117,11 @@
             starts += lives.get(worker) == pool
         elif kind in ("start", "end") and time < began:
             used[worker] += 1 if kind == "start" else -1
-    if starts:
-        return f"{starts} other starts"
-    if any(
-        life == pool and used[worker] <= slots / 2
-        for worker, life in lives.items()
-    ):
-        return "workers have room"
-    return ""
+    own = [worker for worker, life in lives.items() if life == pool]
+    if not starts and all(used[worker] > slots / 2 for worker in own):
+        return ""
+    runs = [used[worker] for worker in own]
+    return f"{starts} other starts, runs of workers at first {runs}"
 
 
 def measure(gaps, spans):
