--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -39,12 +39,12 @@
 # seldom in between; a turn's length and its first, busy part, in seconds.
 TURN_S = 8.0
 BUSY_S = 3.2
-BUSY_PAUSE_S = (0.02, 0.2)
+BUSY_PAUSE_S = (0.05, 0.3)
 SELDOM_PAUSE_S = (0.4, 4.0)
 # Lasting jobs: how many a queue, their tasks, and how many of a step may be
 # away at once.
 LASTING_JOBS = 2
-LASTING_TASKS = 4
+LASTING_TASKS = 3
 MAY_MISS = 1
 # Start time of a lasting task, in milliseconds.
 LASTING_START_MS = 1000
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -18,7 +18,7 @@
 from tools.soak import spans
 from tools.soak import stillness
 
-POOLS = {"lookups": 4, "rebuilds": 4, "spare": 4}
+POOLS = {"lookups": 5, "rebuilds": 5, "spare": 6}
 # What the platform's VMs have, how long a move and an upkeep take, and how
 # old the platform's list of VMs is.
 CPU = 4000
