Soak: more owners in a row after a lost worker, calm ends, no false cut under starvation

A wait for a proof lasts 8.4 s, so calm times are longer, also the last one. Half of the lost or crashed workers are followed by owners that are frozen or stopped in a row.

--- a/tools/site.py
+++ b/tools/site.py
@@ -214,13 +214,14 @@
                 return manager
         return None
 
-    def list_machines(self, state=None):
-        """Return the names of all VMs, or of those in a state."""
+    def list_machines(self, pools=None, state=None):
+        """Return the names of all VMs, or of those in pools or a state."""
         listed = self._call(self.port, "GET", "/machines")
         return [
             machine["machine"]
             for machine in listed["machines"]
             if state in (None, machine["state"])
+            and (pools is None or machine["pool"] in pools)
         ]
 
     def wait_listening(self, manager):
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -43,7 +43,7 @@
 SELDOM_PAUSE_S = (0.4, 4.0)
 # Lasting jobs: how many a queue, their tasks, and how many of a step may be
 # away at once.
-LASTING_JOBS = 2
+LASTING_JOBS = 3
 LASTING_TASKS = 3
 MAY_MISS = 1
 # Start time of a lasting task, in milliseconds.
@@ -148,7 +148,7 @@
         for queue in QUEUES * LASTING_JOBS:
             step = {
                 "count": LASTING_TASKS,
-                "cpu": 250,
+                "cpu": 100,
                 "long-running": True,
                 "may_miss": MAY_MISS,
                 "anti-affinity": self._rng.choice((1, 2)),
@@ -197,7 +197,7 @@
         return Job(identity=identity, queue=queue, steps=steps)
 
     def _submit(self, job):
-        work = self._rng.choice((20, 100, 400, 900))
+        work = self._rng.choice((20, 100, 400, 900, 2500))
         spec = f"work_ms={work}"
         if job.lasting:
             spec = f"lasting work_ms={LASTING_START_MS}"
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -27,6 +27,8 @@
     :param began: When its process ended.
     :param ended: When it listened again.
     :param planned: Whether it ended after SIGTERM.
+    :param slow: How many times as long as usual its end took, for it was
+        starved of its processor's time.
     """
 
     manager: int
@@ -34,6 +36,7 @@
     began: float
     ended: float
     planned: bool
+    slow: float = 1.0
 
     def excuses(self, call):
         """Return whether a call may be cut off for it."""
@@ -44,7 +47,7 @@
         if self.planned and call.refused:
             return call.began >= self.asked + REFUSING_AFTER_S
         if self.planned:
-            return call.began >= self.began - LATE_CALL_S
+            return call.began >= self.began - LATE_CALL_S * self.slow
         return call.ended >= self.began - CUT_SLACK_S
 
 
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -28,8 +28,10 @@
 # A starved process is stopped and let run in turn for so long, in seconds.
 STARVED_S = 0.08
 FED_S = 0.02
-# How long one of several owners that are stopped in a row is away, in seconds.
-OWNER_AWAY_S = 0.3
+SLOWED = (STARVED_S + FED_S) / FED_S
+# How long each of several owners in a row is harmed, in seconds: a frozen one
+# is followed after some 1.3 s.
+OWNERS_AWAY_S = {"stopped": 0.3, "frozen": 1.8}
 # The store's faults, by the last word of their kind.
 STORE_FAULTS = frozenset({"busy", "silent", "slow", "lost"})
 
@@ -56,6 +58,8 @@
         self._link_harms = []
         # Faults of the store that are in force, oldest first.
         self._store_faults = []
+        # Numbers of managers that get little of their processor's time.
+        self._starved = set()
         # Numbers of managers that are to be started again.
         self._down = set()
         self._waves = 0
@@ -92,8 +96,8 @@
             return self._harm_worker(how, fault)
         if fault.kind == "all killed":
             self._kill_all(fault.length)
-        elif fault.kind == "owners stopped":
-            self._stop_owners(fault)
+        elif subject == "owners":
+            self._harm_owners(how, fault)
         elif subject in ("manager", "owner"):
             self._harm_manager(subject, how, fault)
         elif how in STORE_FAULTS:
@@ -146,7 +150,9 @@
         elif how == "reloaded":
             process.hang_up()
         elif how == "starved":
+            self._starved.add(number)
             self._starve(process, length)
+            self._starved.discard(number)
         else:
             process.freeze()
             gevent.sleep(length)
@@ -174,13 +180,14 @@
         """End a manager as planned; another freeze may hold it up."""
         self._down.add(number)
         process = self._site.managers[number]["process"]
+        slow = SLOWED if number in self._starved else 1.0
         asked = time.monotonic()
         process.terminate(TERM_TIMEOUT_S)
         began = time.monotonic()
         gevent.sleep(length)
-        self._restart(number, asked, began, planned=True)
+        self._restart(number, asked, began, planned=True, slow=slow)
 
-    def _restart(self, number, asked, began, *, planned):
+    def _restart(self, number, asked, began, *, planned, slow=1.0):
         manager = self._site.managers[number]
         manager["process"].start()
         self._site.wait_listening(manager)
@@ -192,6 +199,7 @@
                 began=began,
                 ended=time.monotonic(),
                 planned=planned,
+                slow=slow,
             )
         )
 
@@ -218,7 +226,8 @@
         )
 
     def _harm_worker(self, how, fault):
-        machines = self._site.list_machines()
+        # Nothing runs on spare ones.
+        machines = self._site.list_machines(sites.QUEUES.values())
         machine = machines[int(fault.draw * len(machines))]
         if how in ("crashed", "crashed and silent"):
             self._crash(machine, how, fault)
@@ -262,18 +271,23 @@
             process.resume()
             gevent.sleep(FED_S)
 
-    def _stop_owners(self, fault):
-        """Tell two or three owners in a row to end."""
-        stops = 2 + (fault.draw > 0.5)
-        for number in range(stops):
-            if number:
-                gevent.sleep(fault.length / (stops - 1))
-            owner = self._site.find_owner()
-            if owner is None:
-                continue
-            self._harm_number(
-                self._site.managers.index(owner), "stopped", OWNER_AWAY_S
-            )
+    def _harm_owners(self, how, fault):
+        """Stop or freeze two or three owners in a row."""
+        owners = 2 + (fault.draw > 0.5)
+        pause = fault.length / (owners - 1)
+        gevent.joinall(
+            [
+                gevent.spawn_later(number * pause, self._harm_owner, how)
+                for number in range(owners)
+            ],
+            raise_error=True,
+        )
+
+    def _harm_owner(self, how):
+        owner = self._site.find_owner()
+        if owner is not None:
+            number = self._site.managers.index(owner)
+            self._harm_number(number, how, OWNERS_AWAY_S[how])
 
     def _put_configuration(self, fault):
         extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
@@ -293,7 +307,7 @@
                 "put": f"op/wave/{self._waves}",
                 "value": {
                     "wave": self._waves,
-                    "machines": self._site.list_machines("up"),
+                    "machines": self._site.list_machines(state="up"),
                     "duration-s": WAVE_S,
                     "upper-bound": WAVE_MOST_AWAY,
                 },
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -40,18 +40,27 @@
     **KINDS,
     "owner starved": (3, 2.0, 8.0),
     "owners stopped": (3, 3.0, 11.0),
+    "owners frozen": (3, 3.0, 11.0),
     "worker crashed and silent": (3, 0.5, 3.0),
     "worker unlisted": (3, 0.5, 3.0),
     "worker lost": (3, 1.5, 4.0),
     "wave": (8, 0.0, 0.0),
 }
+# What makes a wait for a proof, and what makes the next owner begin it anew,
+# or see late what it knows; half of the former bring the latter.
+FOLLOWED = {
+    "worker lost": ("owners frozen", "owners stopped"),
+    "worker crashed": ("owners frozen", "owners stopped"),
+    "worker crashed and silent": ("owner starved",),
+}
+FOLLOWED_PART = 0.5
 # How faults are spread over a run: all along it, or in bursts with calm times
 # between them, in which what stands still shows.
 STEADY, BURSTS = "steady", "bursts"
-# Length of a burst, and of the calm time after the end of its last fault, in
-# seconds: what waits for a proof may wait 8.4 s.
+# Length of a burst, and of the time after the end of its last fault, in
+# seconds: a restart takes some 4 s, and what waits for a proof 8.4 s.
 BURST_S = (2.0, 7.0)
-CALM_S = (9.0, 13.0)
+CALM_S = (13.0, 16.0)
 # Mean time between two faults, in seconds; their lengths make them overlap.
 MEAN_GAP_S = 1.2
 # The last fault begins this long before the end, in seconds.
@@ -98,7 +107,8 @@
     while at < last:
         end = min(last, at + rng.uniform(*BURST_S))
         burst = _draw_burst(rng, BURST_KINDS, at, end)
-        found += burst
+        burst += _draw_followers(rng, burst)
+        found += sorted(burst, key=lambda fault: fault.at)
         at = max(fault.until for fault in burst) + rng.uniform(*CALM_S)
     return found
 
@@ -119,6 +129,17 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def _draw_followers(rng, burst):
+    """Return what comes soon after some of the faults of a burst."""
+    followers = []
+    for fault in burst:
+        if fault.kind in FOLLOWED and rng.random() < FOLLOWED_PART:
+            kind = rng.choice(FOLLOWED[fault.kind])
+            later = fault.at + rng.uniform(0, fault.length)
+            followers.append(_draw_fault(rng, BURST_KINDS, kind, later))
+    return followers
+
+
 def _draw_fault(rng, known, kind, at):
     _, least, most = known[kind]
     return Fault(
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -40,7 +40,8 @@
     :param faults: How many faults were applied.
     :param accepted: How many jobs were accepted.
     :param calls: How many calls were made.
-    :param longest: Longest time in which nothing ran of a job, in seconds.
+    :param longest: Longest time in which nothing ran of a job, in seconds,
+        the job or task, and when it began.
     :param longest_calm: The same, of those that held a calm time.
     :param folder: Where the processes' logs are.
     """
@@ -49,8 +50,8 @@
     faults: int
     accepted: int
     calls: int
-    longest: float
-    longest_calm: float
+    longest: tuple
+    longest_calm: tuple
     folder: str
 
 
--- a/tools/soak/stillness.py
+++ b/tools/soak/stillness.py
@@ -125,15 +125,17 @@
 
 
 def measure(gaps, spans):
-    """Return the longest gap, and the longest that held a calm time."""
-    longest = max((gap.length for gap in gaps), default=0.0)
-    calm = max(
-        (
-            gap.length
-            for gap in gaps
-            if harmed.find_calm(spans, gap.began, gap.ended, STILL_S)
-            is not None
-        ),
-        default=0.0,
-    )
-    return round(longest, 2), round(calm, 2)
+    """Return the longest gap's length and name, and the same in calm times."""
+    calm = [
+        gap
+        for gap in gaps
+        if harmed.find_calm(spans, gap.began, gap.ended, STILL_S) is not None
+    ]
+    return _find_longest(gaps), _find_longest(calm)
+
+
+def _find_longest(gaps):
+    longest = max(gaps, key=lambda gap: gap.length, default=None)
+    if longest is None:
+        return ()
+    return round(longest.length, 2), longest.name, round(longest.began, 2)
