Soak: a lost or silent worker answers no hold that waited, the busiest are hit

A worker lost for good still answered the hold that was waiting, with nothing running, which proved its runs' end to the owner. A fault of the stand-in.

--- a/standins/site.py
+++ b/standins/site.py
@@ -253,10 +253,20 @@
             )
         if "unlist" in order:
             self._unlist(order["unlist"], order["away"])
+        if "loads" in order:
+            return {"loads": self._count_runs()}
         if "peek" in order:
             return {"item": self.store.items.get(order["peek"])}
         return {}
 
+    def _count_runs(self):
+        """Return how many tasks run on each VM that is up."""
+        return {
+            name: len(machine.worker.running)
+            for name, machine in self.machines.items()
+            if machine.worker is not None
+        }
+
     def _crash(self, order):
         name = order["crash"]
         if self.machines[name].worker is None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -91,6 +91,9 @@
             gevent.spawn_later(LATE_S, self._carry_out, path, order)
             gevent.sleep(SILENCE_S)
         status, body = self._carry_out(path, order)
+        # It may have been lost, or cut off, while a hold waited.
+        if not self.alive or self.fault in ("dead", "silent"):
+            gevent.sleep(SILENCE_S)
         return serving.answer_json(start_response, body, status)
 
     def _carry_out(self, path, order):
--- a/tools/site.py
+++ b/tools/site.py
@@ -214,14 +214,18 @@
                 return manager
         return None
 
-    def list_machines(self, pools=None, state=None):
-        """Return the names of all VMs, or of those in pools or a state."""
+    def list_busiest(self):
+        """Return the names of all VMs that are up, the busiest first."""
+        loads = self.order({"loads": True})["loads"]
+        return sorted(loads, key=loads.get, reverse=True)
+
+    def list_machines(self, state=None):
+        """Return the names of all VMs, or of those in a state."""
         listed = self._call(self.port, "GET", "/machines")
         return [
             machine["machine"]
             for machine in listed["machines"]
             if state in (None, machine["state"])
-            and (pools is None or machine["pool"] in pools)
         ]
 
     def wait_listening(self, manager):
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -23,6 +23,8 @@
 # so long after it, in seconds.
 HEARD_MOST_S = 0.8
 SILENT_S = 4.0
+# Workers are harmed on one of so many VMs on which most runs.
+BUSIEST = 5
 # Most VMs that are lost for good in a run.
 LOST_MOST = 3
 # A starved process is stopped and let run in turn for so long, in seconds.
@@ -226,8 +228,8 @@
         )
 
     def _harm_worker(self, how, fault):
-        # Nothing runs on spare ones.
-        machines = self._site.list_machines(sites.QUEUES.values())
+        # Where nothing runs nothing is harmed.
+        machines = self._site.list_busiest()[:BUSIEST]
         machine = machines[int(fault.draw * len(machines))]
         if how in ("crashed", "crashed and silent"):
             self._crash(machine, how, fault)
