--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -75,16 +75,16 @@
         self._note(fault.kind, fault.length)
         began = time.monotonic()
         place = self._apply(fault)
-        # What is asked of a healthy system is no harm.
-        if fault.kind != "wave":
-            self.spans.append(
-                spans.Span(
-                    began=began,
-                    ended=time.monotonic(),
-                    kind=fault.kind,
-                    place=place,
-                )
-            )
+        # A wave is no harm, and of several owners each is one by itself.
+        if fault.kind != "wave" and not fault.kind.startswith("owners "):
+            self._add_span(began, fault.kind, place)
+
+    def _add_span(self, began, kind, place=""):
+        """Note what was harmed until now."""
+        ended = time.monotonic()
+        self.spans.append(
+            spans.Span(began=began, ended=ended, kind=kind, place=place)
+        )
 
     def _apply(self, fault):
         """Apply a fault.
@@ -289,7 +289,9 @@
         owner = self._site.find_owner()
         if owner is not None:
             number = self._site.managers.index(owner)
+            began = time.monotonic()
             self._harm_number(number, how, OWNERS_AWAY_S[how])
+            self._add_span(began, f"owner {how}")
 
     def _put_configuration(self, fault):
         extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
