--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -50,4 +50,19 @@
         managers=4,
         cause="a connection was taken 2 ms before its manager ended, and cut",
     ),
+    Regression(
+        seed=50,
+        managers=6,
+        shape=plan.BURSTS,
+        cause="no job stands still: the proof that a crashed worker's runs are "
+        "over ended with its owner; the next one waited 8.4 s after it loaded",
+    ),
+    Regression(
+        seed=37,
+        managers=6,
+        shape=plan.BURSTS,
+        cause="one run at a time, by chance: a life that was just answered "
+        "went silent, and a list 0.8 s old, read after its last answer, still "
+        "told that its VM was down: of the life before",
+    ),
 )
