--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,12 +1,13 @@
 Feature: The promises hold while processes, links, workers and the store fail
 
   Scenario Outline: A run of the soak breaks no promise
-    When the soak runs with seed <seed> for <seconds> seconds
+    When the soak runs with seed <seed> for <seconds> seconds, <shape>
     Then jobs were accepted, faults were applied, and no promise was broken
 
     Examples:
-      | seed | seconds |
-      | 1    | 8       |
+      | seed | seconds | shape  |
+      | 1    | 8       | steady |
+      | 6    | 12      | bursts |
 
   Scenario: The same seed draws the same faults, another seed others
     Then seed 7 draws the same 60 seconds of faults twice, and seed 8 others
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,9 +20,12 @@
 REFUSED = "00000000000000bb"
 
 
-@behave.when("the soak runs with seed {seed:d} for {seconds:d} seconds")
-def run_soak(context, seed, seconds):
-    context.result = runner.Runner(seed, float(seconds), MANAGERS).run()
+@behave.when(
+    "the soak runs with seed {seed:d} for {seconds:d} seconds, {shape}"
+)
+def run_soak(context, seed, seconds, shape):
+    run = runner.Runner(seed, float(seconds), MANAGERS, shape)
+    context.result = run.run()
 
 
 @behave.then(
--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -54,8 +54,8 @@
         seed=50,
         managers=6,
         shape=plan.BURSTS,
-        cause="no job stands still: the proof that a crashed worker's runs are "
-        "over ended with its owner; the next one waited 8.4 s after it loaded",
+        cause="no job stands still: the proof that a crashed worker's runs "
+        "are over ended with its owner; the next one waited 8.4 s",
     ),
     Regression(
         seed=37,
