--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -32,7 +32,9 @@
     seconds = options.minutes * 60
     bad = 0
     for seed, managers, shape in list_runs(options):
-        result = runner.Runner(seed, seconds, managers, shape).run()
+        result = runner.Runner(
+            seed, seconds, managers, shape, options.only
+        ).run()
         bad += bool(result.broken)
         print_result(seed, seconds, result)
     return 1 if bad else 0
@@ -48,6 +50,13 @@
     parser.add_argument(
         "--shape", choices=(plan.STEADY, plan.BURSTS), default=plan.BURSTS
     )
+    parser.add_argument(
+        "--only",
+        nargs="*",
+        choices=plan.BURST_KINDS,
+        default=(),
+        help="kinds of faults in bursts",
+    )
     parser.add_argument(
         "--regressions",
         action="store_true",
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -91,22 +91,24 @@
         return self.at + self.length
 
 
-def draw_faults(seed, seconds, shape=STEADY):
+def draw_faults(seed, seconds, shape=STEADY, only=()):
     """Return the faults of a run, by their beginning.
 
     :param seed: The run's seed.
     :param seconds: Its length.
     :param shape: :data:`STEADY` or :data:`BURSTS`.
+    :param only: Kinds that bursts are drawn from; all of them if empty.
     """
     rng = random.Random(seed)
     last = seconds - QUIET_END_S
     if shape == STEADY:
         return _draw_burst(rng, KINDS, rng.uniform(0.2, 1.0), last)
+    known = {kind: BURST_KINDS[kind] for kind in only} or BURST_KINDS
     found = []
     at = rng.uniform(0.2, 1.0)
     while at < last:
         end = min(last, at + rng.uniform(*BURST_S))
-        burst = _draw_burst(rng, BURST_KINDS, at, end)
+        burst = _draw_burst(rng, known, at, end)
         burst += _draw_followers(rng, burst)
         found += sorted(burst, key=lambda fault: fault.at)
         at = max(fault.until for fault in burst) + rng.uniform(*CALM_S)
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -62,12 +62,14 @@
     :param seconds: How long the site is harmed.
     :param managers: Number of managers.
     :param shape: How the faults are spread over it.
+    :param only: Kinds of faults that bursts are drawn from, if not all.
     """
 
-    def __init__(self, seed, seconds, managers, shape=plan.STEADY):
+    def __init__(self, seed, seconds, managers, shape=plan.STEADY, only=()):
         self.seed = seed
         self.seconds = seconds
         self.shape = shape
+        self.only = only
         self._links = []
         self.site = sites.Site(
             managers,
@@ -115,7 +117,9 @@
         ]
         harming = [
             gevent.spawn(_apply_at, harm, fault, began)
-            for fault in plan.draw_faults(self.seed, self.seconds, self.shape)
+            for fault in plan.draw_faults(
+                self.seed, self.seconds, self.shape, self.only
+            )
         ]
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
