--- a/tools/soak/availability.py
+++ b/tools/soak/availability.py
@@ -24,20 +24,24 @@
     def __init__(self, job, tasks):
         self.job = job
         self.tasks = tasks
-        # Tasks at work, and those that an order has ended since.
-        self.working = set()
+        # Runs at work by task, and tasks that an order has ended since.
+        self.working = collections.defaultdict(set)
         self.ordered = set()
         # Since when each task has not been at work.
         self.since = dict.fromkeys(tasks, job.accepted_at)
 
-    def note_work(self, task):
-        self.working.add(task)
+    def note_work(self, task, run):
+        self.working[task].add(run)
         self.ordered.discard(task)
 
-    def note_end(self, task, time, *, is_ordered):
-        if task in self.working:
+    def note_end(self, task, run, time, *, is_ordered):
+        was_working = bool(self.working[task])
+        self.working[task].discard(run)
+        # It may run twice, which is not judged here.
+        if self.working[task]:
+            return
+        if was_working:
             self.since[task] = time
-        self.working.discard(task)
         if is_ordered:
             self.ordered.add(task)
 
@@ -50,7 +54,7 @@
             and (
                 other in self.ordered
                 or (
-                    other not in self.working
+                    not self.working[other]
                     and time - self.since[other] >= NOTICE_S
                 )
             )
@@ -72,14 +76,14 @@
         if step is None or time > step.job.cancelled_at:
             continue
         if kind == "at work":
-            step.note_work(task)
+            step.note_work(task, run)
         if kind != "end":
             continue
         is_ordered = _is_ordered(detail, time, spans)
         away = step.list_away(task, time)
         if (
             is_ordered
-            and task in step.working
+            and run in step.working[task]
             and len(away) >= _read_bound(step.job, task)
             and not _is_held_up(detail, machines.get(worker), time, spans)
         ):
@@ -90,7 +94,7 @@
                 detail=f"{task} run {run} on {worker} {detail} at {time:.3f} "
                 f"while {away} were away, near {near} {sent}",
             )
-        step.note_end(task, time, is_ordered=is_ordered)
+        step.note_end(task, run, time, is_ordered=is_ordered)
 
 
 def _list_steps(jobs):
