--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -44,7 +44,7 @@
 # Lasting jobs: how many a queue, their tasks, and how many of a step may be
 # away at once.
 LASTING_JOBS = 3
-LASTING_TASKS = 3
+LASTING_TASKS = 4
 MAY_MISS = 1
 # Start time of a lasting task, in milliseconds.
 LASTING_START_MS = 1000
@@ -151,7 +151,7 @@
                 "cpu": 100,
                 "long-running": True,
                 "may_miss": MAY_MISS,
-                "anti-affinity": self._rng.choice((1, 2)),
+                "anti-affinity": self._rng.choice((2, 4)),
             }
             job = self._name_job(queue, [step])
             self.jobs.append(job)
