--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,12 +1,13 @@
 Feature: The promises hold while processes, links, workers and the store fail
 
   Scenario Outline: A run of the soak breaks no promise
-    When the soak runs with seed <seed> for <seconds> seconds
+    When the soak runs with seed <seed> for <seconds> seconds, <shape>
     Then jobs were accepted, faults were applied, and no promise was broken
 
     Examples:
-      | seed | seconds |
-      | 1    | 8       |
+      | seed | seconds | shape  |
+      | 1    | 8       | steady |
+      | 6    | 12      | bursts |
 
   Scenario: The same seed draws the same faults, another seed others
     Then seed 7 draws the same 60 seconds of faults twice, and seed 8 others
@@ -31,6 +32,41 @@
       | a connection is refused just after its manager was told to end | a planned stop cuts nothing off |
       | a VM is moved with work on it               | VMs leave empty                      |
 
+  # Of a users' run: accepted jobs had no run for seconds though nothing was
+  # harmed and other jobs moved.  Runs were judged by what jobs came to at the
+  # end, so no run of ours showed it.
+  Scenario Outline: A job that stands still in a calm time is seen
+    Given a job of one task, accepted at 10 s and started at <start> s
+    And a fault from 2 s to <healed> s, and a worker that is <load>
+    Then the soak reports <found> of standing still
+
+    Examples:
+      | start | healed | load | found   |
+      | 13.5  | 5      | idle | a case  |
+      | 13.5  | 5      | full | no case |
+      | 12.9  | 5      | idle | no case |
+      | 13.5  | 7      | idle | no case |
+      | 15    | 7      | idle | a case  |
+
+  # Of a users' run: more tasks of a lasting step were away at once than it
+  # bears.  No run of ours had lasting jobs.
+  Scenario Outline: An order that takes too much of a lasting step is seen
+    Given a lasting job of 2 tasks at work at 10 s, of which 1 may be away
+    And its first task <first> at 20 s
+    When its second task <second> at <at> s
+    Then the soak reports <found> of too much away
+
+    Examples:
+      | first       | second        | at   | found   |
+      | is moving   | is moving     | 20   | a case  |
+      | is stopped  | is stopped    | 21.5 | a case  |
+      | is crashed  | is in upkeep  | 24   | no case |
+      | is crashed  | is in upkeep  | 25   | a case  |
+      | is moving   | is crashed    | 21   | no case |
+      | is lapsed   | is stopped    | 21   | a case  |
+      | is back     | is stopped    | 21   | no case |
+      | is moving   | is held up    | 21   | no case |
+
   # Two whole runs side by side drew the same free port before either had bound
   # it, on two occasions: a daemon ended with "address is taken".
   Scenario: Runs of the tests side by side draw no port twice
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -4,14 +4,16 @@
 
 import collections
 import dataclasses
+import math
 
 from tools.soak import callers
 
 # A killed manager's connections may be seen to end this much earlier or later
 # than its death was noted, in seconds.
 CUT_SLACK_S = 0.25
-# A call that begins less than this before a planned exit, in seconds, may
-# come too late to be read: connections are closed before the interpreter ends.
+# A call that begins less than this before a manager's last one, in seconds, or
+# later, may come too late to be read: connections are closed before the
+# interpreter ends.
 LATE_CALL_S = 0.3
 # This long after it was told to end a manager may refuse new connections; open
 # ones it serves until it is gone.
@@ -27,6 +29,8 @@
     :param began: When its process ended.
     :param ended: When it listened again.
     :param planned: Whether it ended after SIGTERM.
+    :param stopped: When it had taken its last call, as it says itself; a
+        starved one, or one on a busy machine, ends long after that.
     """
 
     manager: int
@@ -34,6 +38,7 @@
     began: float
     ended: float
     planned: bool
+    stopped: float = math.inf
 
     def excuses(self, call):
         """Return whether a call may be cut off for it."""
@@ -44,7 +49,8 @@
         if self.planned and call.refused:
             return call.began >= self.asked + REFUSING_AFTER_S
         if self.planned:
-            return call.began >= self.began - LATE_CALL_S
+            last = min(self.stopped, self.began)
+            return call.began >= last - LATE_CALL_S
         return call.ended >= self.began - CUT_SLACK_S
 
 
@@ -100,7 +106,7 @@
             running[task].discard((worker, run))
             if detail == "done":
                 done.add(task)
-        elif detail == "done":
+        elif kind == "known" and detail == "done":
             known.add(task)
 
 
@@ -154,13 +160,11 @@
 
 
 def _check_tasks(job, good):
-    for number, step in enumerate(job.steps):
-        for index in range(step["count"]):
-            task = f"{job.identity}.0.{number}.{index}"
-            if task not in good:
-                yield Broken(
-                    promise="completed means every task is done", detail=task
-                )
+    for task in job.list_tasks():
+        if task not in good:
+            yield Broken(
+                promise="completed means every task is done", detail=task
+            )
 
 
 def check_output(output):
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import math
+import pathlib
 import time
 
 import gevent
@@ -9,11 +12,30 @@
 from tools import site as sites
 from tools.soak import checks
 from tools.soak import links
+from tools.soak import spans
 
 TERM_TIMEOUT_S = 30.0
 # Time that a wave of the operator is given, and how many VMs it bears away.
 WAVE_S = 20
 WAVE_MOST_AWAY = 2
+# Least time between the beginnings of two waves.
+WAVE_GAP_S = 12
+# A crashed worker's entry stays so long: until three heartbeats were missed.
+ENTRY_S = 1.5
+# A life that is out of reach soon is heard for less than this, and silent for
+# so long after it, in seconds.
+HEARD_MOST_S = 0.8
+SILENT_S = 4.0
+# Workers are harmed on one of so many VMs on which most runs.
+BUSIEST = 5
+# Most VMs that are lost for good in a run.
+LOST_MOST = 3
+# A starved process is stopped and let run in turn for so long, in seconds.
+STARVED_S = 0.08
+FED_S = 0.02
+# How long each of several owners in a row is harmed, in seconds: a frozen one
+# is followed after some 1.3 s.
+OWNERS_AWAY_S = {"stopped": 0.3, "frozen": 1.8}
 # The store's faults, by the last word of their kind.
 STORE_FAULTS = frozenset({"busy", "silent", "slow", "lost"})
 
@@ -31,6 +53,8 @@
         self.applied = 0
         # Times without one of the managers.
         self.absences = []
+        # What was harmed, and when.
+        self.spans = []
         self._site = site
         self._store_links = store_links
         self._worker_links = worker_links
@@ -41,28 +65,52 @@
         # Numbers of managers that are to be started again.
         self._down = set()
         self._waves = 0
+        self._next_wave = 0.0
+        # How many VMs were lost for good.
+        self._lost = 0
 
     def apply(self, fault):
         """Apply a fault from its beginning to its end."""
         self.applied += 1
         self._note(fault.kind, fault.length)
+        began = time.monotonic()
+        place = self._apply(fault)
+        # A wave is no harm, and of several owners each is one by itself.
+        if fault.kind != "wave" and not fault.kind.startswith("owners "):
+            self._add_span(began, fault.kind, place)
+
+    def _add_span(self, began, kind, place=""):
+        """Note what was harmed until now."""
+        ended = time.monotonic()
+        self.spans.append(
+            spans.Span(began=began, ended=ended, kind=kind, place=place)
+        )
+
+    def _apply(self, fault):
+        """Apply a fault.
+
+        :return: What was hit, if that is one VM or one link.
+        """
         subject, _, how = fault.kind.partition(" ")
+        if how.startswith("link "):
+            return self._harm_link(subject, how.removeprefix("link "), fault)
+        if subject == "worker":
+            return self._harm_worker(how, fault)
         if fault.kind == "all killed":
             self._kill_all(fault.length)
+        elif subject == "owners":
+            self._harm_owners(how, fault)
         elif subject in ("manager", "owner"):
             self._harm_manager(subject, how, fault)
-        elif how.startswith("link "):
-            self._harm_link(subject, how.removeprefix("link "), fault)
         elif how in STORE_FAULTS:
             self._harm_store(how, fault.length)
-        elif subject == "worker":
-            self._harm_worker(how, fault)
         elif fault.kind == "store forgets":
             self._site.set_store_fault("forget")
         elif fault.kind == "configuration":
             self._put_configuration(fault)
         else:
             self._put_wave()
+        return ""
 
     def heal(self):
         """End all harm to the store, links, managers and workers."""
@@ -90,19 +138,24 @@
             owner = self._site.find_owner()
             if owner is not None:
                 number = self._site.managers.index(owner)
+        self._harm_number(number, how, fault.length)
+
+    def _harm_number(self, number, how, length):
         process = self._site.managers[number]["process"]
         if number in self._down:
             return
         self._note("manager", number, how)
         if how == "killed":
-            self._kill(number, fault.length)
+            self._kill(number, length)
         elif how == "stopped":
-            self._stop(number, fault.length)
+            self._stop(number, length)
         elif how == "reloaded":
             process.hang_up()
+        elif how == "starved":
+            self._starve(process, length)
         else:
             process.freeze()
-            gevent.sleep(fault.length)
+            gevent.sleep(length)
             process.resume()
 
     def _kill_all(self, length):
@@ -130,10 +183,21 @@
         asked = time.monotonic()
         process.terminate(TERM_TIMEOUT_S)
         began = time.monotonic()
+        stopped = self._read_stopped(number, asked)
         gevent.sleep(length)
-        self._restart(number, asked, began, planned=True)
+        self._restart(number, asked, began, planned=True, stopped=stopped)
+
+    def _read_stopped(self, number, asked):
+        """Return when a manager that has ended had taken its last call."""
+        log = self._site.managers[number]["process"].log
+        offset = time.time() - time.monotonic()
+        for line in reversed(pathlib.Path(log).read_text().splitlines()):
+            if '"program.stopped"' in line:
+                stopped = json.loads(line)["time"] - offset
+                return stopped if stopped >= asked else math.inf
+        return math.inf
 
-    def _restart(self, number, asked, began, *, planned):
+    def _restart(self, number, asked, began, *, planned, stopped=math.inf):
         manager = self._site.managers[number]
         manager["process"].start()
         self._site.wait_listening(manager)
@@ -145,6 +209,7 @@
                 began=began,
                 ended=time.monotonic(),
                 planned=planned,
+                stopped=stopped,
             )
         )
 
@@ -159,6 +224,7 @@
         # Of several harms to one link the newest is in force.
         left = [other for one, other in self._link_harms if one is link]
         link.set_harm(left[-1] if left else links.Harm.NONE)
+        return f"m-{link.target}" if subject == "worker" else "store"
 
     def _harm_store(self, how, length):
         self._store_faults.append(how)
@@ -170,15 +236,71 @@
         )
 
     def _harm_worker(self, how, fault):
-        machines = self._site.list_machines()
+        # Where nothing runs nothing is harmed.
+        machines = self._site.list_busiest()[:BUSIEST]
         machine = machines[int(fault.draw * len(machines))]
+        if how in ("crashed", "crashed and silent"):
+            self._crash(machine, how, fault)
+        elif how == "unlisted":
+            self._site.order({"unlist": machine, "away": fault.length})
+            gevent.sleep(fault.length)
+        elif how == "lost":
+            self._lose(machine, fault.length)
+        else:
+            self._site.order({"machine": machine, "fault": how})
+            gevent.sleep(fault.length)
+            self._site.order({"machine": machine, "fault": ""})
+        return machine
+
+    def _crash(self, machine, how, fault):
+        """Crash a worker; the next life may be out of reach soon."""
+        order = {"crash": machine, "away": fault.length, "entry": ENTRY_S}
+        self._site.order(order)
+        gevent.sleep(fault.length)
         if how == "crashed":
-            self._site.order({"crash": machine})
             return
-        self._site.order({"machine": machine, "fault": how})
-        gevent.sleep(fault.length)
+        gevent.sleep(fault.draw * HEARD_MOST_S)
+        self._site.order({"machine": machine, "fault": "silent"})
+        gevent.sleep(SILENT_S)
         self._site.order({"machine": machine, "fault": ""})
 
+    def _lose(self, machine, length):
+        """Lose a VM for good, unless several are lost."""
+        if self._lost >= LOST_MOST:
+            return
+        self._lost += 1
+        self._site.order({"lose": machine, "entry": length})
+        gevent.sleep(length)
+
+    def _starve(self, process, length):
+        """Leave a process a small part of its processor's time."""
+        until = time.monotonic() + length
+        while time.monotonic() < until:
+            process.freeze()
+            gevent.sleep(STARVED_S)
+            process.resume()
+            gevent.sleep(FED_S)
+
+    def _harm_owners(self, how, fault):
+        """Stop or freeze two or three owners in a row."""
+        owners = 2 + (fault.draw > 0.5)
+        pause = fault.length / (owners - 1)
+        gevent.joinall(
+            [
+                gevent.spawn_later(number * pause, self._harm_owner, how)
+                for number in range(owners)
+            ],
+            raise_error=True,
+        )
+
+    def _harm_owner(self, how):
+        owner = self._site.find_owner()
+        if owner is not None:
+            number = self._site.managers.index(owner)
+            began = time.monotonic()
+            self._harm_number(number, how, OWNERS_AWAY_S[how])
+            self._add_span(began, f"owner {how}")
+
     def _put_configuration(self, fault):
         extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
         # The second workspace's keys change with each configuration.
@@ -186,13 +308,18 @@
         self._site.configure({**sites.QUEUES, **extra})
 
     def _put_wave(self):
+        """Ask for the upkeep of all VMs, if the last wave is not too near."""
+        now = time.monotonic()
+        if now < self._next_wave:
+            return
+        self._next_wave = now + WAVE_GAP_S
         self._waves += 1
         self._site.order(
             {
                 "put": f"op/wave/{self._waves}",
                 "value": {
                     "wave": self._waves,
-                    "machines": self._site.list_machines(),
+                    "machines": self._site.list_machines(state="up"),
                     "duration-s": WAVE_S,
                     "upper-bound": WAVE_MOST_AWAY,
                 },
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -24,7 +24,7 @@
     "worker link silent": (3, 0.5, 6.0),
     "worker link one way": (3, 0.5, 5.0),
     "worker link reset": (2, 0.1, 2.0),
-    "worker crashed": (3, 0.0, 0.0),
+    "worker crashed": (3, 0.5, 3.0),
     "worker late": (2, 0.5, 3.0),
     "store busy": (2, 0.3, 3.0),
     "store silent": (2, 0.3, 3.0),
@@ -35,6 +35,32 @@
     "configuration": (3, 0.0, 0.0),
     "wave": (1, 0.0, 0.0),
 }
+# Kinds that only bursts have, and what is drawn more often in them.
+BURST_KINDS = {
+    **KINDS,
+    "owner starved": (3, 2.0, 8.0),
+    "owners stopped": (3, 3.0, 11.0),
+    "owners frozen": (3, 3.0, 11.0),
+    "worker crashed and silent": (3, 0.5, 3.0),
+    "worker unlisted": (3, 0.5, 3.0),
+    "worker lost": (3, 1.5, 4.0),
+    "wave": (8, 0.0, 0.0),
+}
+# What makes a wait for a proof, and what makes the next owner begin it anew,
+# or see late what it knows; half of the former bring the latter.
+FOLLOWED = {
+    "worker lost": ("owners frozen", "owners stopped"),
+    "worker crashed": ("owners frozen", "owners stopped"),
+    "worker crashed and silent": ("owner starved",),
+}
+FOLLOWED_PART = 0.5
+# How faults are spread over a run: all along it, or in bursts with calm times
+# between them, in which what stands still shows.
+STEADY, BURSTS = "steady", "bursts"
+# Length of a burst, and of the time after the end of its last fault, in
+# seconds: a restart takes some 4 s, and what waits for a proof 8.4 s.
+BURST_S = (2.0, 7.0)
+CALM_S = (13.0, 16.0)
 # Mean time between two faults, in seconds; their lengths make them overlap.
 MEAN_GAP_S = 1.2
 # The last fault begins this long before the end, in seconds.
@@ -49,7 +75,7 @@
     """One fault.
 
     :param at: When it begins, in seconds from the start.
-    :param kind: A key of :data:`KINDS`.
+    :param kind: A key of :data:`BURST_KINDS`.
     :param length: How long it lasts, in seconds.
     :param draw: Chooses what is hit, from 0 to 1.
     """
@@ -65,30 +91,59 @@
         return self.at + self.length
 
 
-def draw_faults(seed, seconds):
+def draw_faults(seed, seconds, shape=STEADY, only=()):
     """Return the faults of a run, by their beginning.
 
     :param seed: The run's seed.
     :param seconds: Its length.
+    :param shape: :data:`STEADY` or :data:`BURSTS`.
+    :param only: Kinds that bursts are drawn from; all of them if empty.
     """
     rng = random.Random(seed)
-    kinds = list(KINDS)
-    weights = [KINDS[kind][0] for kind in kinds]
+    last = seconds - QUIET_END_S
+    if shape == STEADY:
+        return _draw_burst(rng, KINDS, rng.uniform(0.2, 1.0), last)
+    known = {kind: BURST_KINDS[kind] for kind in only} or BURST_KINDS
     found = []
     at = rng.uniform(0.2, 1.0)
-    while at < seconds - QUIET_END_S:
+    while at < last:
+        end = min(last, at + rng.uniform(*BURST_S))
+        burst = _draw_burst(rng, known, at, end)
+        burst += _draw_followers(rng, burst)
+        found += sorted(burst, key=lambda fault: fault.at)
+        at = max(fault.until for fault in burst) + rng.uniform(*CALM_S)
+    return found
+
+
+def _draw_burst(rng, known, at, last):
+    """Return faults from a time to another, by their beginning."""
+    kinds = list(known)
+    weights = [known[kind][0] for kind in kinds]
+    found = []
+    while at < last:
         kind = rng.choices(kinds, weights)[0]
-        fault = _draw_fault(rng, kind, at)
+        fault = _draw_fault(rng, known, kind, at)
         found.append(fault)
         if rng.random() < TWICE:
             later = at + rng.uniform(0, TWICE_GAP_S)
-            found.append(_draw_fault(rng, kind, later))
+            found.append(_draw_fault(rng, known, kind, later))
         at += rng.expovariate(1 / MEAN_GAP_S)
     return sorted(found, key=lambda fault: fault.at)
 
 
-def _draw_fault(rng, kind, at):
-    _, least, most = KINDS[kind]
+def _draw_followers(rng, burst):
+    """Return what comes soon after some of the faults of a burst."""
+    followers = []
+    for fault in burst:
+        if fault.kind in FOLLOWED and rng.random() < FOLLOWED_PART:
+            kind = rng.choice(FOLLOWED[fault.kind])
+            later = fault.at + rng.uniform(0, fault.length)
+            followers.append(_draw_fault(rng, BURST_KINDS, kind, later))
+    return followers
+
+
+def _draw_fault(rng, known, kind, at):
+    _, least, most = known[kind]
     return Fault(
         at=at,
         kind=kind,
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -3,21 +3,31 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import time
 
 import gevent
 
 from tools import site as sites
+from tools.soak import availability
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import harms
 from tools.soak import links
 from tools.soak import plan
-
-POOLS = {"lookups": 4, "rebuilds": 3, "spare": 2}
+from tools.soak import spans
+from tools.soak import stillness
+
+POOLS = {"lookups": 5, "rebuilds": 5, "spare": 6}
+# What the platform's VMs have, how long a move and an upkeep take, and how
+# old the platform's list of VMs is.
+CPU = 4000
+PLATFORM = (f"--cpu={CPU}", "--move=1.5", "--upkeep=2", "--list-lag=0.8")
 CALLERS = 4
 # Longest wait for all accepted jobs to end once all is healed, in seconds.
 SETTLE_S = 60.0
+# Tasks that a worker bears: its processor, by that of a task.
+SLOTS = CPU // 500
 # Pause between two looks at a job meanwhile.
 ASK_PAUSE_S = 0.1
 
@@ -30,6 +40,9 @@
     :param faults: How many faults were applied.
     :param accepted: How many jobs were accepted.
     :param calls: How many calls were made.
+    :param longest: Longest time in which nothing ran of a job, in seconds,
+        the job or task, and when it began.
+    :param longest_calm: The same, of those that held a calm time.
     :param folder: Where the processes' logs are.
     """
 
@@ -37,6 +50,8 @@
     faults: int
     accepted: int
     calls: int
+    longest: tuple
+    longest_calm: tuple
     folder: str
 
 
@@ -46,11 +61,15 @@
     :param seed: Draws the faults and the callers' choices.
     :param seconds: How long the site is harmed.
     :param managers: Number of managers.
+    :param shape: How the faults are spread over it.
+    :param only: Kinds of faults that bursts are drawn from, if not all.
     """
 
-    def __init__(self, seed, seconds, managers):
+    def __init__(self, seed, seconds, managers, shape=plan.STEADY, only=()):
         self.seed = seed
         self.seconds = seconds
+        self.shape = shape
+        self.only = only
         self._links = []
         self.site = sites.Site(
             managers,
@@ -58,6 +77,7 @@
             make_link=self._make_link,
             slow_clocks=True,
             keys={"north": [callers.KEY], "south": []},
+            platform=PLATFORM,
         )
         # A site makes these at once, those that lead to workers at its start.
         self._store_links = tuple(self._links)
@@ -87,22 +107,30 @@
             callers.Caller(number + 1, self.seed, fronts)
             for number in range(CALLERS)
         ]
+        lasting = callers.Caller(CALLERS + 1, self.seed, fronts)
+        lasting.run_lasting()
         began = time.monotonic()
+        # The managers have just started.
+        harm.spans.append(spans.Span(began=0.0, ended=began, kind="start"))
         working = [
             gevent.spawn(caller.run, began + self.seconds) for caller in active
         ]
         harming = [
             gevent.spawn(_apply_at, harm, fault, began)
-            for fault in plan.draw_faults(self.seed, self.seconds)
+            for fault in plan.draw_faults(
+                self.seed, self.seconds, self.shape, self.only
+            )
         ]
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
+        lasting.cancel_all(time.monotonic() + SETTLE_S)
+        active.append(lasting)
         _settle(active)
         for caller in active:
             caller.close()
-        return self._judge(active, harm)
+        return self._judge(active, harm, time.monotonic())
 
-    def _judge(self, active, harm):
+    def _judge(self, active, harm, ended):
         jobs = [job for caller in active for job in caller.jobs]
         calls = [call for caller in active for call in caller.calls]
         seen = self.site.journal()
@@ -113,15 +141,32 @@
         broken = checks.check_all(
             jobs, calls, harm.absences, rows, seen["orders"]
         )
+        self._keep(seen, harm.spans)
+        gaps = stillness.find_gaps(jobs, rows, ended)
+        broken.extend(stillness.check_stillness(gaps, rows, harm.spans, SLOTS))
+        broken.extend(
+            availability.check_availability(
+                jobs, rows, harm.spans, seen["orders"]
+            )
+        )
+        longest, longest_calm = stillness.measure(gaps, harm.spans)
         broken.extend(checks.check_output(self.site.read_output()))
         return Result(
             broken=broken,
             faults=harm.applied,
             accepted=sum(1 for job in jobs if job.accepted),
             calls=len(calls),
+            longest=longest,
+            longest_calm=longest_calm,
             folder=str(self.site.folder),
         )
 
+    def _keep(self, seen, harmed):
+        """Keep what was seen and harmed beside the processes' logs."""
+        told = [dataclasses.asdict(span) for span in harmed]
+        text = json.dumps({**seen, "harmed": told})
+        (self.site.folder / "journal.json").write_text(text)
+
 
 def _apply_at(harm, fault, began):
     gevent.sleep(max(0.0, began + fault.at - time.monotonic()))
