--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -26,6 +26,16 @@
     When the worker of one VM is silent and one list leaves that VM out
     Then its tasks run on no other VM within 1 s
 
+  Scenario Outline: A list proves nothing of a life <what>
+    Given a life "w1" on the VM "<vm>", last heard at 10 s
+    When lists read at 20 s and 30 s name <listed>
+    Then the life is not proved over
+
+    Examples:
+      | what                         | vm  | listed                 |
+      | whose VM nobody knows        |     | nothing on the VM m-2  |
+      | that it names on another VM  | m-1 | the life on the VM m-2 |
+
   Scenario: A VM that is only silent keeps its tasks until its lease is over
     Given a pool of 4 VMs, a job of 8 tasks on them, and 0 spare VMs
     When the worker of one VM is silent and the VM is listed as up
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -200,3 +200,10 @@
       | task |
       | hold |
       | stop |
+
+  # Found by reading: on a worker that answers orders after 0.5 s or more, three
+  # starts that its reports had long listed kept its senders, and no stop got out.
+  Scenario: A start that a report has listed is not sent again
+    Given an owner that may extend leases, and a start that its worker found too late
+    When it has no answer in time, and a report lists the run
+    Then it was sent once
--- a/features/outages.feature
+++ b/features/outages.feature
@@ -44,3 +44,8 @@
     Given an owner on the largest VM and 3 others in one store
     When each of them stands still for 0.9 s at each call, for 9.0 s
     Then nobody takes the ownership in the next 4.0 s
+
+  Scenario: An owner that was not answered which lease its key has finds out
+    Given an owner on the largest VM and 3 others in one store
+    When the owner is late for a moment, and the answer that gives it a longer lease is lost
+    Then nobody takes the ownership in the next 4.0 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -8,6 +8,7 @@
 from features import vm_bench as vms
 from rackvalve.jobs import definition
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import listings
 from rackvalve.scheduling import silence
 from rackvalve.scheduling import upkeep
 
@@ -274,3 +275,28 @@
     assert not wave.decide(bench.now)
     wave.take_list([vms.list_vm(vm) for vm in context.vms], bench.now)
     assert wave.decide(bench.now)
+
+
+@behave.given('a life "{name}" on the VM "{vm}", last heard at {heard:d} s')
+def make_life(context, name, vm, heard):
+    context.life = (name, vm, float(heard))
+
+
+@behave.given('a life "{name}" on the VM "", last heard at {heard:d} s')
+def make_placeless_life(context, name, heard):
+    context.life = (name, "", float(heard))
+
+
+@behave.when("lists read at {first:d} s and {second:d} s name {what}")
+def take_lists(context, first, second, what):
+    name = context.life[0]
+    worker = name if what.startswith("the life") else ""
+    listed = {"m-2": vms.list_vm("m-2", worker=worker)}
+    context.listings = listings.Listings()
+    for read in (first, second):
+        context.listings.take(listed, float(read), {name: None})
+
+
+@behave.then("the life is not proved over")
+def check_not_proved(context):
+    assert not context.listings.prove_over(*context.life)
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -13,6 +13,7 @@
 from rackvalve.manager import contact as contacts
 from rackvalve.manager import roster as rosters
 from rackvalve.manager import timing
+from rackvalve.platform import connections
 from rackvalve.platform import documents
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import messages
@@ -219,3 +220,26 @@
     context.bench.report("w1")
     context.bench.plan()
     assert context.bench.starts()
+
+
+@behave.when("it has no answer in time, and a report lists the run")
+def list_run(context):
+    run = context.contact._worker.runs[
+        f"{context.order.job}.{context.order.task}", context.order.run
+    ].run
+
+    def report(seconds):
+        assert not context.client.start.call_count > 1
+        run.stage = progress.Stage.CONFIRMED
+
+    context.client = context.contact._client = mock.Mock()
+    context.client.start.return_value = connections.NoAnswer(
+        reason="no answer in time", sent=True
+    )
+    with mock.patch.object(contacts.gevent, "sleep", report):
+        context.contact.start_run(context.order)
+
+
+@behave.then("it was sent once")
+def check_sent_once(context):
+    context.client.start.assert_called_once()
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -30,6 +30,8 @@
         self.changed = gevent.event.Event()
         # Processes that get no answer; ``None`` for all.
         self.dark = frozenset()
+        # How many commits are done and not answered.
+        self.lost = 0
         # How long each process stands still at each of its calls, in seconds.
         self.pause = 0.0
 
@@ -160,6 +162,9 @@
             if put.lease and put.lease not in self.store.leases:
                 return stores.LeaseOver()
             self.store.write(put.key, put.payload, put.lease, revision)
+        if self.store.lost:
+            self.store.lost -= 1
+            return stores.Unknown(reason="lost")
         return stores.Committed(revision=revision)
 
 
@@ -379,3 +384,16 @@
     after = [len(process.owners) for process in context.processes]
     assert before == after, (before, after)
     assert len(find_owners(context)) == 1
+
+
+@behave.when(
+    "the owner is late for a moment, and the answer that gives it a longer "
+    "lease is lost"
+)
+def lose_longer_lease(context):
+    lateness = context.first.election._lateness
+    context.store.lost = 1
+    lateness.note(0.9, time.monotonic())
+    wait_until(lambda: not context.store.lost, 2.0)
+    # By now the shortest lease would do again.
+    lateness._late.clear()
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -111,7 +111,9 @@
         self.confirmed_at: float | None = None
         self.stop_wanted = False
         self.load = 0.0
-        self.pace = 100
+        # The share of its speed that it was told to work at, in percent;
+        # ``None`` if an earlier owner, or a lost order, may have told it one.
+        self.pace: int | None = 100
         # When its pace was changed last.
         self.paced = 0.0
         self.ticket = ""
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -225,6 +225,7 @@
                 location=_read_location(record.locations.get(worker)),
             )
             run.inherited = True
+            run.pace = None
             task.runs[number] = run
 
 
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -136,6 +136,9 @@
                 clocks.read_steady() - elapsed,
             )
         self._moves = {vm: moves[vm] for vm in moves.keys() & self._held}
+        if self._moves != moves:
+            # One left in the record would pass for an order of this owner's.
+            self._writer.mark(MOVES_KEY, self._make_moves)
         for vm, pool in self._moves.items():
             self._sizing.restore(vm, pool)
         self._uncertain = self._held.keys() - moves.keys()
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -9,6 +9,7 @@
 from gevent import queue as gevent_queue
 
 from rackvalve import clocks
+from rackvalve.jobs import progress
 from rackvalve import logs
 from rackvalve.manager import ports
 from rackvalve.manager import timing
@@ -22,6 +23,7 @@
     clients.Reason.NO_ROOM: messages.StartResult.NO_ROOM,
     clients.Reason.TICKET: messages.StartResult.TICKET,
 }
+_ORDERED = progress.Stage.ORDERED
 # An order to stop a run that no record names is not repeated for ever; the
 # next report asks for it again.
 STRAY_TRIES = 3
@@ -158,6 +160,8 @@
         if isinstance(outcome, clients.Report):
             late = clocks.read_steady() - now - wait
             self._patience = _choose_patience(late)
+            # A worker that is late with these is as late with orders.
+            self._client.timeout = self._patience
         return outcome
 
     def _take_report(self, report: clients.Report) -> None:
@@ -224,7 +228,8 @@
         until: float | None = None
         while True:
             placed = self._worker.runs.get(key)
-            if placed is None or placed.run.stop_wanted:
+            if placed is None or placed.run.stage is not _ORDERED:
+                # It is over, is to be stopped, or a report has listed it.
                 return
             if until is None:
                 until = self._lease_until()
@@ -323,6 +328,10 @@
             fence=self._owner.fence,
         )
         if not isinstance(outcome, clients.Done):
+            placed = self._worker.runs.get((order.task, order.run))
+            if placed is not None:
+                # The next report sends another one.
+                placed.run.pace = None
             logs.write_warning(
                 "order.failed",
                 worker=self._worker.identity,
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -85,6 +85,8 @@
         self._lease = 0
         # Its length, in seconds, and what it should be as late as we are.
         self._lease_length = timing.OWNER_LEASE_S
+        # Whether the key is known to end with that lease, and with no other.
+        self._is_bound = True
         self._lateness = candidacy.Lateness()
         self._resigned = False
         self._tries = 0
@@ -135,6 +137,7 @@
     def _take_lease(self, lease: stores.Lease) -> None:
         self._lease = lease.identity
         self._lease_length = lease.duration
+        self._is_bound = True
 
     def _note_answer(self) -> None:
         """Note that the store has answered, and whether it was away."""
@@ -332,7 +335,9 @@
         self._lateness.note(now - began, now)
         if not renewed:
             return self._hold_again(owner, known=0)
-        owner.note_contact(began)
+        if self._is_bound:
+            # Else the lease may run though the key has ended.
+            owner.note_contact(began)
         if self._holder is None and self._known:
             return self._check_key(owner)
         if self._holder is not None and self._is_lease_unfit(now):
@@ -340,7 +345,9 @@
         return ""
 
     def _is_lease_unfit(self, now: float) -> bool:
-        """Return whether another length would suit this process better."""
+        """Return whether the key needs another lease."""
+        if not self._is_bound:
+            return True
         wanted = self._lateness.choose_lease(now)
         return abs(wanted - self._lease_length) > LEASE_STEP_S
 
@@ -364,18 +371,17 @@
         if lease is None:
             return ""
         began = clocks.read_steady()
-        payload = self._describe()
-        outcome = self._store.commit(
-            [
-                stores.Condition(key=KEY, revision=known),
-                stores.Condition(key=TERM_KEY, revision=owner.fence),
-            ],
-            [stores.Put(key=KEY, payload=payload, lease=lease.identity)],
-        )
+        outcome = self._write_key(owner, lease, known)
         if isinstance(outcome, stores.Conflict):
-            term = outcome.items.get(TERM_KEY)
-            if term is None or term.revision != owner.fence:
+            if not _stands(outcome, owner):
                 return _TAKEN_BY_ANOTHER
+            # An earlier try without an answer took effect, or the key ended.
+            self._holder = outcome.items.get(KEY)
+            found = self._holder.revision if self._holder is not None else 0
+            outcome = self._write_key(owner, lease, found)
+        if isinstance(outcome, stores.Unknown):
+            # It may take effect yet; the next write settles that.
+            self._is_bound = False
         if isinstance(outcome, stores.Committed):
             if self._owner is not owner:
                 # It was told to hand over meanwhile.
@@ -390,3 +396,25 @@
                 was_over=known == 0,
             )
         return ""
+
+    def _write_key(
+        self, owner: ports.Tenure, lease: stores.Lease, known: int
+    ) -> object:
+        """Write the key with a lease, if it and the term are as known."""
+        return self._store.commit(
+            [
+                stores.Condition(key=KEY, revision=known),
+                stores.Condition(key=TERM_KEY, revision=owner.fence),
+            ],
+            [
+                stores.Put(
+                    key=KEY, payload=self._describe(), lease=lease.identity
+                )
+            ],
+        )
+
+
+def _stands(conflict: stores.Conflict, owner: ports.Tenure) -> bool:
+    """Return whether an owner's term stands, by what a commit was told."""
+    term = conflict.items.get(TERM_KEY)
+    return term is not None and term.revision == owner.fence
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -118,14 +118,15 @@
     :param timeout: Longest wait for the answer to an order, in seconds.
     """
 
-    __slots__ = ("_client", "_headers", "_timeout")
+    __slots__ = ("_client", "_headers", "timeout")
 
     def __init__(
         self, client: connections.HttpClient, life: str, *, timeout: float
     ) -> None:
         self._client = client
         self._headers = ((LIFE_HEADER, life),)
-        self._timeout = timeout
+        # Longest wait for the answer to an order, in seconds.
+        self.timeout = timeout
 
     def close(self) -> None:
         """Close the connections."""
@@ -226,7 +227,7 @@
             return connections.NoAnswer(reason=repr(error), sent=True)
 
     def _order(self, path: str, order: dict[str, str | int]) -> Outcome:
-        return _read_outcome(self._send(path, order, self._timeout))
+        return _read_outcome(self._send(path, order, self.timeout))
 
     def _send(
         self, path: str, order: dict[str, str | int], timeout: float
--- a/src/rackvalve/scheduling/hindrance.py
+++ b/src/rackvalve/scheduling/hindrance.py
@@ -93,7 +93,7 @@
         return Availability.NO_ENTRY
     if not worker.established:
         return Availability.UNASKED
-    if now - worker.answered > freshness:
+    if now - worker.heard > freshness:
         return Availability.SILENT
     if worker.entry.draining:
         return Availability.DRAINING
@@ -253,7 +253,7 @@
         worker = self._book.workers.get(placed.run.worker)
         if worker is None or not worker.established:
             return False
-        return self._now - worker.answered <= self._freshness
+        return self._now - worker.heard <= self._freshness
 
     def _find_start(
         self, runs: Sequence[workers.Placed], pool: str
@@ -348,7 +348,7 @@
                 pool=pool,
                 workers=names,
             )
-        answered = min(worker.answered for worker in found)
+        answered = min(worker.heard for worker in found)
         return Hindrance(
             cause=Cause.NO_PROOF,
             since=max(self._book.began, answered),
--- a/src/rackvalve/scheduling/listings.py
+++ b/src/rackvalve/scheduling/listings.py
@@ -24,12 +24,13 @@
 class Listings:
     """What the lists that one owner has read say of workers' lives."""
 
-    __slots__ = ("_vms", "_before", "_named", "_read")
+    __slots__ = ("_vms", "_before", "_lives", "_named", "_read")
 
     def __init__(self) -> None:
         self._vms: Mapping[str, fleet.Vm] = {}
         self._before: Mapping[str, fleet.Vm] = {}
-        # Lives that a list has named.
+        # Lives that the newest list names, and those that any list has named.
+        self._lives: set[str] = set()
         self._named: set[str] = set()
         # When the reading of the newest list began, in seconds.
         self._read = float("-inf")
@@ -49,8 +50,9 @@
         if read <= self._read:
             return
         self._before, self._vms, self._read = self._vms, vms, read
+        self._lives = {vm.worker for vm in vms.values() if vm.worker}
         self._named &= known.keys()
-        self._named |= {vm.worker for vm in vms.values() if vm.worker}
+        self._named |= self._lives
 
     def prove_over(self, identity: str, vm: str, heard: float) -> bool:
         """Return whether the lists prove that a life is over.
@@ -67,6 +69,8 @@
 
     def _lists(self, identity: str, vm: str) -> bool:
         """Return whether a life may be on its VM by the newest list."""
+        if not vm or identity in self._lives:
+            return True
         listed = self._vms.get(vm)
         if listed is None:
             # The pages of a list are no snapshot: one that misses a VM may
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -51,9 +51,17 @@
     :param settling: How long a stop takes at most, in seconds.
     :param hold_wait: How long a worker waits with its answer to a hold at
         most, in seconds.
+    :param hold_most: How long a hold takes at most, in seconds.
     """
 
-    __slots__ = ("_book", "_lease", "_settling", "_hold_wait", "ended")
+    __slots__ = (
+        "_book",
+        "_lease",
+        "_settling",
+        "_hold_wait",
+        "_hold_most",
+        "ended",
+    )
 
     def __init__(
         self,
@@ -62,11 +70,13 @@
         lease: float,
         settling: float,
         hold_wait: float,
+        hold_most: float,
     ) -> None:
         self._book = book
         self._lease = lease
         self._settling = settling
         self._hold_wait = hold_wait
+        self._hold_most = hold_most
         # Ends that were handled and not yet logged.
         self.ended: list[RunEnded] = []
 
@@ -85,6 +95,8 @@
         :param now: Present time, in seconds.
         :param wall: Present time, seconds since 1970.
         """
+        # One that is late by more has waited while this process stood still.
+        worker.heard = min(now, report.sent + self._hold_most)
         # After a pause of this process the answer tells of a time before it.
         worker.answered = min(now, report.sent + self._hold_wait)
         for row in report.ended:
--- a/src/rackvalve/scheduling/sharing.py
+++ b/src/rackvalve/scheduling/sharing.py
@@ -73,7 +73,8 @@
     )
 
 
-def _choose_pace(pace: int, pressure: float) -> int:
+def _choose_pace(known: int | None, pressure: float) -> int:
+    pace = FULL_PACE if known is None else known
     if pressure > STOP_AT:
         return 0
     if pressure > YIELD_AT:
--- a/src/rackvalve/scheduling/silence.py
+++ b/src/rackvalve/scheduling/silence.py
@@ -110,6 +110,10 @@
 
     def _last_heard(self, worker: workers.WorkerState) -> float:
         """Return when a worker has answered last, or was first seen."""
+        return max(worker.heard, self._since[worker.identity])
+
+    def _last_sign(self, worker: workers.WorkerState) -> float:
+        """Return the last time that an answer, or its entry, tells of."""
         return max(worker.answered, self._since[worker.identity])
 
     def _release(self, worker: workers.WorkerState) -> bool:
@@ -118,7 +122,7 @@
         :return: Whether that is new.
         """
         assert worker.location is not None
-        heard = self._last_heard(worker)
+        heard = self._last_sign(worker)
         vm = worker.location.vm
         if not self._listings.prove_over(worker.identity, vm, heard):
             return False
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -205,7 +205,7 @@
         """Forget moves that the platform's list shows to be over."""
         for vm, pool in list(self.moving.items()):
             listed = self._upkeep.vms.get(vm)
-            if listed is None or (listed.pool == pool and listed.up):
+            if listed is None or _has_arrived(listed, pool):
                 del self.moving[vm]
                 self.arrived[vm] = now
 
@@ -353,6 +353,11 @@
         return orders
 
 
+def _has_arrived(vm: fleet.Vm, pool: str) -> bool:
+    """Return whether a VM is in the pool that it moves to, well or lost."""
+    return vm.pool == pool and (vm.up or vm.lost)
+
+
 def _count_wanted(size: PoolSize, now: float) -> int:
     """Return how many VMs a pool needs for what it has to do."""
     wanted = math.ceil(size.forecast.newest * HEADROOM) + RESERVE
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -61,6 +61,7 @@
         "runs",
         "established",
         "settled",
+        "heard",
         "answered",
         "lease_over",
         "handled",
@@ -88,7 +89,8 @@
         self.established = False
         # When all stops of earlier owners have ended.
         self.settled = float("inf")
-        # Time that its last answer to a hold tells of.
+        # When its last answer to a hold came, and the time that it tells of.
+        self.heard = float("-inf")
         self.answered = float("-inf")
         self.lease_over = lease_over
         # Number of the last end that was handled.
@@ -171,7 +173,7 @@
         It gets no work from then on, however short ago its last answer was.
         """
         self.lease_over = float("-inf")
-        self.answered = float("-inf")
+        self.heard = float("-inf")
 
     def is_over(self, now: float) -> bool:
         """Return whether all leases given so far are over.
@@ -191,7 +193,7 @@
             and not self.entry.draining
             and not self.closing
             and self.established
-            and now - self.answered <= freshness
+            and now - self.heard <= freshness
             and self.gone_since is None
         )
 
