--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -57,7 +57,7 @@
     "worker.found": "A worker was seen for the first time.",
     "worker.established": "A worker has taken the owner's fencing token.",
     "worker.draining": "A worker says that it will leave.",
-    "worker.lost": "What ran on a silent worker is over: its VM is off.",
+    "worker.lost": "What ran on a worker is over: its VM is off or gone.",
     "worker.over": "A worker's life is over; says what proves it.",
     "job.accepted": "A job is kept and its caller was told so.",
     "job.taken": "The owner learned of a job.",
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -182,7 +182,9 @@
     def _step(self, now: float) -> None:
         for worker in self._silence.look(now):
             logs.write_warning(
-                "worker.lost", worker=worker, reason="its VM is listed as down"
+                "worker.lost",
+                worker=worker,
+                reason="its VM is listed without it",
             )
         for maintain in self._upkeep.decide(
             now,
