Show that VMs that are down for good keep a wave from the others

Cause, by reading: VMs that are down are the cheapest to close, are ordered in vain each half second, and keep their places among those that are closed.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -264,6 +264,31 @@
     assert context.ever == set(context.vms), context.ever
 
 
+@behave.when("{count:d} of the VMs are down for good")
+def lose_vms(context, count):
+    context.lost = set(context.vms[:count])
+    context.found = []
+    for _ in range(300):
+        context.bench.now += 0.1
+        context.upkeep.take_list(
+            [vms.list_vm(vm, lost=vm in context.lost) for vm in context.vms],
+            context.bench.now,
+        )
+        for order in context.upkeep.decide(context.bench.now):
+            context.found.append(order.vm)
+            if order.vm in context.lost:
+                context.upkeep.note_refused(
+                    order, context.bench.now, for_good=False
+                )
+            else:
+                context.upkeep.note_ordered(order, context.bench.now)
+
+
+@behave.then("only the others are ordered within 30 seconds")
+def check_others_ordered(context):
+    assert set(context.found) == set(context.vms) - context.lost, context.found
+
+
 @behave.when("{count:d} of the VMs were ordered lately by another owner")
 def hold_vms(context, count):
     context.upkeep.held = frozenset(context.vms[:count])
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -49,6 +49,11 @@
     Then no VM is closed for longer than 10 seconds without a break
     And each VM of the wave is closed once in 60 seconds
 
+  Scenario: VMs that are down for good do not keep a wave from the others
+    Given a pool of 9 VMs and a wave over all of them that bears 1 away
+    When 2 of the VMs are down for good
+    Then only the others are ordered within 30 seconds
+
   Scenario: VMs that an earlier owner has just ordered are left alone
     Given a pool of 4 VMs and a wave over all of them that bears 4 away
     When 3 of the VMs were ordered lately by another owner
