Leave VMs out of a wave while they are down

Cause: they can't be maintained; they took the places of VMs that can, and an order each half second. Ruled out: to count them as maintained, since they may come back as they were. Change: a VM that is listed as down is not closed for a wave, and is opened again where it was.

--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -312,7 +312,8 @@
         }
         for vm, since in state.closed_since.items():
             waits = vm not in state.ordered and self._is_free(vm)
-            if waits and now - since > CLOSED_MOST_S:
+            late = now - since > CLOSED_MOST_S or self._is_lost(vm)
+            if waits and late:
                 state.closed.discard(vm)
                 state.not_before[vm] = now + REOPENED_PAUSE_S
 
@@ -338,6 +339,7 @@
             for vm in left
             if vm not in state.closed
             and self._is_free(vm)
+            and not self._is_lost(vm)
             and state.not_before.get(vm, 0.0) <= now
         ]
         open_vms.sort(key=self._cost)
@@ -392,6 +394,11 @@
         """Return whether no other order to a VM is under way."""
         return vm not in self.held and vm not in self.moving
 
+    def _is_lost(self, vm: str) -> bool:
+        """Return whether a VM is down, so that nobody can maintain it."""
+        listed = self.vms.get(vm)
+        return listed is not None and listed.lost
+
     def _is_in(self, vm: str, pool: str) -> bool:
         listed = self.vms.get(vm)
         return listed is not None and listed.pool == pool
