--- a/features/steps/sizing_steps.py
+++ b/features/steps/sizing_steps.py
@@ -160,6 +160,20 @@
         )
 
 
+@behave.then(
+    "a worker that comes there meanwhile ends with the move, unless of the "
+    "new pool"
+)
+def check_new_lives(context):
+    book = context.bench.book
+    (vm, *_) = context.gone
+    known = book.workers[vm].entry
+    for name, pool in (("old", known.pool), ("new", vms.SPARE)):
+        book.set_entry(dataclasses.replace(known, identity=name, pool=pool))
+    departing = context.sizing.departing()
+    assert "old" in departing and "new" not in departing
+
+
 @behave.when("work for {count:d} VMs has just ended there")
 def end_work(context, count):
     context.bench.add(definition.Step(tasks=count, cpu=vms.WIDE.cpu))
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -104,6 +104,7 @@
     Given a pool of 6 VMs and 0 spare VMs
     When it gives a VM away and at once lacks room
     Then the worker of that VM is closed and is not taken back
+    And a worker that comes there meanwhile ends with the move, unless of the new pool
 
   Scenario: Surplus VMs go straight to the pool that lacks room
     Given a pool of 6 VMs and 0 spare VMs
