--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -49,6 +49,11 @@
     Then no VM is closed for longer than 10 seconds without a break
     And each VM of the wave is closed once in 60 seconds
 
+  Scenario: VMs that are down for good do not keep a wave from the others
+    Given a pool of 9 VMs and a wave over all of them that bears 1 away
+    When 2 of the VMs are down for good
+    Then only the others are ordered within 30 seconds
+
   Scenario: VMs that an earlier owner has just ordered are left alone
     Given a pool of 4 VMs and a wave over all of them that bears 4 away
     When 3 of the VMs were ordered lately by another owner
@@ -99,6 +104,7 @@
     Given a pool of 6 VMs and 0 spare VMs
     When it gives a VM away and at once lacks room
     Then the worker of that VM is closed and is not taken back
+    And a worker that comes there meanwhile ends with the move, unless of the new pool
 
   Scenario: Surplus VMs go straight to the pool that lacks room
     Given a pool of 6 VMs and 0 spare VMs
