--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -58,13 +58,9 @@
     "worker.recorded": "A worker that only records name is asked.",
     "worker.established": "A worker has taken the owner's fencing token.",
     "worker.draining": "A worker says that it will leave.",
-<<<<<<< HEAD
-    "worker.lost": "What ran on a silent worker is over: its VM is off.",
+    "worker.lost": "What ran on a worker is over: its VM is off or gone.",
     "worker.released": "Runs of a worker are over without its word; says what "
     "proves it and how many.",
-=======
-    "worker.lost": "What ran on a worker is over: its VM is off or gone.",
->>>>>>> a4896803802702b890e56c9926ab8dca8a5dbcd4
     "worker.over": "A worker's life is over; says what proves it.",
     "job.accepted": "A job is kept and its caller was told so.",
     "job.taken": "The owner learned of a job.",
