Entries of another writer name no worker; a start without an answer is given up

A worker that answers holds and no start kept all its senders for ever, and stops waited behind them (by reading). An answer that an end cut short made a hold's time limit too short for the next one (shown). Workers that only records name were asked 10 times a second (shown). Jobs were looked through task by task to see whether they had begun.

Change: an entry with an unknown state, no service, a capacity below nothing, an address that is no IP number and port, or an identity that is no plain word names no worker; one that was good before gives its worker no work until it is good again, and ends no life. A call to what is no address has no answer. A start that has had none for 1.5 s from a worker that answers holds is sealed by a stop; stops wait for no other order. The lateness of holds falls by half at the most from one to the next. A silent worker without an entry is asked ever less often, once a second at last.

--- /dev/null
+++ b/features/entries.feature
@@ -0,0 +1,34 @@
+# An entry may come from another writer.  One odd address of these stopped every
+# owner in turn: the exception of its first call ended the task that held it.
+Feature: An entry of another writer names no worker to use
+
+  Scenario Outline: What names no worker is refused
+    Given a worker's entry whose <field> is <value>
+    Then it is refused
+
+    Examples:
+      | field    | value               |
+      | addr     | "127.0.0.1:99999"   |
+      | addr     | "127.0.0.1:0"       |
+      | addr     | "a..b:80"           |
+      | addr     | "127.0.0.1\\n:80"   |
+      | addr     | 7                   |
+      | addr     | null                |
+      | service  | ""                  |
+      | service  | null                |
+      | state    | "asleep"            |
+      | state    | ""                  |
+      | capacity | {"cpu": -1}         |
+      | capacity | "much"              |
+      | labels   | {"rack": "r"}       |
+
+  Scenario: A worker whose entry turns unreadable gets no work, and runs on
+    Given a worker with a good entry that has just answered
+    When its entry turns unreadable
+    Then it takes no work, and its life is not over
+    When its entry is good again
+    Then it takes work
+
+  Scenario: A call to what is no address has no answer
+    When "a..b" port 80 and "127.0.0.1" port 99999 are called
+    Then neither call was answered or sent
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -207,3 +207,8 @@
     Given an owner that may extend leases, and a start that its worker found too late
     When it has no answer in time, and a report lists the run
     Then it was sent once
+
+  Scenario: A start that a worker never answers, though it answers holds, is given up
+    Given an owner that may extend leases, and a start that its worker found too late
+    When it has no answer for 2 s
+    Then the run is to be sealed by a stop, which waits for no other order
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,99 @@
+"""Steps about entries that workers, or others, write."""
+
+from __future__ import annotations
+
+import json
+from unittest import mock
+
+import behave
+
+from features import job_cores as cores
+from rackvalve import errors
+from rackvalve.manager import contact as contacts
+from rackvalve.manager import roster as rosters
+from rackvalve.platform import connections
+from rackvalve.platform import documents
+from rackvalve.platform import store as stores
+
+KEY = documents.WORKER_PREFIX + "w1"
+GOOD = {
+    "addr": "127.0.0.1:8001",
+    "service": "pool",
+    "state": "ready",
+    "machine": "m-1",
+    "capacity": {"cpu": 4, "mem-mb": 4},
+}
+# What the steps take for the present time, in seconds.
+NOW = 100.0
+
+
+@behave.given("a worker's entry whose {field} is {value}")
+def make_entry(context, field, value):
+    context.entry = {**GOOD, field: json.loads(value.replace("\\\\", "\\"))}
+
+
+@behave.then("it is refused")
+def check_refused(context):
+    documents.read_worker(KEY, json.dumps(GOOD).encode())
+    try:
+        documents.read_worker(KEY, json.dumps(context.entry).encode())
+    except errors.DocumentInvalidError:
+        return
+    raise AssertionError(context.entry)
+
+
+@behave.given("a worker with a good entry that has just answered")
+def make_worker(context):
+    context.book = cores.make_cores(NOW, inherited_lease=5.0).book
+    context.roster = rosters.Roster(
+        mock.Mock(), context.book, on_change=lambda: None
+    )
+    write_entry(context)
+    worker = context.book.workers["w1"]
+    worker.established = True
+    worker.heard = worker.answered = NOW
+
+
+def write_entry(context, payload=None):
+    text = json.dumps(GOOD).encode() if payload is None else payload
+    item = stores.Item(key=KEY, payload=text, revision=1, created=1)
+    changes = stores.Changes(written=(item,), removed=(), revision=1)
+    with mock.patch.object(contacts.Contact, "start"):
+        context.roster.take_changes(changes)
+
+
+@behave.when("its entry turns unreadable")
+def spoil_entry(context):
+    write_entry(context, b"\xff\x00")
+
+
+@behave.then("it takes no work, and its life is not over")
+def check_unused(context):
+    worker = context.book.workers["w1"]
+    assert not worker.takes_work(NOW, 0.9)
+    assert context.roster.contact("w1") is not None
+
+
+@behave.when("its entry is good again")
+def mend_entry(context):
+    write_entry(context)
+
+
+@behave.then("it takes work")
+def check_used(context):
+    assert context.book.workers["w1"].takes_work(NOW, 0.9)
+
+
+@behave.when('"{host}" port {port:d} and "{other}" port {far:d} are called')
+def call_nowhere(context, host, port, other, far):
+    context.outcomes = [
+        connections.HttpClient(*address).exchange("GET", "/", timeout=1.0)
+        for address in ((host, port), (other, far))
+    ]
+
+
+@behave.then("neither call was answered or sent")
+def check_unsent(context):
+    for outcome in context.outcomes:
+        assert isinstance(outcome, connections.NoAnswer), outcome
+        assert not outcome.sent, outcome
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import behave
+import gevent
 
 from features import job_bench as benches
 from features import job_models as models
@@ -243,3 +244,35 @@
 @behave.then("it was sent once")
 def check_sent_once(context):
     context.client.start.assert_called_once()
+
+
+@behave.when("it has no answer for {seconds:d} s")
+def leave_unanswered(context, seconds):
+    clock = iter(range(1000, 1000 + 100 * seconds))
+    context.client = context.contact._client = mock.Mock()
+    context.client.start.return_value = connections.NoAnswer(
+        reason="no answer in time", sent=True
+    )
+    with (
+        mock.patch.object(contacts.gevent, "sleep"),
+        mock.patch.object(contacts.clocks, "read_steady", clock.__next__),
+    ):
+        context.contact.start_run(context.order)
+
+
+@behave.then(
+    "the run is to be sealed by a stop, which waits for no other order"
+)
+def check_sealed(context):
+    assert context.owner.results == [messages.StartResult.UNWELL]
+    context.client.stop.return_value = clients.Done(clock=100.0)
+    context.owner.take_stop = mock.Mock()
+    full = f"{context.order.job}.{context.order.task}"
+    # No sender was started: a stop needs none.
+    context.contact.send(
+        messages.StopRun(
+            worker="w1", task=full, run=context.order.run, reason=""
+        )
+    )
+    gevent.sleep(0.01)
+    context.owner.take_stop.assert_called_once()
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -6,6 +6,7 @@
 import functools
 
 import gevent
+from gevent import pool as greenlet_pools
 from gevent import queue as gevent_queue
 
 from rackvalve import clocks
@@ -76,7 +77,7 @@
         self._client = client
         self._clock = WorkerClock()
         self._orders: gevent_queue.SimpleQueue = gevent_queue.SimpleQueue()
-        self._greenlets: list[gevent.Greenlet] = []
+        self._greenlets = greenlet_pools.Group()
         self._answering = True
         self._lost = False
         # Holds in a row that were not answered.
@@ -85,26 +86,33 @@
         self._sent = 0.0
         # How long beyond its wait the next one is given, in seconds.
         self._patience = timing.ORDER_TIMEOUT_S
+        # How long beyond its wait the last ones took, in seconds.
+        self._late = 0.0
 
     def start(self) -> None:
         """Start to hold and to send."""
-        self._greenlets = [gevent.spawn(self._guard, self._hold_forever)]
+        self._greenlets.spawn(self._guard, self._hold_forever)
         for _ in range(timing.ORDER_SENDERS):
-            self._greenlets.append(
-                gevent.spawn(self._guard, self._send_forever)
-            )
+            self._greenlets.spawn(self._guard, self._send_forever)
 
     def close(self) -> None:
         """End all traffic with the worker."""
-        gevent.killall(self._greenlets, block=False)
+        self._greenlets.kill(block=False)
         self._client.close()
 
     def send(self, order: messages.Order) -> None:
         """Send an order soon.
 
+        A stop waits for no other order: starts that a worker does not answer
+        may keep all senders.
+
         :param order: The order.
         """
-        self._orders.put(order)
+        if isinstance(order, messages.StopRun):
+            stop = functools.partial(self.stop_run, order)
+            self._greenlets.spawn(self._guard, stop)
+        else:
+            self._orders.put(order)
 
     def _guard(self, function: Callable[[], None]) -> None:
         try:
@@ -127,8 +135,11 @@
                 gevent.sleep(self._choose_pause())
 
     def _choose_pause(self) -> float:
-        """Return how long to wait before a silent worker is asked again."""
-        if self._worker.runs:
+        """Return how long to wait before a silent worker is asked again.
+
+        One that only records name is mostly gone, and there may be many.
+        """
+        if self._worker.runs and self._worker.entry is not None:
             return timing.ORDER_PAUSE_S
         self._silent += 1
         longer: float = timing.ORDER_PAUSE_S * 2 ** min(self._silent, 10)
@@ -159,7 +170,9 @@
         self._patience = timing.HOLD_TIMEOUT_MOST_S
         if isinstance(outcome, clients.Report):
             late = clocks.read_steady() - now - wait
-            self._patience = _choose_patience(late)
+            # An answer that an end cut short seems less late than it is.
+            self._late = max(late, self._late / 2)
+            self._patience = _choose_patience(self._late)
             # A worker that is late with these is as late with orders.
             self._client.timeout = self._patience
         return outcome
@@ -226,6 +239,7 @@
         key = (f"{order.job}.{order.task}", order.run)
         uncertain = False
         until: float | None = None
+        began = clocks.read_steady()
         while True:
             placed = self._worker.runs.get(key)
             if placed is None or placed.run.stage is not _ORDERED:
@@ -240,11 +254,24 @@
                 return
             if isinstance(outcome, connections.NoAnswer) and outcome.sent:
                 uncertain = True
+            if uncertain and self._is_given_up(began):
+                unwell = messages.StartResult.UNWELL
+                self._owner.take_start(placed, unwell, uncertain)
+                return
             if isinstance(outcome, clients.Rejected):
                 # Its lease is over on the worker's clock; ask for a new one.
                 until = None
             gevent.sleep(timing.ORDER_PAUSE_S)
 
+    def _is_given_up(self, began: float) -> bool:
+        """Return whether a start has had no answer for too long.
+
+        Only of a worker that answers holds: what is silent in all has its
+        runs proved over by its lease, and a stop would not reach it either.
+        """
+        waited = clocks.read_steady() - began
+        return self._answering and waited > timing.START_TRIES_S
+
     def _lease_until(self) -> float | None:
         """Return the end of a lease that begins now, on the worker's clock.
 
@@ -365,11 +392,6 @@
     contact.start_run(order)
 
 
-@_send_order.register
-def _(order: messages.StopRun, contact: Contact) -> None:
-    contact.stop_run(order)
-
-
 @_send_order.register
 def _(order: messages.SetPace, contact: Contact) -> None:
     contact.set_pace(order)
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -190,6 +190,10 @@
             logs.write_warning(
                 "document.rejected", key=item.key, reason=error.reason
             )
+            # It names no worker to use; a life that had a good one before
+            # is not over by that.
+            identity = documents.worker_of(item.key)
+            self._book.remove_entry(identity, clocks.read_steady())
             return
         self._log(entry, item.revision)
         worker = self._book.set_entry(entry)
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -113,6 +113,9 @@
 # After a report with ends the next hold waits this long for their record:
 # before that, the worker would tell the same ends at once.
 RECORD_WAIT_S = 0.2
+# A start that a worker which answers holds has not answered for this long is
+# given up: the run is sealed by a stop, and its task starts elsewhere.
+START_TRIES_S = 1.5
 # Longest wait for a worker's answer to an order.
 ORDER_TIMEOUT_S = 0.5
 # Pause before a failed order or hold is made again.
--- a/src/rackvalve/platform/connections.py
+++ b/src/rackvalve/platform/connections.py
@@ -137,7 +137,13 @@
             # round trip.
             self._drop_idle()
             return NoAnswer(reason="no answer in time", sent=sent)
-        except (OSError, http_response.HTTPParseError) as error:
+        except (
+            OSError,
+            # An address that is none, or an answer that is none.
+            OverflowError,
+            ValueError,
+            http_response.HTTPParseError,
+        ) as error:
             _close(sock)
             return NoAnswer(reason=repr(error), sent=sent)
         except gevent.GreenletExit:
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from typing import TypeVar
 
 import msgspec
@@ -27,6 +29,11 @@
 # The first label of a worker is its kind, the second its rack.
 RACK_LABEL = 1
 STATE_DRAINING = "draining"
+STATES = frozenset({"ready", STATE_DRAINING})
+PORT_MOST = 65535
+_PORT = re.compile("[0-9]{1,5}")
+# It is sent in a header of each call.
+_IDENTITY = re.compile("[!-~]+")
 
 
 class _WireAdvice(msgspec.Struct):
@@ -149,16 +156,15 @@
     :raises DocumentInvalidError: It does not decode.
     """
     wire = _decode(payload, _WireServer)
-    host, _, port = wire.addr.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()):
-        raise errors.DocumentInvalidError(f"address {wire.addr!r}")
+    _check_server(worker_of(key), wire)
+    host, port = _read_address(wire.addr)
     rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
     remaining = wire.remaining_ms
     return fleet.Entry(
         identity=worker_of(key),
         pool=wire.service,
         host=host,
-        port=int(port),
+        port=port,
         vm=wire.machine,
         rack=rack,
         hall=wire.zone,
@@ -173,6 +179,37 @@
     )
 
 
+def _check_server(identity: str, wire: _WireServer) -> None:
+    """Check that an entry names a worker that can be used.
+
+    :raises DocumentInvalidError: It does not; it may be of another writer.
+    """
+    if not _IDENTITY.fullmatch(identity):
+        raise errors.DocumentInvalidError(f"identity {identity!r}")
+    if wire.state not in STATES:
+        raise errors.DocumentInvalidError(f"state {wire.state!r}")
+    if not wire.service:
+        raise errors.DocumentInvalidError("no service")
+    capacity = wire.capacity
+    if min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0:
+        raise errors.DocumentInvalidError("negative capacity")
+
+
+def _read_address(text: str) -> tuple[str, int]:
+    """Decode an IP number and a port.
+
+    :raises DocumentInvalidError: They are none.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise errors.DocumentInvalidError(f"address {text!r}") from error
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= PORT_MOST:
+        raise errors.DocumentInvalidError(f"address {text!r}")
+    return host, int(port)
+
+
 def worker_of(key: str) -> str:
     """Return the identity of the worker that a key belongs to.
 
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -223,7 +223,13 @@
             return _read_outcome(raw)
         try:
             return _read_report(raw.body)
-        except (msgspec.DecodeError, ValueError, IndexError) as error:
+        except (
+            msgspec.DecodeError,
+            ValueError,
+            TypeError,
+            IndexError,
+            OverflowError,
+        ) as error:
             return connections.NoAnswer(reason=repr(error), sent=True)
 
     def _order(self, path: str, order: dict[str, str | int]) -> Outcome:
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -426,7 +426,7 @@
     """
     if not state.guaranteed or now - state.arrived <= PASSED_OVER_S:
         return False
-    return not any(task.runs or task.done for task in state.tasks.values())
+    return state.next_run == 1
 
 
 def _may_copy(placed: workers.Placed) -> bool:
--- a/src/rackvalve/scheduling/sharing.py
+++ b/src/rackvalve/scheduling/sharing.py
@@ -74,7 +74,11 @@
 
 
 def _choose_pace(known: int | None, pressure: float) -> int:
-    pace = FULL_PACE if known is None else known
+    pace = known
+    if pace is None:
+        # What it was is not known; not fast beside a tail near its limit.
+        is_near = pressure >= RAISE_BELOW
+        pace = FULL_PACE - LOWER_STEP if is_near else FULL_PACE
     if pressure > STOP_AT:
         return 0
     if pressure > YIELD_AT:
