--- a/standins/site.py
+++ b/standins/site.py
@@ -77,6 +77,8 @@
         self.store = keyvalue.Store()
         self.capacity = capacity
         self.journal = []
+        # Lives of workers, and when lasting tasks came to be at work.
+        self.states = []
         # Ends that were acknowledged.
         self.known = []
         self.machines = {}
@@ -94,7 +96,8 @@
 
     def note(self, kind, worker, task, run, detail):
         """Write down what a worker did."""
-        self.journal.append(
+        rows = self.journal if kind in ("start", "end") else self.states
+        rows.append(
             [time.monotonic(), kind, worker.identity, task, run, detail]
         )
 
@@ -165,6 +168,7 @@
                 {
                     "journal": self.journal,
                     "orders": self.orders,
+                    "states": self.states,
                     "known": self.known,
                 },
             )
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -134,9 +134,8 @@
         jobs = [job for caller in active for job in caller.jobs]
         calls = [call for caller in active for call in caller.calls]
         seen = self.site.journal()
-        rows = seen["journal"] + [
-            [row[0], "known", *row[1:]] for row in seen["known"]
-        ]
+        rows = seen["journal"] + seen["states"]
+        rows += [[row[0], "known", *row[1:]] for row in seen["known"]]
         rows.sort(key=lambda row: row[0])
         broken = checks.check_all(
             jobs, calls, harm.absences, rows, seen["orders"]
