--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -63,6 +63,7 @@
     ),
     Regression(seed=50, managers=6, shape=plan.BURSTS, cause=_PROOF),
     Regression(seed=237, managers=6, shape=plan.BURSTS, cause=_PROOF),
+    Regression(seed=301, managers=6, shape=plan.BURSTS, cause=_PROOF),
     Regression(seed=37, managers=6, shape=plan.BURSTS, cause=_STALE),
     Regression(
         seed=21,
