--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -125,17 +125,21 @@
 
         :return: The lease; ``None`` if the store does not answer.
         """
-        for _ in range(2):
-            began = clocks.read_steady()
-            length = self._lateness.choose_lease(began)
-            lease = self._store.open_lease(length)
-            if isinstance(lease, stores.Unavailable):
-                return None
-            now = clocks.read_steady()
-            self._lateness.note(now - began, now)
-            if self._lateness.choose_lease(now) - length <= LEASE_STEP_S:
-                break
+        length = self._lateness.choose_lease(clocks.read_steady())
+        lease = self._open_lease_of(length)
+        wanted = self._lateness.choose_lease(clocks.read_steady())
+        if lease is not None and wanted - length > LEASE_STEP_S:
             # This very call has told that it is too short.
+            return self._open_lease_of(wanted)
+        return lease
+
+    def _open_lease_of(self, length: float) -> stores.Lease | None:
+        began = clocks.read_steady()
+        lease = self._store.open_lease(length)
+        if isinstance(lease, stores.Unavailable):
+            return None
+        now = clocks.read_steady()
+        self._lateness.note(now - began, now)
         return lease
 
     def _take_lease(self, lease: stores.Lease) -> None:
