--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -175,7 +175,7 @@
         return worker
 
     def remove_entry(self, identity: str, now: float) -> None:
-        """Note that a worker's entry is missing in the store.
+        """Note that a worker's entry is missing in the store, or unreadable.
 
         :param identity: The worker.
         :param now: Present time, in seconds.
--- a/src/rackvalve/scheduling/listings.py
+++ b/src/rackvalve/scheduling/listings.py
@@ -54,18 +54,18 @@
         self._named &= known.keys()
         self._named |= self._lives
 
-    def prove_over(self, identity: str, vm: str, heard: float) -> bool:
+    def prove_over(self, identity: str, vm: str, alive: float) -> bool:
         """Return whether the lists prove that a life is over.
 
         :param identity: The worker.
         :param vm: The VM that it lived on.
-        :param heard: When it has answered last, or was first seen, in seconds.
+        :param alive: The last time that it is known to have lived, in seconds.
         """
         if self._lists(identity, vm):
             return False
         if identity in self._named:
-            return self._read > heard
-        return self._read > heard + LIST_LAG_S
+            return self._read > alive
+        return self._read > alive + LIST_LAG_S
 
     def _lists(self, identity: str, vm: str) -> bool:
         """Return whether a life may be on its VM by the newest list."""
--- a/src/rackvalve/scheduling/silence.py
+++ b/src/rackvalve/scheduling/silence.py
@@ -122,9 +122,9 @@
         :return: Whether that is new.
         """
         assert worker.location is not None
-        heard = self._last_sign(worker)
+        alive = self._last_sign(worker)
         vm = worker.location.vm
-        if not self._listings.prove_over(worker.identity, vm, heard):
+        if not self._listings.prove_over(worker.identity, vm, alive):
             return False
         worker.note_lost()
         if worker.identity in self._lost:
