--- a/src/rackvalve/scheduling/listings.py
+++ b/src/rackvalve/scheduling/listings.py
@@ -3,8 +3,8 @@
 The list is behind reality: it may tell that a VM is off that is back by now,
 with another life on it.  So a VM that is listed without a worker proves
 nothing by itself.  It proves that a life is over if an earlier list has named
-that life, since lists don't go back, or if the list was read so long after the
-life's last answer that it must tell of a time after it.
+that life, since lists are taken not to go back, or if the list was read so
+long after the life's last answer that it must tell of a time after it.
 """
 
 from __future__ import annotations
