--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -12,6 +12,7 @@
       | as moved                |
       | as up with another life |
       | no more                 |
+      | no more, and only records name it |
 
   # A VM that has just come back is still listed as off.
   Scenario: A life that no list has named is over only once the list tells of it
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -162,6 +162,12 @@
     When for 20 s the owner stands still once, 3.5 s
     Then the lease has not lapsed
 
+  # Else a silent worker's runs would never be proved over.
+  Scenario: A lease is extended only after an answered hold
+    Given an owner that has just extended a worker's lease
+    When for 20 s no hold is answered
+    Then only the first of them has asked for a longer lease
+
   Scenario Outline: An owner that may not extend leases gives none by a start
     Given an owner that <may> extend leases, and a start that its worker found too late
     When the start is tried again
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -110,6 +110,15 @@
     del context.listed[context.lost]
 
 
+@behave.when(
+    "the worker of one VM is silent and the VM is listed no more, and only "
+    "records name it"
+)
+def silence_recorded(context):
+    silence_unlisted(context)
+    context.bench.book.workers[context.lost].entry = None
+
+
 @behave.when("the worker of one VM is silent and one list leaves that VM out")
 def silence_left_out(context):
     silence_one(context)
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -31,9 +31,12 @@
         # still in its first hold.
         self.delay = 0.0
         self.pause = 0.0
+        # What each hold asked for.
+        self.asked = []
 
     def hold(self, *, lease_until, wait, timeout=timing.ORDER_TIMEOUT_S, **_):
         sent = self.now
+        self.asked.append(lease_until)
         # An answer that is late has had its wait.
         answered = sent + (self.delay or wait)
         # A worker that is late takes the lease as late as it can.
@@ -68,6 +71,19 @@
     hold_on(context)
 
 
+@behave.when("for 20 s no hold is answered")
+def answer_never(context):
+    context.client.delay = 100.0
+    hold_on(context)
+
+
+@behave.then("only the first of them has asked for a longer lease")
+def check_asked(context):
+    asked = context.client.asked
+    assert len(asked) > 5 and asked[0] is not None, asked
+    assert set(asked[1:]) == {None}, asked
+
+
 @behave.when("for 20 s the owner stands still once, 3.5 s")
 def stand_still(context):
     context.client.pause = 3.5
