Sight: a release tells what became of the worker, and each run its age

Cause: worker.released named its proof only, so that a crash under a task, a VM that left, one that was ordered away and one that is out of reach looked alike. Ruled out: reading it off the list of VMs later; the owner knows it at the time. Change: fate and VM in worker.released, the age of a run in run.ended, a counter of workers that took runs with them by fate. Nothing decides by it. Conclusion: enough to tell the hypotheses apart.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -60,7 +60,7 @@
     "worker.draining": "A worker says that it will leave.",
     "worker.lost": "What ran on a worker is over: its VM is off or gone.",
     "worker.released": "Runs of a worker are over without its word; says what "
-    "proves it and how many.",
+    "proves it, what became of the worker, and how many.",
     "worker.over": "A worker's life is over; says what proves it.",
     "job.accepted": "A job is kept and its caller was told so.",
     "job.taken": "The owner learned of a job.",
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -21,6 +21,7 @@
 from rackvalve.scheduling import silence
 from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import upkeep as upkeeps
+from rackvalve.scheduling import workers
 from rackvalve import telemetry as telemetries
 
 PREFIX = "wave/"
@@ -142,6 +143,8 @@
         for vm, pool in self._moves.items():
             self._sizing.restore(vm, pool)
         self._uncertain = self._held.keys() - moves.keys()
+        for vm in self._held:
+            self._note_order(vm)
         self._apply_closing()
 
     def run(self) -> None:
@@ -184,6 +187,8 @@
             if now >= until:
                 del self._held[vm]
                 self._uncertain.discard(vm)
+                for worker in self._book.lives.get(vm, {}).values():
+                    worker.ordered_away = False
                 # Where the list does not show its move, there was none.
                 self._sizing.give_up(vm)
         self._upkeep.held = frozenset(self._held)
@@ -308,17 +313,33 @@
         uncertain = False
         for _ in range(timing.VM_ORDER_TRIES):
             self._confirm_ownership(vm)
+            lives = self._note_order(vm)
             outcome = send()
             if isinstance(outcome, clients.Unavailable):
                 uncertain = True
             else:
                 self._ordered[vm] = clocks.read_steady()
-                if not uncertain or isinstance(outcome, clients.Ordered):
+                if isinstance(outcome, clients.Ordered):
+                    return outcome
+                if not uncertain:
+                    for worker in lives:
+                        worker.ordered_away = False
                     return outcome
             gevent.sleep(timing.VM_ORDER_PAUSE_S)
         self._hold_uncertain(vm)
         return outcome
 
+    def _note_order(self, vm: str) -> list[workers.WorkerState]:
+        """Note that the lives on a VM may end by an order.
+
+        :param vm: The VM.
+        :return: The lives.
+        """
+        lives = list(self._book.lives.get(vm, {}).values())
+        for worker in lives:
+            worker.ordered_away = True
+        return lives
+
     def _hold_uncertain(self, vm: str) -> None:
         """Leave a VM alone whose order was given up without an answer."""
         now = clocks.read_steady()
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -285,7 +285,8 @@
         """
         worker = self._book.workers.get(identity)
         if worker is not None:
-            self._reporter.log_release(releases.make(worker, reason))
+            now = clocks.read_steady()
+            self._reporter.log_release(releases.make(worker, reason, now))
         self._roster.end_life(identity, reason)
 
     # -- beginning ---------------------------------------------------------
--- a/src/rackvalve/manager/reporter.py
+++ b/src/rackvalve/manager/reporter.py
@@ -150,19 +150,22 @@
             return
         logs.write_event(
             "worker.released",
-            worker=release.worker,
+            on_vm=release.vm,
             proof=release.proof,
+            fate=release.fate.value,
             runs=len(release.runs),
         )
-        for task, run in release.runs:
+        self._telemetry.workers_released.labels(release.fate.value).inc()
+        for run in release.runs:
             self._telemetry.runs_ended.labels(release.proof).inc()
             logs.write_event(
                 "run.ended",
-                task=task,
-                run=run,
+                task=run.task,
+                run=run.number,
                 worker=release.worker,
                 cause=release.proof,
                 counted=True,
+                age=round(run.age, 3),
             )
 
     def log_standing(self, now: float) -> None:
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -116,7 +116,7 @@
         for worker in list(self._book.workers.values()):
             if worker.runs and worker.is_over(now):
                 proof = releases.find_proof(worker)
-                released.append(releases.make(worker, proof))
+                released.append(releases.make(worker, proof, now))
                 for placed in list(worker.runs.values()):
                     self._book.release(placed, now)
                 continue
--- a/src/rackvalve/scheduling/releases.py
+++ b/src/rackvalve/scheduling/releases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from rackvalve.jobs import progress
 from rackvalve.scheduling import workers
@@ -11,34 +12,72 @@
 LISTED_OFF = "its VM is listed as off"
 
 
+class Fate(enum.Enum):
+    """What a worker's life came to, as far as its owner can tell."""
+
+    # It ended though nothing had announced it.
+    CRASHED = "crashed"
+    # It said that it would end, or served on after its entry had gone.
+    LEFT = "left"
+    # Its VM was ordered to move, or to be maintained.
+    ORDERED_AWAY = "ordered away"
+    # It does not answer; whether it lives is not known.
+    OUT_OF_REACH = "out of reach"
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ReleasedRun:
+    """A run that one proof has ended.
+
+    :param task: Full name of the task.
+    :param number: Number of the run.
+    :param age: How long ago it was ordered, in seconds.
+    """
+
+    task: str
+    number: int
+    age: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Release:
     """Runs of one worker that one proof has ended.
 
     :param worker: Identity of the worker.
+    :param vm: The VM that it lived on; empty if it is not known.
     :param proof: What proves it.
-    :param runs: Full names of the tasks and numbers of the runs.
+    :param fate: What became of the worker.
+    :param runs: The runs.
     """
 
     worker: str
+    vm: str
     proof: str
-    runs: tuple[workers.RunKey, ...]
+    fate: Fate
+    runs: tuple[ReleasedRun, ...]
 
 
-def make(worker: workers.WorkerState, proof: str) -> Release:
+def make(worker: workers.WorkerState, proof: str, now: float) -> Release:
     """Return what a proof about a worker releases.
 
     Runs that no worker has heard of are left out: they never were.
 
     :param worker: The worker, with its runs.
     :param proof: What proves that they are over.
+    :param now: Present time, in seconds.
     """
     return Release(
         worker=worker.identity,
+        vm=worker.location.vm if worker.location is not None else "",
         proof=proof,
+        fate=judge_fate(worker, proof),
         runs=tuple(
-            key
-            for key, placed in worker.runs.items()
+            ReleasedRun(
+                task=placed.full_name,
+                number=placed.run.number,
+                age=now - placed.run.since,
+            )
+            for placed in worker.runs.values()
             if placed.run.stage is not progress.Stage.PLANNED
         ),
     )
@@ -50,3 +89,19 @@
     :param worker: The worker.
     """
     return LISTED_OFF if worker.lease_over == float("-inf") else LEASE_OVER
+
+
+def judge_fate(worker: workers.WorkerState, proof: str) -> Fate:
+    """Return what became of a worker whose runs a proof has ended.
+
+    :param worker: The worker.
+    :param proof: The proof.
+    """
+    if worker.ordered_away:
+        return Fate.ORDERED_AWAY
+    if proof == LEASE_OVER:
+        return Fate.OUT_OF_REACH
+    gone = worker.gone_since
+    served_on = gone is not None and worker.answered > gone
+    said_so = worker.entry is not None and worker.entry.draining
+    return Fate.LEFT if said_so or served_on else Fate.CRASHED
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -71,6 +71,7 @@
         "failures",
         "closing",
         "leaves_later",
+        "ordered_away",
         "slowness",
         "slow_until",
         "judged",
@@ -107,6 +108,9 @@
         self.closing = ""
         # Whether its VM is still to be maintained.
         self.leaves_later = False
+        # Whether its VM was, or may have been, told to move or to be
+        # maintained while it lived there.
+        self.ordered_away = False
         # How much longer than elsewhere its tasks take.
         self.slowness = 1.0
         self.slow_until = float("-inf")
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -20,6 +20,8 @@
     "rackvalve_runs_ordered_total": "counter by queue: runs that workers were "
     "told to start",
     "rackvalve_runs_ended_total": "counter by cause: ends of runs",
+    "rackvalve_workers_released_total": "counter by fate: workers that took "
+    "runs with them",
     "rackvalve_starts_rejected_total": "counter by reason: starts that a "
     "worker did not carry out",
     "rackvalve_jobs_ended_total": "counter by queue, phase: jobs",
@@ -49,6 +51,7 @@
         self.call_seconds = self._time("call_seconds", "method")
         self.runs_ordered = self._count("runs_ordered", "queue")
         self.runs_ended = self._count("runs_ended", "cause")
+        self.workers_released = self._count("workers_released", "fate")
         self.starts_rejected = self._count("starts_rejected", "reason")
         self.jobs_ended = self._count("jobs_ended", "queue", "phase")
         self.job_wait = self._time("job_wait_seconds", "queue")
