A failure that is told after its run was released counts once

Cause: an end was accounted for only where a report told it of a run that was still known; one on a silent worker is forgotten once its lease is over. Ruled out: counting each unknown end (an end that was not acknowledged comes again to the next owner and would count twice). Change: a task remembers, also in its record, the runs that were released while their workers were out of reach; the end of one of these is counted when it is told, once. Ending a job that has failed too often stands in one place.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -137,6 +137,7 @@
         "lived",
         "isolated",
         "isolated_crashes",
+        "untold",
     )
 
     def __init__(self, name: definition.TaskName) -> None:
@@ -156,6 +157,9 @@
         self.isolated = 0
         # How many of the crashes were in isolation.
         self.isolated_crashes = 0
+        # Numbers of runs that were taken to be over while their workers were
+        # out of reach: these may still tell how they ended.
+        self.untold: set[int] = set()
 
 
 class JobState:
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -70,6 +70,8 @@
     isolated_crashes: int = 0
     lived: float = 0.0
     isolated: int = 0
+    # Numbers of runs whose workers may still tell how they ended.
+    untold: list[int] = []
 
 
 class _Location(msgspec.Struct, array_like=True):
@@ -186,6 +188,7 @@
             isolated_crashes=task.isolated_crashes,
             lived=round(task.lived, 3),
             isolated=task.isolated,
+            untold=[] if task.done else sorted(task.untold),
         )
         for task in state.tasks.values()
         if task.done
@@ -193,6 +196,7 @@
         or task.runs
         or task.checkpoint
         or task.crashes
+        or task.untold
     ]
     return msgspec.json.encode(
         _Progress(
@@ -234,6 +238,7 @@
         task.isolated_crashes = row.isolated_crashes
         task.lived = row.lived
         task.isolated = row.isolated
+        task.untold.update(row.untold)
         if task.crashes:
             state.suspects.add(task.name)
             # How long it has waited to be isolated is not known.
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -373,6 +373,8 @@
         fate = releases.judge_fate(worker, proof)
         for placed in ended:
             crashes.blame(placed, fate, now)
+            if fate is releases.Fate.OUT_OF_REACH:
+                placed.task.untold.add(placed.run.number)
         release = releases.make(worker, proof, now)
         for placed in ended:
             self.release(placed, now)
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -153,6 +153,12 @@
             self._take_done(worker, state, task, placed, row.run, now, wall)
         elif placed is not None:
             self._take_cut(worker, placed, row.ending, now, wall)
+        elif row.run in task.untold:
+            # Its run was released without the worker's word.
+            task.untold.discard(row.run)
+            task.failures += row.ending is messages.Ending.FAILED
+            self._book.mark(state)
+            self._fail_if_spent(state, task, wall)
 
     def _take_done(
         self,
@@ -208,15 +214,19 @@
             task.avoid.add(worker.identity)
             self._note_failure(worker, placed, now)
         self._book.release(placed, now, delay=delay)
+        if ending is messages.Ending.FAILED:
+            self._fail_if_spent(state, task, wall)
+
+    def _fail_if_spent(
+        self, state: progress.JobState, task: progress.Task, wall: float
+    ) -> None:
+        """End a job if a task of it has failed too often."""
         queue = self._book.queues.get(state.queue)
         limit = queue.attempts if queue is not None else 0
-        if (
-            ending is messages.Ending.FAILED
-            and not placed.step.lasting
-            and not state.is_final
-            and limit
-            and task.failures >= limit
-        ):
+        is_lasting = state.step_of(task.name).lasting
+        if is_lasting or task.done or state.is_final or not limit:
+            return
+        if task.failures >= limit:
             self._book.finish_job(
                 state,
                 progress.Phase.FAILED,
