Soak: jobs that crash their workers, and what must become of them

Cause: no stand-in of ours crashed because of what it was told to run. Change: the kind 'job crashing', drawn where it is named, a check that such a job is given up within the bound and no other one, and each check shown to fail.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,8 @@
       | a call is cut off without a reason          | a planned stop cuts nothing off      |
       | a connection is refused just after its manager was told to end | a planned stop cuts nothing off |
       | a VM is moved with work on it               | VMs leave empty                      |
+      | a task is started thrice after three crashes | what crashes workers is given up    |
+      | a job that crashes workers is last seen running | what is accepted ends            |
 
   # Of a users' run: accepted jobs had no run for seconds though nothing was
   # harmed and other jobs moved.  Runs were judged by what jobs came to at the
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,7 @@
 MANAGERS = 3
 JOB = "00000000000000aa"
 REFUSED = "00000000000000bb"
+CRASHING = "00000000000000cc"
 
 
 @behave.when(
@@ -166,6 +167,25 @@
     context.orders.append([0.0, "/machine-move", "m1", "vm", 1, 2])
 
 
+@behave.when("a job that crashes workers is last seen running")
+def leave_crashing(context):
+    context.jobs[0].crashing = True
+    context.jobs[0].states = ["queued", "running"]
+
+
+@behave.when("a task is started thrice after three crashes")
+def start_crashing(context):
+    job = callers.Job(identity=CRASHING, queue="lookup", steps=[{"count": 1}])
+    job.accepted, job.crashing, job.states = True, True, ["failed"]
+    context.jobs.append(job)
+    task = f"{CRASHING}.0.0.0"
+    for run in range(1, 7):
+        assert not judge(context)
+        context.journal.append(start(task, run))
+        if run < 6:
+            context.journal.append([0.0, "end", "w2", task, run, "crash"])
+
+
 @behave.then('the soak reports "{promise}"')
 def check_report(context, promise):
     assert promise in {broken.promise for broken in judge(context)}
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -51,7 +51,7 @@
     parser.add_argument(
         "--only",
         nargs="*",
-        choices=plan.BURST_KINDS,
+        choices=plan.NAMED_KINDS,
         default=(),
         help="kinds of faults in bursts",
     )
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -48,6 +48,10 @@
 MAY_MISS = 1
 # Start time of a lasting task, in milliseconds.
 LASTING_START_MS = 1000
+# Most tasks of a job that crashes its workers, and how long after their start
+# they do so, in milliseconds.
+CRASHING_TASKS = 3
+CRASH_MS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +89,8 @@
     # Whether each try was answered that the job is not taken.
     refused: bool = True
     cancel_sent: bool = False
+    # Whether its tasks crash each worker that starts them.
+    crashing: bool = False
     # When its end was asked for, and when it was accepted, on the monotonic
     # clock.
     cancelled_at: float = math.inf
@@ -157,6 +163,20 @@
             self.jobs.append(job)
             self._submit(job)
 
+    def hand_in_crashing(self, draw):
+        """Hand in a job whose tasks crash each worker that starts them.
+
+        :param draw: Chooses its queue and how many tasks it has, from 0 to 1.
+        :return: The job.
+        """
+        queue = QUEUES[int(draw * len(QUEUES))]
+        step = {"count": 1 + int(draw * 10) % CRASHING_TASKS, "cpu": 500}
+        job = self._name_job(queue, [step])
+        job.crashing = True
+        self.jobs.append(job)
+        self._submit(job)
+        return job
+
     def cancel_all(self, until):
         """Cancel all accepted jobs, as often as it takes."""
         for job in self.jobs:
@@ -201,6 +221,8 @@
         spec = f"work_ms={work}"
         if job.lasting:
             spec = f"lasting work_ms={LASTING_START_MS}"
+        if job.crashing:
+            spec = f"crash_ms={CRASH_MS}"
         body = {"spec": spec, "steps": job.steps}
         if len(self.calls) % INVENTED_EVERY == 0:
             self._call("POST", job, body, invented=True)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -18,6 +18,8 @@
 # This long after it was told to end a manager may refuse new connections; open
 # ones it serves until it is gone.
 REFUSING_AFTER_S = 2.0
+# After so many crashes a task may not be started that many times more.
+CRASHES_MOST = 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -78,6 +80,7 @@
     return [
         *check_runs(jobs, journal),
         *check_jobs(jobs, journal),
+        *check_crashes(jobs, journal),
         *check_calls(calls, absences),
         *check_orders(orders),
     ]
@@ -134,7 +137,7 @@
     for job in jobs:
         last = job.states[-1] if job.states else None
         if job.accepted:
-            wanted = {"completed"}
+            wanted = {"failed" if job.crashing else "completed"}
             if job.cancel_sent:
                 wanted.add("cancelled")
             if last not in wanted:
@@ -149,6 +152,24 @@
             yield from _check_tasks(job, good)
 
 
+def check_crashes(jobs, journal):
+    """A task that crashes its workers is not started for ever."""
+    crashing = {job.identity for job in jobs if job.crashing}
+    crashes, starts = collections.Counter(), collections.Counter()
+    for _, kind, worker, task, run, detail in journal:
+        if task.partition(".")[0] not in crashing:
+            continue
+        if kind == "end" and detail == "crash":
+            crashes[task] += 1
+        elif kind == "start" and crashes[task] >= CRASHES_MOST:
+            starts[task] += 1
+            if starts[task] >= CRASHES_MOST:
+                yield Broken(
+                    promise="what crashes workers is given up",
+                    detail=f"{task}: run {run} on {worker}",
+                )
+
+
 def _check_states(job):
     for earlier, later in zip(job.states, job.states[1:], strict=False):
         back = earlier in callers.FINAL and later != earlier
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -10,6 +10,7 @@
 import gevent
 
 from tools import site as sites
+from tools.soak import callers
 from tools.soak import checks
 from tools.soak import links
 from tools.soak import spans
@@ -30,6 +31,10 @@
 BUSIEST = 5
 # Most VMs that are lost for good in a run.
 LOST_MOST = 3
+# Pause between two looks at a job that crashes workers, and how long a worker
+# is away that a job has crashed, in seconds.
+ASK_PAUSE_S = 0.2
+CRASHED_AWAY_S = 2.5
 # A starved process is stopped and let run in turn for so long, in seconds.
 STARVED_S = 0.08
 FED_S = 0.02
@@ -46,9 +51,10 @@
     :param site: The site.
     :param store_links: Links that lead managers to the platform.
     :param worker_links: Links that lead to workers.
+    :param crasher: The caller that hands in what crashes workers.
     """
 
-    def __init__(self, site, store_links, worker_links):
+    def __init__(self, site, store_links, worker_links, crasher):
         # How many faults were applied.
         self.applied = 0
         # Times without one of the managers.
@@ -58,6 +64,7 @@
         self._site = site
         self._store_links = store_links
         self._worker_links = worker_links
+        self._crasher = crasher
         # Harms to links that are in force, oldest first.
         self._link_harms = []
         # Faults of the store that are in force, oldest first.
@@ -96,7 +103,9 @@
             return self._harm_link(subject, how.removeprefix("link "), fault)
         if subject == "worker":
             return self._harm_worker(how, fault)
-        if fault.kind == "all killed":
+        if fault.kind == "job crashing":
+            self._crash_by_job(fault)
+        elif fault.kind == "all killed":
             self._kill_all(fault.length)
         elif subject == "owners":
             self._harm_owners(how, fault)
@@ -265,6 +274,17 @@
         gevent.sleep(least + (most - least) * (fault.length % 1))
         self._site.order({"machine": machine, "fault": ""})
 
+    def _crash_by_job(self, fault):
+        """Hand in a job that crashes workers, and wait for its end."""
+        until = time.monotonic() + fault.length
+        job = self._crasher.hand_in_crashing(fault.draw)
+        while job.accepted and time.monotonic() < until:
+            if self._crasher.ask(job) in callers.FINAL:
+                break
+            gevent.sleep(ASK_PAUSE_S)
+        # The last worker that it has crashed is back after that.
+        gevent.sleep(CRASHED_AWAY_S)
+
     def _lose(self, machine, length):
         """Lose a VM for good, unless several are lost."""
         if self._lost >= LOST_MOST:
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -46,6 +46,12 @@
     "worker lost": (3, 1.5, 4.0),
     "wave": (8, 0.0, 0.0),
 }
+# Kinds that are drawn only where they are named, so that what the seeds of the
+# others draw stays as it is.
+NAMED_KINDS = {
+    **BURST_KINDS,
+    "job crashing": (6, 10.0, 14.0),
+}
 # What makes a wait for a proof, and what makes the next owner begin it anew,
 # or see late what it knows; half of the former bring the latter.
 FOLLOWED = {
@@ -75,7 +81,7 @@
     """One fault.
 
     :param at: When it begins, in seconds from the start.
-    :param kind: A key of :data:`BURST_KINDS`.
+    :param kind: A key of :data:`NAMED_KINDS`.
     :param length: How long it lasts, in seconds.
     :param draw: Chooses what is hit, from 0 to 1.
     """
@@ -103,7 +109,7 @@
     last = seconds - QUIET_END_S
     if shape == STEADY:
         return _draw_burst(rng, KINDS, rng.uniform(0.2, 1.0), last)
-    known = {kind: BURST_KINDS[kind] for kind in only} or BURST_KINDS
+    known = {kind: NAMED_KINDS[kind] for kind in only} or BURST_KINDS
     found = []
     at = rng.uniform(0.2, 1.0)
     while at < last:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -87,9 +87,7 @@
         try:
             self.site.start()
             worker_links = tuple(self._links[len(self._store_links) :])
-            found = self._work(
-                harms.Harms(self.site, self._store_links, worker_links)
-            )
+            found = self._work(worker_links)
         finally:
             self.site.stop()
             for link in self._links:
@@ -101,8 +99,10 @@
         self._links.append(link)
         return link.port
 
-    def _work(self, harm):
+    def _work(self, worker_links):
         fronts = [manager["front"] for manager in self.site.managers]
+        crasher = callers.Caller(CALLERS + 2, self.seed, fronts)
+        harm = harms.Harms(self.site, self._store_links, worker_links, crasher)
         active = [
             callers.Caller(number + 1, self.seed, fronts)
             for number in range(CALLERS)
@@ -124,7 +124,7 @@
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
         lasting.cancel_all(time.monotonic() + SETTLE_S)
-        active.append(lasting)
+        active += [lasting, crasher]
         _settle(active)
         for caller in active:
             caller.close()
--- a/tools/soak/stillness.py
+++ b/tools/soak/stillness.py
@@ -48,7 +48,8 @@
             runs[row[3].split(".")[0]].append(row)
     found = []
     for job in jobs:
-        if not job.accepted:
+        # What crashes workers is to be given up; other checks are for that.
+        if not job.accepted or job.crashing:
             continue
         last = min(until, job.cancelled_at)
         if job.lasting:
