Tests: crashes under lasting tasks, gangs, copies and times; who is blamed

Cause: the mend answers these by design; nothing held it. Ruled out: doing without, since a later change could take them away unseen. Change: scenarios for each kind of task with a new owner after each second crash, for six ways in which a worker's life ends, for isolation and for a new owner. Conclusion: hunks of the mend are held by tests.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -23,3 +23,42 @@
       | when                                  |
       | in a calm time                        |
       | while their owner is killed three times |
+
+  Scenario Outline: <kind> that crash their workers, with a new owner after each second crash
+    Given 8 workers and a job of <kind> that crash their workers
+    When it is started until it is given up
+    Then no task of it was started more than 5 times
+    And its reason names the crashes
+
+    Examples:
+      | kind                         |
+      | 2 plain tasks                |
+      | 2 lasting tasks              |
+      | 2 tasks that start together  |
+      | 2 tasks that bear two runs   |
+      | 2 tasks of each of two times |
+
+  Scenario Outline: A worker that <how> counts against <whom>
+    Given a task at work on a worker beside one under which a worker has crashed
+    When their worker <how>
+    Then crashes count against <whom>
+
+    Examples:
+      | how                                   | whom        |
+      | crashes                               | both tasks  |
+      | is lost with its VM                   | both tasks  |
+      | ends after it said that it would      | no other    |
+      | ends after it had served without an entry | no other |
+      | ends by an order to its VM            | no other    |
+      | is out of reach until its lease is over | the suspect |
+
+  Scenario: From the second crash on a task has a worker for itself
+    Given a task under which two workers have crashed, and 3 workers
+    When it is started beside other tasks
+    Then nothing else starts on its worker, and no other task of its job starts
+    And after 3.1 s of work its worker takes other tasks, and nothing counts against it
+
+  Scenario: What counts against a task outlives its owner
+    Given a task under which two workers have crashed, and 3 workers
+    When it is started beside other tasks
+    Then a new owner that reads its record keeps its worker for it too
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import time
 
 import behave
 
+from features import job_bench as benches
+from features import job_cores as cores
 from features import job_history as histories
 from features import job_models as models
 from features.steps import site_steps
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
+from rackvalve.scheduling import crashes
+from rackvalve.scheduling import releases
 from tools import site as sites
 
 HISTORY_STEPS = 300
@@ -117,3 +125,190 @@
     for _, identity in context.submitted:
         own = [task for task in done if task.startswith(identity)]
         assert len(own) == site_steps.TASKS, (identity, own)
+
+
+KINDS = {
+    "2 plain tasks": ({}, {}),
+    "2 lasting tasks": ({"lasting": True}, {}),
+    "2 tasks that start together": ({"gang": True}, {}),
+    "2 tasks that bear two runs": ({"copies_allowed": True}, {}),
+    "2 tasks of each of two times": ({}, {"repetitions": 2, "interval": 0.1}),
+}
+# Until a worker's crash is proved, in seconds; a copy starts before that.
+PROOF_S = 1.0
+ROUNDS_MOST = 200
+
+
+def add_worker(bench, name):
+    life = models.FakeWorker(models.World(), name, models.Rules(), 1.0)
+    bench.book.set_entry(life.entry())
+    bench.numbers[name] = 0
+    bench.report(name, bench.rows(name))
+
+
+def hand_over(bench, state):
+    """Let a new owner go on from a job's record."""
+    payload = records.write_progress(state)
+    made = cores.make_cores(bench.now, inherited_lease=5.0)
+    bench.book, bench.handler = made.book, made.handler
+    bench.planner = made.planner
+    read = progress.JobState(state.identity, "queue", state.job, 0.0)
+    records.read_progress(read, payload, bench.now)
+    bench.book.add_job(read, bench.now, bench.now)
+    for name in list(bench.numbers):
+        add_worker(bench, name)
+    return read
+
+
+@behave.given("{count:d} workers and a job of {kind} that crash their workers")
+def make_crashing(context, count, kind):
+    context.bench = benches.Bench([f"w{n}" for n in range(count)])
+    step, job = KINDS[kind]
+    step = definition.Step(tasks=2, cpu=1, **step)
+    context.state = context.bench.add(step, **job)
+
+
+@behave.when("it is started until it is given up")
+def start_until(context):
+    bench, made = context.bench, 0
+    context.starts = collections.Counter()
+    for number in range(ROUNDS_MOST):
+        crashed = {}
+        for moment in range(2):
+            for order in bench.start_all():
+                context.starts[str(order.task)] += 1
+                crashed[order.worker] = None
+            bench.now += PROOF_S / 2
+            for name in bench.numbers.keys() - crashed.keys():
+                bench.report(name, bench.rows(name))
+        for name in crashed:
+            bench.end_life(name)
+            del bench.numbers[name]
+            made += 1
+            add_worker(bench, f"n{made}")
+        if context.state.is_final:
+            return
+        if crashed and number % 2:
+            context.state = hand_over(bench, context.state)
+
+
+@behave.then("no task of it was started more than {most:d} times")
+def check_starts(context, most):
+    assert context.state.phase is progress.Phase.FAILED, context.state.phase
+    assert max(context.starts.values()) <= most, context.starts
+
+
+@behave.then("its reason names the crashes")
+def check_reason(context):
+    assert "workers crashed under task" in context.state.reason
+
+
+@behave.given(
+    "a task at work on a worker beside one under which a worker has crashed"
+)
+def make_neighbours(context):
+    context.bench = bench = benches.Bench(["w1"])
+    bench.add(definition.Step(tasks=1, cpu=1), identity=f"{1:016x}")
+    state = bench.add(definition.Step(tasks=1, cpu=1), identity=f"{2:016x}")
+    context.suspect = state.tasks[next(iter(state.tasks))]
+    bench.start_all()
+    (placed,) = [
+        one
+        for one in bench.book.workers["w1"].runs.values()
+        if one.task is context.suspect
+    ]
+    crashes.blame(placed, releases.Fate.CRASHED, bench.now)
+    context.tasks = [
+        placed.task for placed in bench.book.workers["w1"].runs.values()
+    ]
+
+
+@behave.when("their worker {how}")
+def end_worker(context, how):
+    bench = context.bench
+    worker = bench.book.workers["w1"]
+    bench.now += 1.0
+    if how == "is out of reach until its lease is over":
+        bench.now = worker.lease_over
+        bench.planner.stop_and_release(bench.now, bench.now)
+        return
+    if how == "is lost with its VM":
+        worker.note_lost()
+        bench.planner.stop_and_release(bench.now, bench.now)
+        return
+    if how == "ends after it said that it would":
+        worker.entry = dataclasses.replace(worker.entry, draining=True)
+    elif how == "ends after it had served without an entry":
+        bench.book.remove_entry("w1", bench.now)
+        bench.now += 1.0
+        bench.report("w1", bench.rows("w1"))
+    elif how == "ends by an order to its VM":
+        worker.ordered_away = True
+    bench.end_life("w1")
+
+
+@behave.then("crashes count against {whom}")
+def check_blame(context, whom):
+    other, suspect = [task.crashes for task in context.tasks]
+    expected = {
+        "both tasks": (1, 2),
+        "no other": (0, 1),
+        "the suspect": (0, 2),
+    }
+    assert (other, suspect) == expected[whom], (other, suspect)
+
+
+@behave.given(
+    "a task under which two workers have crashed, and {count:d} workers"
+)
+def make_suspect(context, count):
+    context.bench = bench = benches.Bench([f"w{n}" for n in range(count)])
+    step = definition.Step(tasks=2, cpu=1)
+    context.state = bench.add(step, identity=f"{1:016x}")
+    for task in context.state.tasks.values():
+        task.crashes, task.lived, task.not_before = 2, 0.5, bench.now
+        context.state.suspects.add(task.name)
+
+
+@behave.when("it is started beside other tasks")
+def start_beside(context):
+    bench = context.bench
+    # More than there is room for.
+    bench.add(definition.Step(tasks=20, cpu=1), identity=f"{2:016x}")
+    context.orders = bench.start_all()
+    (context.order,) = [
+        order
+        for order in context.orders
+        if order.job == context.state.identity
+    ]
+
+
+@behave.then(
+    "nothing else starts on its worker, and no other task of its job starts"
+)
+def check_alone(context):
+    hosts = [order.worker for order in context.orders]
+    assert hosts.count(context.order.worker) == 1, hosts
+    assert len(hosts) == 1 + 2 * models.CAPACITY.cpu, hosts
+
+
+@behave.then(
+    "after {seconds:g} s of work its worker takes other tasks, and nothing "
+    "counts against it"
+)
+def check_cleared(context, seconds):
+    bench, name = context.bench, context.order.worker
+    bench.now += seconds
+    bench.report(name, bench.rows(name))
+    orders = bench.start_all()
+    assert {order.worker for order in orders} == {name}, orders
+    assert context.state.tasks[context.order.task].crashes == 0
+
+
+@behave.then("a new owner that reads its record keeps its worker for it too")
+def check_kept(context):
+    bench, name = context.bench, context.order.worker
+    state = hand_over(bench, context.state)
+    task = state.tasks[context.order.task]
+    assert (task.crashes, task.isolated) == (2, context.order.run)
+    assert crashes.is_isolating(bench.book.workers[name], bench.now)
