--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -35,7 +35,15 @@
     )
 
 
-def end(time, cause="done", task="0.0.0", run=1, worker="w1", vm="vm-1"):
+def end(
+    time,
+    cause="done",
+    task="0.0.0",
+    run=1,
+    worker="w1",
+    vm="vm-1",
+    **fields,
+):
     return line(
         time,
         "run.ended",
@@ -44,6 +52,7 @@
         run=run,
         worker=worker,
         cause=cause,
+        **fields,
     )
 
 
@@ -132,6 +141,16 @@
         end(2.3, "failed", "0.0.1", 2, "w2"),
         finish(2.4, "failed", "task 0.0.1 failed 2 times"),
     ],
+    "a task that crashes": [
+        *accept(1.0),
+        order(1.1),
+        end(1.9, "its VM is listed as off", crashes=1),
+        order(2.0, run=2, worker="w2"),
+        end(2.5, "its lease is over", run=2, worker="w2", crashes=1),
+        order(2.6, run=3, worker="w3"),
+        end(3.4, "another life answers", run=3, worker="w3", crashes=2),
+        finish(3.5, "failed", "2 workers crashed under task 0.0.0"),
+    ],
     "a cancelled job": [
         *accept(1.0),
         line(1.5, "job.cancel_recorded", "vm-2", job=JOB),
--- a/src/rackvalve/explain/story.py
+++ b/src/rackvalve/explain/story.py
@@ -151,9 +151,28 @@
             f"{task} failed {len(workers)} times on {places}: "
             + ", ".join(workers)
         )
+    for task, workers in _find_crashed(own).items():
+        causes.append(
+            f"{len(workers)} workers crashed under {task}: "
+            + ", ".join(workers)
+        )
     return Story(job=job, timeline=own, verdict="failed", causes=tuple(causes))
 
 
+def _find_crashed(own: tuple[Event, ...]) -> dict[str, list[str]]:
+    """Return the workers whose crash was counted against each task."""
+    crashed: dict[str, list[str]] = collections.defaultdict(list)
+    counted: dict[str, int] = {}
+    for event in own:
+        count = event.get("crashes") or 0
+        task = event.get("task")
+        if event.name == "run.ended" and count > counted.get(task, 0):
+            crashed[task].append(event.get("worker"))
+        if event.name == "run.ended":
+            counted[task] = count
+    return crashed
+
+
 def _tell_cancelled(job: str, own: tuple[Event, ...]) -> Story:
     recorded = _find_first(own, "job.cancel_recorded")
     cause = (
