Runs of lasting tasks are not remembered for failures to come

Cause: a lasting task's failures are not bounded, so what its workers may still tell is of no use, and its record would grow with each lapse. Ruled out: forgetting them after a time; nothing reads them. Change: one condition. Figures: late_ends.feature passes. Conclusion: a record holds what a decision reads.

--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -373,7 +373,8 @@
         fate = releases.judge_fate(worker, proof)
         for placed in ended:
             crashes.blame(placed, fate, now)
-            if fate is releases.Fate.OUT_OF_REACH:
+            # Failures of lasting tasks are not bounded.
+            if fate is releases.Fate.OUT_OF_REACH and not placed.step.lasting:
                 placed.task.untold.add(placed.run.number)
         release = releases.make(worker, proof, now)
         for placed in ended:
