--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -72,4 +72,12 @@
         only=("worker crashed and silent",),
         cause=_STALE,
     ),
+    Regression(
+        seed=7004,
+        managers=4,
+        shape=plan.BURSTS,
+        only=("job crashing",),
+        cause="a lasting task was given up beside jobs that crash workers: "
+        "its runs had to work for 3 s to clear it",
+    ),
 )
