Sight: when a job's first task is there by its worker's word, and what a count was made of

Hypotheses 1 and 2 could not be told apart: the log said when runs were ordered, not when a worker had said that one was there, nor what number was published or told. job.begun, jobs.counted (with the jobs that count as begun by no worker's word) and count.told do; a failure's own text stands before its traceback, which the users' record had cut.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -78,6 +78,7 @@
         "sampled_percent",
         "rate",
         "confirmed_at",
+        "begun",
         "stop_wanted",
         "load",
         "pace",
@@ -109,6 +110,8 @@
         self.sampled: float | None = None
         self.rate: float | None = None
         self.confirmed_at: float | None = None
+        # Whether its worker has said that it is, or was, there.
+        self.begun = False
         self.stop_wanted = False
         self.load = 0.0
         # The share of its speed that it was told to work at, in percent;
@@ -187,6 +190,7 @@
         "finished",
         "cancel_wanted",
         "opened",
+        "begun",
         "suspects",
         "reason",
     )
@@ -219,6 +223,8 @@
         self.cancel_wanted = False
         # Steps whose turn has come, as (repetition, step).
         self.opened: set[tuple[int, int]] = set()
+        # Whether a worker has said that a task of it has begun.
+        self.begun = False
         # Tasks under which workers crashed and that are not cleared.
         self.suspects: set[definition.TaskName] = set()
         self.reason = ""
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -64,6 +64,11 @@
     "worker.over": "A worker's life is over; says what proves it.",
     "job.accepted": "A job is kept and its caller was told so.",
     "job.taken": "The owner learned of a job.",
+    "job.begun": "A worker has said that a first task of a job is there.",
+    "jobs.counted": "How many jobs of each queue have not begun, as the owner "
+    "publishes it, and how many of those that count as begun no worker has "
+    "spoken of.",
+    "count.told": "A caller was told how many jobs of a queue have not begun.",
     "job.cancel_recorded": "A caller's cancelling is kept.",
     "job.cancelled": "The owner ends a job at its caller's wish.",
     "job.ended": "A job's last state is in the store.",
@@ -105,6 +110,9 @@
 # Stands for lines that a slow reader did not take, whatever their event.
 _SLOW_READER = "slow reader"
 
+# Most characters of an error's own text in a line.
+_FAULT_SHOWN = 200
+
 _budget = log_budgets.LogBudget()
 
 Field = str | int | float | bool | None | list[str]
@@ -129,6 +137,8 @@
         line.update(self._identity)
         line.update(getattr(record, "fields", {}))
         if record.exc_info:
+            # Before the traceback, which readers of logs cut short.
+            line["fault"] = repr(record.exc_info[1])[:_FAULT_SHOWN]
             line["error"] = self.formatException(record.exc_info)
         return msgspec.json.encode(line).decode()
 
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -431,6 +431,12 @@
         counts: dict[str, int] = {}
         if isinstance(found, stores.Item):
             counts = msgspec.json.decode(found.payload, type=dict[str, int])
+        logs.write_event(
+            "count.told",
+            queue=call.queue.name,
+            waiting=counts.get(call.queue.name, 0),
+            revision=found.revision if isinstance(found, stores.Item) else 0,
+        )
         return Reply(
             status=http.HTTPStatus.OK,
             body=callers.write_waiting(counts.get(call.queue.name, 0)),
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -233,6 +233,7 @@
         self._book.orders.extend(
             sharing.set_paces(worker, now, self._rules.pace_interval)
         )
+        self._reporter.log_begun()
         self._reporter.log_ends()
         self._recorder.mark_changed()
         worker.note_write(self._writer.number)
@@ -266,6 +267,7 @@
         self._book.take_start(
             placed, result, uncertain=uncertain, now=clocks.read_steady()
         )
+        self._reporter.log_begun()
         self._wanted.set()
 
     def take_stop(self, worker: str, key: workers.RunKey) -> None:
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -15,6 +15,7 @@
 from rackvalve.manager import backlog as backlogs
 from rackvalve.manager import timing
 from rackvalve.manager import writer as writers
+from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import book as books
 from rackvalve import telemetry as telemetries
 
@@ -77,11 +78,16 @@
         """
         if now - self._waiting_at < timing.WAITING_INTERVAL_S:
             return
-        counts = self._book.count_waiting()
+        counts = beginnings.count_waiting(self._book.open_jobs.values())
         if counts == self._waiting:
             return
         self._waiting_at = now
         self._waiting = counts
+        logs.write_event(
+            "jobs.counted",
+            queues=[f"{name}: {count}" for name, count in counts.items()],
+            unspoken=beginnings.count_unspoken(self._book.open_jobs.values()),
+        )
         self._writer.mark(
             WAITING_KEY,
             lambda: backlogs.Record(payload=msgspec.json.encode(counts)),
--- a/src/rackvalve/manager/reporter.py
+++ b/src/rackvalve/manager/reporter.py
@@ -125,6 +125,18 @@
                 version=self._book.configuration.version,
             )
 
+    def log_begun(self) -> None:
+        """Tell of the jobs that have begun since the last time."""
+        now = clocks.read_steady()
+        for state in self._book.begun:
+            logs.write_event(
+                "job.begun",
+                job=state.identity,
+                queue=state.queue,
+                seconds=round(now - state.arrived, 3),
+            )
+        self._book.begun.clear()
+
     def log_ends(self) -> None:
         """Tell of the ends that were handled since the last time."""
         for end in self._handler.ended:
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -12,6 +12,7 @@
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
@@ -52,6 +53,7 @@
         "lives",
         "members",
         "orders",
+        "begun",
         "changed",
         "queues",
         "began",
@@ -82,6 +84,8 @@
         self.members: dict[str, dict[str, workers.WorkerState]] = {}
         # What is to be sent to workers, oldest first.
         self.orders: collections.deque[messages.Order] = collections.deque()
+        # Jobs of which a first task has begun and that were not told of yet.
+        self.begun: list[progress.JobState] = []
         # Jobs whose record in the store is to be written, in order, and
         # whether something waits for it.
         self.changed: dict[str, bool] = {}
@@ -321,6 +325,7 @@
             run.confirmed_at = run.percent_since = now
             if run.stage is progress.Stage.ORDERED:
                 run.stage = progress.Stage.CONFIRMED
+            self.note_begun(placed)
             return
         if result is messages.StartResult.OUTDATED:
             # The next report tells its end, or that it is not there.
@@ -336,6 +341,14 @@
             return
         self.release(placed, now, delay=REJECTED_DELAY_S)
 
+    def note_begun(self, placed: workers.Placed) -> None:
+        """Note that a worker has said that a run is, or was, there.
+
+        :param placed: The run.
+        """
+        if beginnings.note(placed):
+            self.begun.append(placed.state)
+
     def take_stop(self, worker: str, key: workers.RunKey, now: float) -> None:
         """Note that a worker has taken the order to stop a run.
 
@@ -422,14 +435,6 @@
             self.open_jobs.pop(state.identity, None)
             self.speeds.forget(state)
 
-    def count_waiting(self) -> dict[str, int]:
-        """Return how many jobs of each queue have not begun."""
-        counts: dict[str, int] = {}
-        for state in self.open_jobs.values():
-            if state.phase is progress.Phase.QUEUED:
-                counts[state.queue] = counts.get(state.queue, 0) + 1
-        return counts
-
     def find_workspace(
         self, state: progress.JobState
     ) -> accounts.Workspace | None:
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -111,6 +111,7 @@
             listed = running.get(key)
             if listed is not None:
                 _update_run(placed, listed, now)
+                self._book.note_begun(placed)
                 if crashes.clear(worker, placed, report.sent):
                     self._book.mark(placed.state)
             elif len(report.ended) < ENDS_PER_REPORT:
@@ -149,6 +150,8 @@
             state, task = located
         if row.checkpoint and placed is not None:
             task.checkpoint = row.checkpoint
+        if placed is not None:
+            self._book.note_begun(placed)
         if row.ending is messages.Ending.DONE:
             self._take_done(worker, state, task, placed, row.run, now, wall)
         elif placed is not None:
