A job has begun once a worker has said so, in counts, states, records and for the next owner

Callers were told that no job waits while tens had not begun, and saw such jobs as running. Cause: the phase left QUEUED as a start was planned, and never came back when no worker had started it. It holds the intent of the owner; what callers ask for is a fact of workers.

Change: planning leaves the phase alone. A start that is taken, a report that lists a run, or the end of one make it RUNNING, marked for the record; tasks that start together begin once all are there, or one has worked. Rejections, starts without an answer, sealed ones and proofs are no such word. One fact serves the count, the state that callers see, the record and the next owner.

--- a/features/job_models.py
+++ b/features/job_models.py
@@ -53,7 +53,6 @@
     :param keep_bound: Whether owners know of the bound.
     :param lag: How far the platform's list may be behind, in seconds.
     :param crashing: Part of the jobs whose tasks crash their workers.
-    :param told: Whether records are judged by what callers are told.
     """
 
     fence: bool = True
@@ -64,7 +63,6 @@
     keep_bound: bool = True
     lag: float = 0.0
     crashing: float = 0.0
-    told: bool = False
 
 
 class Violation(Exception):
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -95,7 +95,7 @@
             state = self.book.jobs[identity]
             planned = state.list_planned()
             self.store.progress[identity] = records.write_progress(state)
-            if self.rules.told and state.phase is progress.Phase.RUNNING:
+            if state.phase is progress.Phase.RUNNING:
                 self.world.check_begun(identity)
             if state.phase is progress.Phase.COMPLETED:
                 self.world.completed.add(identity)
--- a/features/steps/count_steps.py
+++ b/features/steps/count_steps.py
@@ -184,7 +184,7 @@
     "{count:d} job histories run and every record is read as a caller would"
 )
 def run_histories(context, count):
-    rules = models.Rules(lag=0.8, crashing=0.05, told=True)
+    rules = models.Rules(lag=0.8, crashing=0.05)
     context.violations = histories.explore(count, HISTORY_STEPS, rules, 5000)
 
 
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -17,6 +17,7 @@
 class Phase(enum.Enum):
     """Where a job is in its life."""
 
+    # No worker has said that it has begun a task of it.
     QUEUED = "queued"
     RUNNING = "running"
     COMPLETED = "completed"
@@ -190,7 +191,6 @@
         "finished",
         "cancel_wanted",
         "opened",
-        "begun",
         "suspects",
         "reason",
     )
@@ -223,8 +223,6 @@
         self.cancel_wanted = False
         # Steps whose turn has come, as (repetition, step).
         self.opened: set[tuple[int, int]] = set()
-        # Whether a worker has said that a task of it has begun.
-        self.begun = False
         # Tasks under which workers crashed and that are not cleared.
         self.suspects: set[definition.TaskName] = set()
         self.reason = ""
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -66,8 +66,7 @@
     "job.taken": "The owner learned of a job.",
     "job.begun": "A worker has said that a first task of a job is there.",
     "jobs.counted": "How many jobs of each queue have not begun, as the owner "
-    "publishes it, and how many of those that count as begun no worker has "
-    "spoken of.",
+    "publishes it, and for how many of them a start is under way.",
     "count.told": "A caller was told how many jobs of a queue have not begun.",
     "job.cancel_recorded": "A caller's cancelling is kept.",
     "job.cancelled": "The owner ends a job at its caller's wish.",
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -86,7 +86,7 @@
         logs.write_event(
             "jobs.counted",
             queues=[f"{name}: {count}" for name, count in counts.items()],
-            unspoken=beginnings.count_unspoken(self._book.open_jobs.values()),
+            ordered=beginnings.count_ordered(self._book.open_jobs.values()),
         )
         self._writer.mark(
             WAITING_KEY,
--- a/src/rackvalve/scheduling/beginnings.py
+++ b/src/rackvalve/scheduling/beginnings.py
@@ -1,24 +1,48 @@
-"""Which jobs have begun, by their workers' words, and how many have not."""
+"""Which jobs have begun, and how many have not.
+
+A job has begun once a worker has said that a task of it is, or was, there.  A
+start that is planned, recorded or on its way is no such word: it may be
+rejected, or never come.  What callers are told goes by this alone, so it is
+kept in the job's record and never taken back.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
+from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import messages
 from rackvalve.scheduling import workers
 
+# Ends by which tasks that start together have worked; the others may mean that
+# they have waited for each other in vain.
+_WORKED = frozenset({messages.Ending.DONE, messages.Ending.FAILED})
+
 
-def note(placed: workers.Placed) -> bool:
-    """Note that a worker has said that a run is, or was, there.
+def note_there(placed: workers.Placed) -> bool:
+    """Note that a worker has a run.
 
     :param placed: The run.
     :return: Whether its job has begun by that.
     """
     placed.run.begun = True
-    if placed.state.begun or not _is_complete(placed):
+    return _is_complete(placed) and _begin(placed.state)
+
+
+def note_end(
+    state: progress.JobState, step: definition.Step, ending: messages.Ending
+) -> bool:
+    """Note that a worker has had a run.
+
+    :param state: The run's job.
+    :param step: The run's step.
+    :param ending: How it ended.
+    :return: Whether the job has begun by that.
+    """
+    if step.gang and ending not in _WORKED:
         return False
-    placed.state.begun = True
-    return True
+    return _begin(state)
 
 
 def count_waiting(jobs: Iterable[progress.JobState]) -> dict[str, int]:
@@ -33,17 +57,25 @@
     return counts
 
 
-def count_unspoken(jobs: Iterable[progress.JobState]) -> int:
-    """Return how many jobs count as begun by no worker's word.
+def count_ordered(jobs: Iterable[progress.JobState]) -> int:
+    """Return how many jobs have not begun though a start is under way.
 
     :param jobs: Jobs that have not ended.
     """
     return sum(
-        not state.begun and state.phase is not progress.Phase.QUEUED
+        state.phase is progress.Phase.QUEUED
+        and any(task.runs for task in state.tasks.values())
         for state in jobs
     )
 
 
+def _begin(state: progress.JobState) -> bool:
+    if state.phase is not progress.Phase.QUEUED:
+        return False
+    state.phase = progress.Phase.RUNNING
+    return True
+
+
 def _is_complete(placed: workers.Placed) -> bool:
     """Return whether all that must be there with a run is there.
 
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -215,8 +215,6 @@
         )
         task.runs[number] = run
         state.waiting.pop(task.name, None)
-        if state.phase is progress.Phase.QUEUED:
-            state.phase = progress.Phase.RUNNING
         worker.add(workers.Placed(state, task, run))
         self._count_run(state, task)
         self.mark(state, urgent=True)
@@ -325,7 +323,8 @@
             run.confirmed_at = run.percent_since = now
             if run.stage is progress.Stage.ORDERED:
                 run.stage = progress.Stage.CONFIRMED
-            self.note_begun(placed)
+            if beginnings.note_there(placed):
+                self.note_begun(placed.state)
             return
         if result is messages.StartResult.OUTDATED:
             # The next report tells its end, or that it is not there.
@@ -341,13 +340,13 @@
             return
         self.release(placed, now, delay=REJECTED_DELAY_S)
 
-    def note_begun(self, placed: workers.Placed) -> None:
-        """Note that a worker has said that a run is, or was, there.
+    def note_begun(self, state: progress.JobState) -> None:
+        """Have it told that a job has begun.
 
-        :param placed: The run.
+        :param state: The job.
         """
-        if beginnings.note(placed):
-            self.begun.append(placed.state)
+        self.begun.append(state)
+        self.mark(state)
 
     def take_stop(self, worker: str, key: workers.RunKey, now: float) -> None:
         """Note that a worker has taken the order to stop a run.
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -6,6 +6,7 @@
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import messages
@@ -111,7 +112,8 @@
             listed = running.get(key)
             if listed is not None:
                 _update_run(placed, listed, now)
-                self._book.note_begun(placed)
+                if beginnings.note_there(placed):
+                    self._book.note_begun(placed.state)
                 if crashes.clear(worker, placed, report.sent):
                     self._book.mark(placed.state)
             elif len(report.ended) < ENDS_PER_REPORT:
@@ -150,8 +152,9 @@
             state, task = located
         if row.checkpoint and placed is not None:
             task.checkpoint = row.checkpoint
-        if placed is not None:
-            self._book.note_begun(placed)
+        step = state.step_of(task.name)
+        if beginnings.note_end(state, step, row.ending):
+            self._book.note_begun(state)
         if row.ending is messages.Ending.DONE:
             self._take_done(worker, state, task, placed, row.run, now, wall)
         elif placed is not None:
@@ -298,6 +301,13 @@
     def _stop_stray(
         self, worker: workers.WorkerState, key: workers.RunKey
     ) -> None:
+        located = self._find(key[0])
+        if located is not None:
+            # Its run was released without this worker's word.
+            state, task = located
+            ending = messages.Ending.CUT_SHORT
+            if beginnings.note_end(state, state.step_of(task.name), ending):
+                self._book.note_begun(state)
         self._book.orders.append(
             messages.StopRun(
                 worker=worker.identity,
