A failing test: an answer that ends its connection stops the owner

Real processes whose servers end a connection with one of 30 answers: a job is still queued after 40 s. Each such answer is an OSError out of the client.

--- /dev/null
+++ b/features/answers.feature
@@ -0,0 +1,23 @@
+# Workers that end their connections by their answers made one process after the other
+# give the scheduling up: the client of HTTP closed the connection, for the parser of
+# the answer had closed it before, and that error was taken for one of ours.  Any
+# server ends connections so, as it stops, or after so many calls.  Proved by real
+# processes whose workers said "Connection: close" on one of 30 answers: 20 owners in
+# 30 s and 44 of 60 jobs begun; none of it where they did not.
+Feature: What a peer answers costs that peer's traffic and nothing else
+
+  Scenario: A whole answer that ends its connection is an answer
+    Then a server that answers so is answered by 20 calls in turn
+      | answer                                          |
+      | whole                                           |
+      | and says that it closes, and does               |
+      | and says that it closes, and does not yet       |
+      | in HTTP/1.0                                     |
+      | without a length, ended by the close            |
+      | after an interim one                            |
+
+  Scenario: Servers that end connections leave the owner in place, with real processes
+    Given a site of 3 managers whose servers end a connection with each 30th answer
+    When 60 jobs of 2 tasks of 0.3 s are handed in
+    Then all of them are shown as completed
+    And one process has owned all the time, and no task has failed
--- /dev/null
+++ b/features/steps/answer_steps.py
@@ -0,0 +1,160 @@
+"""Steps about answers that end their connection, are odd, or come twice."""
+
+from __future__ import annotations
+
+import json
+
+import behave
+import gevent
+from gevent import server as gevent_server
+
+from features.steps import site_steps
+from rackvalve.platform import connections
+from tools import site as sites
+
+TIMEOUT_S = 0.5
+
+
+class ScriptedServer:
+    """Answers each call with pieces of bytes, and may close then.
+
+    :param script: Called with the number of the call; yields pieces, or
+        pauses in seconds, and ``None`` to close.
+    """
+
+    def __init__(self, script):
+        self.calls = 0
+        self._script = script
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", 0), self._serve
+        )
+        self._server.start()
+        self.client = connections.HttpClient(
+            "127.0.0.1", self._server.server_port
+        )
+
+    def stop(self):
+        self.client.close()
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, address):
+        try:
+            while sock.recv(65536):
+                self.calls += 1
+                for piece in self._script(self.calls):
+                    if piece is None:
+                        sock.close()
+                        return
+                    if isinstance(piece, float):
+                        gevent.sleep(piece)
+                    else:
+                        sock.sendall(piece)
+        except OSError:
+            # Its client has closed the connection.
+            return
+
+
+def write_answer(body, *, status=b"200 OK", version=b"1.1", headers=b""):
+    """Return an answer with its length."""
+    return (
+        b"HTTP/%s %s\r\n%sContent-Length: %d\r\n\r\n"
+        % (version, status, headers, len(body))
+    ) + body
+
+
+def write_body(number):
+    return b'{"number":%d}' % number
+
+
+def _answer_closing(number):
+    yield write_answer(write_body(number), headers=b"Connection: close\r\n")
+
+
+def _answer_and_close(number):
+    yield from _answer_closing(number)
+    yield None
+
+
+def _answer_old(number):
+    yield write_answer(write_body(number), version=b"1.0")
+    yield None
+
+
+def _answer_endless(number):
+    yield b"HTTP/1.1 200 OK\r\n\r\n" + write_body(number)
+    yield None
+
+
+def _answer_interim(number):
+    yield b"HTTP/1.1 100 Continue\r\n\r\n"
+    yield write_answer(write_body(number))
+
+
+ANSWERS = {
+    "whole": lambda number: [write_answer(write_body(number))],
+    "and says that it closes, and does": _answer_and_close,
+    "and says that it closes, and does not yet": _answer_closing,
+    "in HTTP/1.0": _answer_old,
+    "without a length, ended by the close": _answer_endless,
+    "after an interim one": _answer_interim,
+}
+
+
+@behave.then("a server that answers so is answered by {count:d} calls in turn")
+def check_answers(context, count):
+    wrong = []
+    for row in context.table:
+        server = ScriptedServer(ANSWERS[row["answer"]])
+        try:
+            outcomes = [
+                server.client.exchange("GET", "/", timeout=TIMEOUT_S)
+                for _ in range(count)
+            ]
+        except OSError as error:
+            outcomes = [error]
+        server.stop()
+        expected = [
+            connections.Answer(status=200, body=write_body(number + 1))
+            for number in range(count)
+        ]
+        if outcomes != expected:
+            wrong.append((row["answer"], outcomes[:2]))
+    assert not wrong, wrong
+
+
+@behave.given(
+    "a site of {count:d} managers whose servers end a connection with each "
+    "{every:d}th answer"
+)
+def start_closing(context, count, every):
+    context.own_fleet = sites.Site(count, platform=[f"--closing={every}"])
+    context.own_fleet.start()
+    context.submitted = []
+
+
+@behave.when("{count:d} jobs of 2 tasks of 0.3 s are handed in")
+def submit_jobs(context, count):
+    context.owner = context.own_fleet.owner()["vm"]
+    for _ in range(count):
+        site_steps.submit(
+            context, steps=[{"count": 2, "cpu": 500}], spec="work_ms=300"
+        )
+
+
+def read_events(site, event):
+    """Return the lines of an event that all managers have written."""
+    lines = []
+    for path in sorted(site.folder.glob("vm-*.log")):
+        for text in path.read_text().splitlines():
+            if f'"{event}"' in text:
+                lines.append(json.loads(text))
+    return lines
+
+
+@behave.then("one process has owned all the time, and no task has failed")
+def check_owner(context):
+    site = context.own_fleet
+    taken = [line["vm"] for line in read_events(site, "ownership.taken")]
+    assert taken == [context.owner], (taken, site.folder)
+    failed = read_events(site, "task.failed")
+    assert not failed, (failed[0], site.folder)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -9,6 +9,22 @@
 from gevent import pywsgi
 
 
+class Closing:
+    """Which answers of this process end their connection.
+
+    :ivar every: One of so many; 0 for none.
+    """
+
+    every = 0
+    answers = 0
+
+    @classmethod
+    def is_due(cls):
+        """Count an answer, and return whether it ends its connection."""
+        cls.answers += 1
+        return bool(cls.every) and cls.answers % cls.every == 0
+
+
 class Handler(pywsgi.WSGIHandler):
     """Handles one connection without delaying small writes."""
 
@@ -45,6 +61,8 @@
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
     ]
+    if Closing.is_due():
+        headers.append(("Connection", "close"))
     start_response(status, headers)
     return [body]
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -314,7 +314,9 @@
     parser.add_argument("--move", type=float, default=AWAY_S)
     parser.add_argument("--upkeep", type=float, default=AWAY_S)
     parser.add_argument("--list-lag", type=float, default=0.0)
+    parser.add_argument("--closing", type=int, default=0)
     options = parser.parse_args()
+    serving.Closing.every = options.closing
     pools = {
         name: int(count)
         for name, _, count in (
