A connection is closed by its client alone, so that an answer may end it

One answer with Connection: close, in HTTP/1.0, or ended by the close cost the owner its term, and any greenlet that had no guard its life. Cause: one socket with two owners. The library's reader of answers closes it as soon as the answer says that it ends there, and the client closes it once more; that failed outside of what is made a value, and counted as an error of ours.

Ruled out: the server (each of the answers is whole, by RFC 9112); a race (40 of 40); the handling of the answer in the owner (the traceback ends in the client).

Change: the client reads with the library's parser, which holds no socket. The same holds for the store, the platform's list and the admission service: one client.

Calls over one connection, 20 each, before and after: the four answers that end it 0 and 20 whole ones; 2,000 damaged answers: an error, and none. Real processes, one of 30 answers ends its connection: before, a job still queued after 40 s, eight terms of two owners; after, 60 jobs completed, one owner, no task failed.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -16,6 +16,10 @@
       | without a length, ended by the close            |
       | after an interim one                            |
 
+  Scenario: Damaged answers are answers or none
+    When 2000 answers with bytes changed, dropped or cut at random come
+    Then each call has had an answer or none
+
   Scenario: Servers that end connections leave the owner in place, with real processes
     Given a site of 3 managers whose servers end a connection with each 30th answer
     When 60 jobs of 2 tasks of 0.3 s are handed in
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 
 import behave
 import gevent
@@ -13,6 +14,7 @@
 from tools import site as sites
 
 TIMEOUT_S = 0.5
+DAMAGE_SEED = 40
 
 
 class ScriptedServer:
@@ -122,6 +124,58 @@
     assert not wrong, wrong
 
 
+def damage(rng, answer):
+    """Return an answer with some bytes changed, dropped, or cut off."""
+    text = bytearray(answer)
+    for _ in range(rng.randint(1, 3)):
+        at = rng.randrange(len(text))
+        how = rng.randrange(4)
+        if how == 0:
+            text[at] = rng.randrange(256)
+        elif how == 1:
+            del text[at]
+        elif how == 2:
+            del text[at:]
+        else:
+            text[at:at] = text[at : at + rng.randint(1, 20)]
+        if not text:
+            break
+    return bytes(text)
+
+
+@behave.when(
+    "{count:d} answers with bytes changed, dropped or cut at random come"
+)
+def damage_answers(context, count):
+    rng = random.Random(DAMAGE_SEED)
+    headers = (b"", b"Connection: close\r\n", b"Transfer-Encoding: x\r\n")
+
+    def script(number):
+        version = rng.choice((b"1.1", b"1.0"))
+        yield damage(
+            rng,
+            write_answer(
+                write_body(number),
+                version=version,
+                headers=rng.choice(headers),
+            ),
+        )
+        yield None
+
+    server = ScriptedServer(script)
+    context.outcomes = [
+        server.client.exchange("GET", "/", timeout=TIMEOUT_S)
+        for _ in range(count)
+    ]
+    server.stop()
+
+
+@behave.then("each call has had an answer or none")
+def check_damaged(context):
+    kinds = {type(outcome) for outcome in context.outcomes}
+    assert kinds == {connections.Answer, connections.NoAnswer}, kinds
+
+
 @behave.given(
     "a site of {count:d} managers whose servers end a connection with each "
     "{every:d}th answer"
--- a/src/rackvalve/platform/connections.py
+++ b/src/rackvalve/platform/connections.py
@@ -18,13 +18,12 @@
 from gevent import socket as gevent_socket
 from geventhttpclient import response as http_response
 
+from rackvalve.platform import _answers
+
 IDLE_CONNECTIONS = 4
 # A peer that has closed an idle connection is only noticed on the next use;
 # connections idle for longer than this are not used again (seconds).
 IDLE_LIMIT_S = 10.0
-# Most that is read from a connection at once, in bytes; answers of the store
-# have up to 1 MB.
-READ_BLOCK = 65536
 # What becomes of bytes that were not delivered when a connection is closed:
 # they are dropped and it is reset, or the system goes on with them.
 _DROP = struct.pack("ii", 1, 0)
@@ -118,15 +117,12 @@
             sock = self._take_connection()
             sent = True
             sock.sendall(request)
-            response = http_response.HTTPSocketResponse(
-                sock, block_size=READ_BLOCK, method=method
-            )
-            if body_timeout and not response.message_complete:
+            response = _answers.Response(method)
+            response.read(sock, response.has_headers)
+            if body_timeout and not response.is_whole():
                 limit.close()
                 limit = gevent.Timeout.start_new(body_timeout)
-            text = bytes(response.read())
-            status = response.status_code
-            reusable = not response.should_close()
+            response.read(sock, response.is_whole)
         except gevent.Timeout as expired:
             _close(sock)
             if expired is not limit:
@@ -151,8 +147,8 @@
             raise
         finally:
             limit.close()
-        self._keep(sock, reusable)
-        return Answer(status=status, body=text)
+        self._keep(sock, not response.should_close())
+        return Answer(status=response.status_code, body=response.body)
 
     def _encode(
         self,
