A task's name of thousands of digits is no name

A worker's report that names such a task stopped each owner in turn: the interpreter refuses to read the number, which counted as an error of ours. Its digits were read without a bound. Names longer than 32 characters are none.

--- a/src/rackvalve/jobs/definition.py
+++ b/src/rackvalve/jobs/definition.py
@@ -10,6 +10,8 @@
 MOST_STEPS = 64
 MOST_TASKS = 4096
 MOST_REPETITIONS = 10000
+# Most characters of a task's name: three numbers and two dots.
+NAME_LONGEST = 32
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -100,8 +102,12 @@
     :param text: Such as ``0.1.17``.
     :return: The name, or ``None`` for a text that is none.
     """
+    # Names also come from workers; the interpreter refuses to read numbers of
+    # thousands of digits, and no task has a number as long as this.
+    if not text.isascii() or len(text) > NAME_LONGEST:
+        return None
     parts = text.split(".")
-    if not text.isascii() or len(parts) != 3:
+    if len(parts) != 3:
         return None
     if not all(part.isdigit() for part in parts):
         return None
