What a process does for all of its life begins anew after an unexpected error

Two of three processes took no part any more, though they ran and said that they were ready: an error had ended the greenlet that watches the ownership, the one that takes it, or the one that follows the operator, and nothing watched these. Cause: greenlets without a guard, beside the owner's, which have one that gives the term up.

Ruled out: a lease that stays (it ended); the store (calls were answered).

Change: the four are run for ever, with a pause of 0.25 s after an error that is told; an election starts both of its own by one call, so that a new one can't go unwatched.

After one unexpected error in a call of each of three processes and the death of the owner: before, nobody owns after 3 s; after, another one does.

--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -207,7 +207,7 @@
             telemetry=telemetry.Telemetry(),
             on_contact=lambda: None,
         )
-        self.greenlet = gevent.spawn(self.election.run)
+        self.greenlets = self.election.start()
 
     def make_owner(self, fence):
         self.owners.append(FakeOwner(fence))
@@ -227,7 +227,7 @@
 
 def kill(process):
     """End a process at once; its lease ends by itself."""
-    gevent.kill(process.greenlet)
+    gevent.killall(process.greenlets)
 
 
 def find_owners(context):
@@ -267,7 +267,7 @@
     "owner dies"
 )
 def silence_and_kill(context, seconds):
-    gevent.kill(context.first.greenlet)
+    kill(context.first)
     context.processes.remove(context.first)
     go_dark(context, seconds, None)
 
--- a/src/rackvalve/manager/election.py
+++ b/src/rackvalve/manager/election.py
@@ -26,6 +26,7 @@
 from rackvalve.manager import timing
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import store as stores
+from rackvalve import tasks
 from rackvalve import telemetry as telemetries
 
 PREFIX = "owner/"
@@ -105,8 +106,12 @@
         self._resigned = False
         self._tries = 0
 
-    def run(self) -> None:
-        """Take part, until the greenlet is killed."""
+    def start(self) -> tuple[gevent.Greenlet, ...]:
+        """Take part, until the greenlets that this returns are killed.
+
+        Each begins anew after an error that nobody expected: a process that
+        takes no part any more looks well, and is of no use to the others.
+        """
         watcher = watchers.Watcher(
             self._store,
             PREFIX,
@@ -114,7 +119,13 @@
             on_changes=self._take_changes,
             on_contact=self._note_answer,
         )
-        gevent.spawn(watcher.run)
+        pause = timing.FAILURE_PAUSE_S
+        return (
+            tasks.run_forever("ownership watch", pause, watcher.run),
+            tasks.run_forever("ownership", pause, self._take_part),
+        )
+
+    def _take_part(self) -> None:
         while True:
             self._wait()
             if self._owner is not None:
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -28,6 +28,7 @@
 from rackvalve.settings import catalog
 from rackvalve.settings import kinds
 from rackvalve.settings import reader
+from rackvalve import tasks
 from rackvalve import telemetry
 
 PROGRAM = "rackvalve-manager"
@@ -108,9 +109,10 @@
             on_changes=self._view.take_changes,
             on_contact=self._note_operator,
         )
-        gevent.spawn(operator.run)
-        gevent.spawn(self._election.run)
-        gevent.spawn(self._follow_settings)
+        pause = timing.FAILURE_PAUSE_S
+        tasks.run_forever("operator watch", pause, operator.run)
+        tasks.run_forever("settings", pause, self._follow_settings)
+        self._election.start()
         logs.write_event("program.started")
         self._ended.wait()
         for listener in listeners:
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -199,6 +199,11 @@
 # longer at the most.
 COMPARISON_SPACING_S = 0.05
 
+# -- failures --------------------------------------------------------------
+# Pause before a task of the process that met an error which nobody expected
+# begins anew: an owner's lease of a second bears it twice.
+FAILURE_PAUSE_S = 0.25
+
 # -- end -------------------------------------------------------------------
 # After SIGTERM new connections are taken for this long: the balancer needs
 # two missed looks, a second apart.
