An odd record stops no owner, whoever wrote it

Each owner that loaded one of five odd records gave up, and so did the next; a job's definition that no caller could have handed in took all memory. Cause: the records under the owner's own prefixes were believed unread.

Change: a record of VMs or waves that does not decode is left out and told; a definition is checked by the same bounds as what callers hand in; a caller who asks for a job whose record cannot be read is refused for now.

--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -160,9 +160,11 @@
     :param queue: Name of the job's queue.
     :param identity: The job's identifier.
     :param payload: The record.
-    :raises DocumentInvalidError: It does not decode.
+    :raises DocumentInvalidError: It does not decode, or is beyond what any
+        caller could have handed in: its tasks would not fit into memory.
     """
     record = _decode(payload, _Definition)
+    definition.check(record.job)
     return progress.JobState(
         identity,
         queue,
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -121,21 +121,20 @@
         self._take_waves()
         moves: dict[str, str] = {}
         for item in items:
-            if item.key == ORDERS_KEY:
-                self._hold_ordered(item.payload)
-                continue
-            if item.key == MOVES_KEY:
-                moves = msgspec.json.decode(item.payload, type=dict[str, str])
-                continue
-            number = item.key.removeprefix(PREFIX)
-            record = msgspec.json.decode(item.payload, type=_Record)
-            elapsed = record.count_elapsed(clocks.read_wall())
-            self._upkeep.restore(
-                int(number),
-                record.ordered,
-                record.done,
-                clocks.read_steady() - elapsed,
-            )
+            try:
+                if item.key == ORDERS_KEY:
+                    self._hold_ordered(item.payload)
+                elif item.key == MOVES_KEY:
+                    moves = msgspec.json.decode(
+                        item.payload, type=dict[str, str]
+                    )
+                else:
+                    self._restore_wave(item)
+            except ValueError as error:
+                # Not one of ours; it would stop each owner in turn.
+                logs.write_warning(
+                    "document.rejected", key=item.key, reason=repr(error)
+                )
         self._moves = {vm: moves[vm] for vm in moves.keys() & self._held}
         if self._moves != moves:
             # One left in the record would pass for an order of this owner's.
@@ -147,6 +146,22 @@
             self._note_order(vm)
         self._apply_closing()
 
+    def _restore_wave(self, item: stores.Item) -> None:
+        """Go on with a wave that an earlier owner has begun.
+
+        :param item: Its record.
+        :raises ValueError: It is none.
+        """
+        number = int(item.key.removeprefix(PREFIX))
+        record = msgspec.json.decode(item.payload, type=_Record)
+        elapsed = record.count_elapsed(clocks.read_wall())
+        self._upkeep.restore(
+            number,
+            record.ordered,
+            record.done,
+            clocks.read_steady() - elapsed,
+        )
+
     def run(self) -> None:
         """Look after the VMs, until the greenlet is killed."""
         while True:
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -146,6 +146,8 @@
         began = clocks.read_steady()
         try:
             reply = self._answer(environ, began)
+        except errors.DocumentInvalidError as error:
+            reply = _refuse(f"a record cannot be read: {error.reason}")
         finally:
             self.active -= 1
         self._note_answer(environ, reply, began)
