An error in a call to one worker is that worker's silence

Any error in the traffic with one worker made the owner give up, and would make each next one. Cause: one guard for two things, a call that nobody expected to fail so, and the handling of what it told, after which the book may be half changed.

Ruled out: to go on after either (the book's promises would not hold).

Change: calls to workers are made in one place, where an error is told and counts as no answer; the rest of the contact goes on as beside any silent worker: its leases end by themselves and its runs are proved over. Handling that fails still costs the term.

A client that fails at each call: the owner gave up twice in 0.3 s before; it stays, the failures are told and each call is made again after.

--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import functools
+from typing import TypeVar
 
 import gevent
 from gevent import pool as greenlet_pools
@@ -26,6 +27,8 @@
     clients.Reason.TICKET: messages.StartResult.TICKET,
 }
 _ORDERED = progress.Stage.ORDERED
+_NoAnswer = connections.NoAnswer
+T = TypeVar("T")
 # An order to stop a run that no record names is not repeated for ever; the
 # next report asks for it again.
 STRAY_TRIES = 3
@@ -91,8 +94,8 @@
         try:
             function()
         except Exception:
-            # Without it the worker's room would be unused, unseen, for as
-            # long as this owner lives.
+            # The book may be half changed; another process goes on from the
+            # records.
             logs.write_failure("task.failed", message=self._worker.identity)
             self._owner.depose("an unexpected error; see task.failed")
 
@@ -133,15 +136,14 @@
             # The store has not taken the last ends; they come again at once.
             wait = 0.0
         self._sent = now
-        outcome = self._client.hold(
+        outcome = self._call(
+            self._client.hold,
             lease_until=until,
             fence=self._owner.fence,
             acknowledged=self._worker.acknowledged(self._owner.durable),
             wait=wait,
             timeout=self._patience,
-            least=self._clock.find_least(now),
         )
-        self._note_clock(outcome)
         self._patience = timing.HOLD_TIMEOUT_MOST_S
         if isinstance(outcome, clients.Report):
             late = clocks.read_steady() - now - wait
@@ -152,16 +154,23 @@
             self._client.timeout = self._patience
         return outcome
 
-    def _note_clock(self, outcome: clients.Report | clients.Outcome) -> None:
-        """Take what an answer tells of the worker's clock."""
+    def _call(self, call: Callable[..., T], **fields: object) -> T | _NoAnswer:
+        """Make one call, and take what its answer tells of the clock.
+
+        An error that nobody expected is this worker's silence: it has changed
+        nothing, and would meet the next owner as well.
+        """
+        least = self._clock.find_least(clocks.read_steady())
+        try:
+            outcome = call(least=least, **fields)
+        except Exception as error:
+            logs.write_failure("task.failed", message=self._worker.identity)
+            return connections.NoAnswer(reason=repr(error), sent=True)
         if isinstance(
             outcome, (clients.Report, clients.Done, clients.Rejected)
         ):
             self._clock.note(outcome.clock, clocks.read_steady())
-
-    def _find_least(self) -> float:
-        """Return the least that the worker's clock shows by now."""
-        return self._clock.find_least(clocks.read_steady())
+        return outcome
 
     def _take_report(self, report: clients.Report) -> None:
         now = clocks.read_steady()
@@ -277,7 +286,8 @@
     ) -> clients.Outcome:
         if until is None:
             return connections.NoAnswer(reason="no lease to give", sent=False)
-        outcome = self._client.start(
+        return self._call(
+            self._client.start,
             task=placed.full_name,
             run=placed.run.number,
             spec=placed.state.job.spec,
@@ -285,10 +295,7 @@
             fence=self._owner.fence,
             checkpoint=placed.task.checkpoint,
             ticket=placed.run.ticket,
-            least=self._find_least(),
         )
-        self._note_clock(outcome)
-        return outcome
 
     def _judge_start(
         self, outcome: clients.Outcome, uncertain: bool
@@ -319,13 +326,12 @@
         tries = 0
         while key in self._worker.runs or tries < STRAY_TRIES:
             tries += 1
-            outcome = self._client.stop(
+            outcome = self._call(
+                self._client.stop,
                 task=order.task,
                 run=order.run,
                 fence=self._owner.fence,
-                least=self._find_least(),
             )
-            self._note_clock(outcome)
             if isinstance(outcome, clients.Done):
                 self._owner.take_stop(self._worker.identity, key)
                 return
@@ -340,14 +346,13 @@
 
         :param order: The order.
         """
-        outcome = self._client.set_pace(
+        outcome = self._call(
+            self._client.set_pace,
             task=order.task,
             run=order.run,
             percent=order.percent,
             fence=self._owner.fence,
-            least=self._find_least(),
         )
-        self._note_clock(outcome)
         if not isinstance(outcome, clients.Done):
             placed = self._worker.runs.get((order.task, order.run))
             if placed is not None:
