A count of waiting jobs is dated, and an old one is counted anew from the records

Callers were told the number that the owner had published last, however long ago, and by however old a view of the jobs: 0 of 8 accepted and not begun. Cause: a number without its age. Nothing bounds that where no owner lives long enough to publish, where its watch over the jobs is silent, or where nothing was ever published.

Ruled out as a mend: to refuse what is old (callers bear an answer, and the truth is in the store); an age by the store's revisions (they tell no time); the owner's lease (an owner that lives may see nothing).

Change: the owner publishes each second, dated by the time at which its watch over the jobs last told all; a process that reads one older than 1.6 s, or from a time to come, counts the queue's records, progress first, one count at a time and told again for 0.5 s. Only a store that does not answer is a refusal. A quiet owner makes one write a second more.

--- a/features/steps/count_age_steps.py
+++ b/features/steps/count_age_steps.py
@@ -14,6 +14,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
+from rackvalve.manager import counts
 from rackvalve.manager import recorder as recorders
 from rackvalve.platform import documents
 from rackvalve.platform import store as stores
@@ -129,7 +130,8 @@
 
 def publish_by(recorder, age, view_age):
     """Have a recorder publish its count some seconds ago."""
-    recorder.publish_waiting(1000.0)
+    wall = time.time() - age
+    recorder.publish_waiting(1000.0, wall, 1000.0 - view_age)
 
 
 def ask(context, callers=1):
@@ -161,7 +163,7 @@
     ),
     "nothing": lambda context: None,
     "what does not decode": (
-        lambda context: context.store.put(recorders.WAITING_KEY, b"[7")
+        lambda context: context.store.put(counts.WAITING_KEY, b"[7")
     ),
 }
 
@@ -171,8 +173,10 @@
     wrong = []
     for row in context.table:
         store = context.store
-        store.items.pop(recorders.WAITING_KEY, None)
+        store.items.pop(counts.WAITING_KEY, None)
         PUBLISHED[row["the owner has published"]](context)
+        # What was counted for another row is not told again.
+        context.front._counter = counts.Counter(store)
         store.lists_fail = row["the store"] == "does not list"
         store.silent = row["the store"] == "is silent"
         context.view.note_confirmed(time.monotonic())
--- a/src/rackvalve/manager/front.py
+++ b/src/rackvalve/manager/front.py
@@ -23,8 +23,8 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
+from rackvalve.manager import counts
 from rackvalve.manager import currency as currencies
-from rackvalve.manager import recorder as recorders
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.platform import callers
@@ -134,6 +134,7 @@
         self._store = store
         self._view = view
         self._currency = currencies.Currency(store, view)
+        self._counter = counts.Counter(store)
         self._telemetry = telemetry
         self._is_leaving = is_leaving
         self.active = 0
@@ -427,21 +428,21 @@
     # -- counting ----------------------------------------------------------
 
     def _count(self, call: Call) -> Reply:
-        found = self._store.read(recorders.WAITING_KEY)
+        found = self._counter.count(call.queue.name, clocks.read_wall())
         if isinstance(found, stores.Unavailable):
             return _refuse(f"the store does not answer: {found.reason}")
-        counts: dict[str, int] = {}
-        if isinstance(found, stores.Item):
-            counts = msgspec.json.decode(found.payload, type=dict[str, int])
+        source = "owner" if found.published else "records"
+        self._telemetry.counts_told.labels(source).inc()
         logs.write_event(
             "count.told",
             queue=call.queue.name,
-            waiting=counts.get(call.queue.name, 0),
-            revision=found.revision if isinstance(found, stores.Item) else 0,
+            waiting=found.waiting,
+            age=round(found.age, 3),
+            published=found.published,
         )
         return Reply(
             status=http.HTTPStatus.OK,
-            body=callers.write_waiting(counts.get(call.queue.name, 0)),
+            body=callers.write_waiting(found.waiting),
         )
 
 
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -135,6 +135,8 @@
         self._roster = rosters.Roster(
             self, self._book, on_change=self._wanted.set
         )
+        # Follows what callers hand in and cancel, once it is loaded.
+        self._jobs: watchers.Watcher
         self._writer = writers.Writer(
             resources.store,
             stores.Condition(key=election.TERM_KEY, revision=fence),
@@ -333,10 +335,11 @@
         intake = intakes.JobIntake(
             self._book, known, on_change=self._note_intake
         )
+        self._jobs = self._watch(
+            records.PREFIX, intake.take_range, intake.take_changes
+        )
         watches = [
-            self._watch(
-                records.PREFIX, intake.take_range, intake.take_changes
-            ),
+            self._jobs,
             self._watch(
                 documents.WORKER_PREFIX,
                 self._roster.take_range,
@@ -439,7 +442,7 @@
             self._reporter.log_release(release)
         self._reporter.log_held(now)
         self._roster.forget_gone(now)
-        self._recorder.publish_waiting(now)
+        self._recorder.publish_waiting(now, wall, self._jobs.confirmed)
         self._recorder.collect(now, wall)
 
     def _send_orders(self) -> None:
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -5,22 +5,19 @@
 from collections.abc import Callable
 import functools
 
-import msgspec
-
 from rackvalve import clocks
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve import logs
 from rackvalve.manager import backlog as backlogs
+from rackvalve.manager import counts
 from rackvalve.manager import timing
 from rackvalve.manager import writer as writers
 from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import book as books
 from rackvalve import telemetry as telemetries
 
-WAITING_KEY = "waiting"
-
 
 class Recorder:
     """Marks what changed in a book, and goes on once it is written.
@@ -48,7 +45,7 @@
         self._on_recorded = on_recorded
         # Not known at first: an earlier owner may have left other numbers.
         self._waiting: dict[str, int] | None = None
-        self._waiting_at = 0.0
+        self._waiting_at = float("-inf")
         self._collected_at = clocks.read_steady()
         # Jobs whose end was told; records of late ends of runs may follow.
         self._ended: set[str] = set()
@@ -71,26 +68,32 @@
                 )
         self._book.changed.clear()
 
-    def publish_waiting(self, now: float) -> None:
-        """Write how many jobs of each queue wait, if that changed.
+    def publish_waiting(self, now: float, wall: float, seen: float) -> None:
+        """Write how many jobs of each queue wait, with the time of that.
 
         :param now: Present time, in seconds.
+        :param wall: Present time, seconds since 1970.
+        :param seen: When the book is known to have had all jobs, in seconds.
         """
-        if now - self._waiting_at < timing.WAITING_INTERVAL_S:
+        since = now - self._waiting_at
+        if since < timing.WAITING_INTERVAL_S:
             return
-        counts = beginnings.count_waiting(self._book.open_jobs.values())
-        if counts == self._waiting:
+        jobs = self._book.open_jobs.values()
+        waiting = beginnings.count_waiting(jobs)
+        if waiting == self._waiting and since < timing.WAITING_RENEWAL_S:
             return
+        if waiting != self._waiting:
+            logs.write_event(
+                "jobs.counted",
+                queues=[f"{name}: {count}" for name, count in waiting.items()],
+                ordered=beginnings.count_ordered(jobs),
+                age=round(now - seen, 3),
+            )
         self._waiting_at = now
-        self._waiting = counts
-        logs.write_event(
-            "jobs.counted",
-            queues=[f"{name}: {count}" for name, count in counts.items()],
-            ordered=beginnings.count_ordered(self._book.open_jobs.values()),
-        )
+        self._waiting = waiting
+        payload = counts.write(waiting, wall - (now - seen))
         self._writer.mark(
-            WAITING_KEY,
-            lambda: backlogs.Record(payload=msgspec.json.encode(counts)),
+            counts.WAITING_KEY, lambda: backlogs.Record(payload=payload)
         )
 
     def collect(self, now: float, wall: float) -> None:
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -218,5 +218,15 @@
 # Ended jobs are kept this much longer than the users ask.
 KEEP_MARGIN_S = 30.0
 COLLECT_INTERVAL_S = 5.0
-# How often the numbers of waiting jobs are published, if they changed.
+# How often the numbers of waiting jobs are published, if they changed, and if
+# not: their age is told by the time of the last publishing.
 WAITING_INTERVAL_S = 0.7
+WAITING_RENEWAL_S = 1.0
+# Callers bear a number that is 2 s old.  Reading it from a slow store takes
+# 0.24 s, publishing it as long.
+COUNT_AGE_MOST_S = 1.6
+# Clocks of VMs that are well differ by less than this, in seconds.
+COUNT_AHEAD_MOST_S = 0.5
+# What a process has counted itself is told again for this long: a burst of
+# questions, while nobody publishes, costs one reading of a queue's records.
+COUNT_KEPT_S = 0.5
--- a/src/rackvalve/manager/watcher.py
+++ b/src/rackvalve/manager/watcher.py
@@ -49,6 +49,8 @@
         self._on_contact = on_contact
         self._pace = pace
         self._slack = pace.slack
+        # When all that the store held is known to have been told, in seconds.
+        self.confirmed = float("-inf")
         self._failing = False
         # Whether a watch was waited for in vain.
         self._silent = False
@@ -72,6 +74,7 @@
         return self._revision >= 0
 
     def _read_all(self) -> None:
+        began = clocks.read_steady()
         found = self._store.read_range(self._prefix)
         if isinstance(found, stores.Unavailable):
             self._note_failure("range", found.reason)
@@ -79,6 +82,7 @@
         self._note_success()
         self._revision = max(self._revision, found.revision)
         self._on_range(found.items)
+        self.confirmed = began
 
     def _wait(self) -> None:
         # A connection that is cut silently shows only when the wait is over.
@@ -107,6 +111,7 @@
         self._revision = max(self._revision, changes.revision)
         if changes.written or changes.removed:
             self._on_changes(changes)
+        self.confirmed = began
 
     def _note_failure(self, call: str, reason: str) -> None:
         if not self._failing:
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -17,6 +17,8 @@
     "rackvalve_ownership_changes_total": "counter by change: taken, lost",
     "rackvalve_calls_total": "counter by method, status: callers' requests",
     "rackvalve_call_seconds": "histogram by method: time to the answer",
+    "rackvalve_counts_told_total": "counter by source: counts of waiting jobs "
+    "that callers were told, published by the owner or counted from records",
     "rackvalve_runs_ordered_total": "counter by queue: runs that workers were "
     "told to start",
     "rackvalve_runs_ended_total": "counter by cause: ends of runs",
@@ -49,6 +51,7 @@
         self.ownership = self._count("ownership_changes", "change")
         self.calls = self._count("calls", "method", "status")
         self.call_seconds = self._time("call_seconds", "method")
+        self.counts_told = self._count("counts_told", "source")
         self.runs_ordered = self._count("runs_ordered", "queue")
         self.runs_ended = self._count("runs_ended", "cause")
         self.workers_released = self._count("workers_released", "fate")
