Soak: is the count of waiting jobs true, is any error unexpected; answers that come twice or end their connection

No check looked at the count, and no stand-in ended a connection by a header or answered twice. Callers now ask every manager for counts all along; half at least of the jobs that were accepted 5 s before and have not begun must be told; no log line may tell of an unexpected error.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,12 @@
       | 1    | 8       | steady |
       | 6    | 12      | bursts |
 
+  # Of a run of ours: workers that answered twice had an older report taken for a
+  # newer one, and 100 runs were started beside others of the same tasks.
+  Scenario: Silent workers, answers that come twice or end their connection
+    When the soak runs with seed 8200 for 14 seconds, in bursts of these alone
+    Then jobs were accepted, faults were applied, and no promise was broken
+
   Scenario: The same seed draws the same faults, another seed others
     Then seed 7 draws the same 60 seconds of faults twice, and seed 8 others
     And over 50 seeds each kind of fault is drawn
@@ -33,6 +39,8 @@
       | a VM is moved with work on it               | VMs leave empty                      |
       | a task is started thrice after three crashes | what crashes workers is given up    |
       | a job that crashes workers is last seen running | what is accepted ends            |
+      | a caller is told that none of 2 jobs waits   | what has not begun is told as waiting |
+      | a manager tells of an error that nobody expected | no error is unexpected           |
 
   # Of a users' run: accepted jobs had no run for seconds though nothing was
   # harmed and other jobs moved.  Runs were judged by what jobs came to at the
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,13 @@
 from tools.soak import stillness
 
 MANAGERS = 3
+ODD_ANSWERS = (
+    "worker silent",
+    "worker stuttering",
+    "worker closing",
+    "store stuttering",
+    "store closing",
+)
 JOB = "00000000000000aa"
 REFUSED = "00000000000000bb"
 CRASHING = "00000000000000cc"
@@ -29,6 +36,17 @@
     context.result = run.run()
 
 
+@behave.when(
+    "the soak runs with seed {seed:d} for {seconds:d} seconds, in bursts of "
+    "these alone"
+)
+def run_odd_answers(context, seed, seconds):
+    run = runner.Runner(
+        seed, float(seconds), MANAGERS, plan.BURSTS, ODD_ANSWERS
+    )
+    context.result = run.run()
+
+
 @behave.then(
     "jobs were accepted, faults were applied, and no promise was broken"
 )
@@ -74,19 +92,24 @@
                 [0.0, kind, "w1", task, 1, detail or "done"]
             )
     context.calls = [callers.Call(0, 1.0, 1.1, 200)]
+    context.told, context.output = [], ""
     context.absences = []
     context.orders = [[0.0, "/machine-move", "m1", "vm", 1, 0]]
     assert not judge(context)
 
 
 def judge(context):
-    return checks.check_all(
-        context.jobs,
-        context.calls,
-        context.absences,
-        context.journal,
-        context.orders,
-    )
+    return [
+        *checks.check_all(
+            context.jobs,
+            context.calls,
+            context.absences,
+            context.journal,
+            context.orders,
+        ),
+        *checks.check_counts(context.jobs, context.told, context.journal),
+        *checks.check_output(context.output),
+    ]
 
 
 def start(task, run=2):
@@ -113,6 +136,26 @@
     context.journal.append(start("00000000000000cc.0.0.0"))
 
 
+@behave.when("a caller is told that none of 2 jobs waits")
+def tell_too_few(context):
+    for identity in ("00000000000000dd", "00000000000000ee"):
+        job = callers.Job(
+            identity=identity, queue="lookup", steps=[{"count": 1}]
+        )
+        job.accepted, job.refused, job.accepted_at = True, False, 1.0
+        job.states = ["queued", "cancelled"]
+        context.jobs.append(job)
+    told = callers.Told(
+        manager=0, queue="lookup", began=6.1, ended=6.2, waiting=0
+    )
+    context.told.append(told)
+
+
+@behave.when("a manager tells of an error that nobody expected")
+def tell_error(context):
+    context.output = '{"level":"error","event":"task.failed"}'
+
+
 @behave.when("an accepted job is last seen running")
 def leave_running(context):
     context.jobs[0].states = ["queued", "running"]
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -2,7 +2,8 @@
 
 Faults on command (``POST /-/fault``): ``busy`` answers 503 and does nothing,
 ``silent`` never answers, ``slow`` answers late, ``lost`` does the call and
-drops the answer, ``forget`` drops the history at once.
+drops the answer, ``closing`` ends connections by its answers, ``stuttering``
+answers twice, ``forget`` drops the history at once.
 """
 
 from __future__ import annotations
@@ -53,7 +54,9 @@
         if self.fault == "lost":
             environ["standin.socket"].close()
             raise OSError("the answer is lost")
-        return serving.answer_json(start_response, body, status)
+        return serving.answer_oddly(
+            environ, start_response, body, status, self.fault
+        )
 
     def put(self, key, payload, lease=0):
         """Write a key; also used by the site itself."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -6,7 +6,8 @@
 worker did, and what ended each run, stands in the site's journal.
 Faults on command: ``dead`` neither answers nor runs on, ``silent`` does not
 answer and runs on, ``late`` leaves orders unanswered and carries them out
-after a while.
+after a while, ``closing`` ends connections by its answers, ``stuttering``
+answers twice.
 """
 
 from __future__ import annotations
@@ -99,7 +100,9 @@
         # It may have been lost, or cut off, while a hold waited.
         if not self.alive or self.fault in ("dead", "silent"):
             gevent.sleep(SILENCE_S)
-        return serving.answer_json(start_response, body, status)
+        return serving.answer_oddly(
+            environ, start_response, body, status, self.fault
+        )
 
     def _carry_out(self, path, order):
         if not self.alive:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -51,6 +51,8 @@
 # Most tasks of a job that crashes its workers, and how long after their start
 # they do so, in milliseconds.
 CRASHING_TASKS = 3
+# Pause between two questions to one manager for a count, in seconds.
+COUNT_PAUSE_S = 0.25
 CRASH_MS = 10
 
 
@@ -78,6 +80,24 @@
     invented: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Told:
+    """What a caller was told of the jobs of a queue that have not begun.
+
+    :param manager: Number of the manager.
+    :param queue: The queue.
+    :param began: When it was asked, on the monotonic clock.
+    :param ended: When its answer came.
+    :param waiting: The number.
+    """
+
+    manager: int
+    queue: str
+    began: float
+    ended: float
+    waiting: int
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One job as its caller saw it."""
@@ -128,6 +148,8 @@
         self.number = number
         self.jobs = []
         self.calls = []
+        # What it was told of waiting jobs.
+        self.told = []
         self._fronts = fronts
         self._rng = random.Random(seed * 1000 + number)
         self._clients = {}
@@ -163,6 +185,23 @@
             self.jobs.append(job)
             self._submit(job)
 
+    def count(self, manager, until):
+        """Ask one manager how many jobs wait, until a time."""
+        while time.monotonic() < until:
+            queue = self._rng.choice(QUEUES)
+            call, body = self._send(manager, "GET", f"/{queue}/")
+            if call.status == 200:
+                self.told.append(
+                    Told(
+                        manager=manager,
+                        queue=queue,
+                        began=call.began,
+                        ended=call.ended,
+                        waiting=json.loads(body)["waiting"],
+                    )
+                )
+            gevent.sleep(COUNT_PAUSE_S)
+
     def hand_in_crashing(self, draw):
         """Hand in a job whose tasks crash each worker that starts them.
 
@@ -261,6 +300,15 @@
         :return: The HTTP status, 0 for no whole answer, and the body.
         """
         manager = self._rng.randrange(len(self._fronts))
+        path = f"/{job.queue}/{job.identity}"
+        call, answer = self._send(manager, method, path, body, invented)
+        return call.status, answer
+
+    def _send(self, manager, method, path, body=None, invented=False):
+        """Call a manager, and note the call.
+
+        :return: The call, and the body of its answer.
+        """
         text = b"" if body is None else json.dumps(body).encode()
         began = time.monotonic()
         call = Call(manager, began, began, 0, invented=invented)
@@ -271,7 +319,7 @@
             headers["Authorization"] = f"Bearer {key}"
         try:
             response = self._client(manager).request(
-                method, f"/{job.queue}/{job.identity}", text, headers
+                method, path, text, headers
             )
             answer = bytes(response.read())
             call.status = response.status_code
@@ -285,7 +333,7 @@
             self._clients.pop(manager).close()
         call.ended = time.monotonic()
         self.calls.append(call)
-        return call.status, answer
+        return call, answer
 
     def _client(self, manager):
         if manager not in self._clients:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -20,6 +20,10 @@
 REFUSING_AFTER_S = 2.0
 # After so many crashes a task may not be started that many times more.
 CRASHES_MOST = 3
+# A job that was accepted this long before has to be counted, in seconds.
+COUNTED_AFTER_S = 5.0
+# Most characters of an error's line that are shown.
+ERROR_SHOWN = 600
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -188,10 +192,43 @@
             )
 
 
+def check_counts(jobs, told, journal):
+    """Of the jobs that have not begun, half at least are told as waiting.
+
+    A number may be 2 s old, and a job counts 3 s after it was accepted.
+    """
+    began = {}
+    for at, kind, _, task, _, _ in journal:
+        if kind == "start":
+            began.setdefault(task.partition(".")[0], at)
+    accepted = collections.defaultdict(list)
+    for job in jobs:
+        if job.accepted:
+            accepted[job.queue].append(job)
+    for one in told:
+        waiting = sum(
+            job.accepted_at < one.began - COUNTED_AFTER_S
+            and began.get(job.identity, math.inf) > one.ended
+            and job.cancelled_at > one.ended
+            for job in accepted[one.queue]
+        )
+        if one.waiting * 2 < waiting:
+            yield Broken(
+                promise="what has not begun is told as waiting",
+                detail=f"manager {one.manager} told {one.waiting} of {waiting}"
+                f" of {one.queue} at {one.began:.3f}",
+            )
+
+
 def check_output(output):
-    """No key of a caller stands in what managers log and tell."""
+    """No key of a caller is told, and no error is one that nobody expects."""
     if "soak-key-" in output:
         yield Broken(promise="no key is told", detail="soak-key-")
+    for line in output.splitlines():
+        if '"event":"task.failed"' in line:
+            yield Broken(
+                promise="no error is unexpected", detail=line[:ERROR_SHOWN]
+            )
 
 
 def check_calls(calls, absences):
--- a/tools/soak/harms.py
+++ b/tools/soak/harms.py
@@ -42,7 +42,9 @@
 # is followed after some 1.3 s.
 OWNERS_AWAY_S = {"stopped": 0.3, "frozen": 1.8}
 # The store's faults, by the last word of their kind.
-STORE_FAULTS = frozenset({"busy", "silent", "slow", "lost"})
+STORE_FAULTS = frozenset(
+    {"busy", "silent", "slow", "lost", "closing", "stuttering"}
+)
 
 
 class Harms:
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -51,6 +51,11 @@
 NAMED_KINDS = {
     **BURST_KINDS,
     "job crashing": (6, 10.0, 14.0),
+    "worker silent": (4, 2.0, 7.0),
+    "worker closing": (4, 2.0, 7.0),
+    "worker stuttering": (4, 2.0, 7.0),
+    "store closing": (3, 1.0, 6.0),
+    "store stuttering": (3, 1.0, 6.0),
 }
 # What makes a wait for a proof, and what makes the next owner begin it anew,
 # or see late what it knows; half of the former bring the latter.
--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -42,6 +42,17 @@
     "0.8 s old, read after its last answer, still told that its VM was down, "
     "of the life before, and its runs were taken to be over"
 )
+_SECOND = (
+    "one run at a time: the second answer to an earlier call was taken for a "
+    "report that lists no runs"
+)
+_ODD_ANSWERS = (
+    "worker silent",
+    "worker closing",
+    "worker stuttering",
+    "store closing",
+    "store stuttering",
+)
 REGRESSIONS = (
     Regression(seed=200, managers=6, cause=_LATE),
     Regression(seed=201, managers=6, cause=_LATE),
@@ -80,4 +91,18 @@
         cause="a lasting task was given up beside jobs that crash workers: "
         "its runs had to work for 3 s to clear it",
     ),
+    Regression(
+        seed=8000,
+        managers=4,
+        shape=plan.BURSTS,
+        only=(*_ODD_ANSWERS, "owner killed"),
+        cause=_SECOND,
+    ),
+    Regression(
+        seed=8200,
+        managers=4,
+        shape=plan.BURSTS,
+        only=("worker stuttering",),
+        cause=_SECOND,
+    ),
 )
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -108,6 +108,7 @@
             for number in range(CALLERS)
         ]
         lasting = callers.Caller(CALLERS + 1, self.seed, fronts)
+        counting = callers.Caller(CALLERS + 3, self.seed, fronts)
         lasting.run_lasting()
         began = time.monotonic()
         # The managers have just started.
@@ -115,6 +116,10 @@
         working = [
             gevent.spawn(caller.run, began + self.seconds) for caller in active
         ]
+        working += [
+            gevent.spawn(counting.count, number, began + self.seconds)
+            for number in range(len(fronts))
+        ]
         harming = [
             gevent.spawn(_apply_at, harm, fault, began)
             for fault in plan.draw_faults(
@@ -124,7 +129,7 @@
         gevent.joinall(working + harming, raise_error=True)
         harm.heal()
         lasting.cancel_all(time.monotonic() + SETTLE_S)
-        active += [lasting, crasher]
+        active += [lasting, crasher, counting]
         _settle(active)
         for caller in active:
             caller.close()
@@ -133,6 +138,7 @@
     def _judge(self, active, harm, ended):
         jobs = [job for caller in active for job in caller.jobs]
         calls = [call for caller in active for call in caller.calls]
+        told = [one for caller in active for one in caller.told]
         seen = self.site.journal()
         rows = seen["journal"] + seen["states"]
         rows += [[row[0], "known", *row[1:]] for row in seen["known"]]
@@ -140,6 +146,7 @@
         broken = checks.check_all(
             jobs, calls, harm.absences, rows, seen["orders"]
         )
+        broken.extend(checks.check_counts(jobs, told, rows))
         self._keep(seen, harm.spans)
         gaps = stillness.find_gaps(jobs, rows, ended)
         broken.extend(stillness.check_stillness(gaps, rows, harm.spans, SLOTS))
