A clock that no steady clock can show makes an answer none

One answer with a clock of 1e308 ms, decodable, left the worker without holds for as long as its owner lived: the end of a lease counted from it cannot be written, so that no call went out that could have told better. Bounded by 30,000 years, on any connection. The scenario failed before, and passes.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -22,6 +22,10 @@
       | job/queue/00000000000000aa/definition | {"accepted":1,"job":{"spec":"x","steps":[{"tasks":10001}]}} |
       | job/queue/00000000000000aa/definition | {"accepted":1,"job":{"spec":"x","steps":[{"tasks":1}],"repetitions":10001}} |
 
+  Scenario: A clock that no worker can show is none, on whatever connection
+    Given a worker whose first answer shows a clock of 1e308 ms, and later ones its own
+    Then its second answer is a report, and a lease can be given
+
   # Each of these met the code that handles it, from the client to the book.
   Scenario Outline: Odd answers of <peer> raise no error
     When 400 answers of <peer> are made odd
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -264,6 +264,35 @@
 }
 
 
+@behave.given(
+    "a worker whose first answer shows a clock of 1e308 ms, and later ones "
+    "its own"
+)
+def make_odd_clock(context):
+    bench = _make_bench(["w1"])
+    client = clients.Worker("127.0.0.1", 1, "w1", timeout=TIMEOUT_S)
+    context.contact = contacts.Contact(
+        Hearer(bench), bench.book.workers["w1"], client
+    )
+    context.clocks = ["1e308", "482113", "482114"]
+
+
+@behave.then("its second answer is a report, and a lease can be given")
+def check_lease(context):
+    def exchange(self, *words, **fields):
+        clock = context.clocks.pop(0)
+        body = '{"clock-ms":%s,"running":[],"ended":[]}' % clock
+        return connections.Answer(status=200, body=body.encode())
+
+    with mock.patch.object(connections.HttpClient, "exchange", exchange):
+        outcomes = [context.contact._hold() for _ in range(2)]
+        context.contact._take_report(outcomes[1])
+        until = context.contact._lease_until()
+    kinds = [type(outcome) for outcome in outcomes]
+    assert kinds == [connections.NoAnswer, clients.Report], outcomes
+    assert until is not None and until < 1e6, until
+
+
 @behave.when("{count:d} answers of {peer} are made odd")
 def make_odd(context, count, peer):
     rng = random.Random(ODD_SEED)
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -22,6 +22,9 @@
     "failed": messages.Ending.FAILED,
 }
 LIFE_HEADER = "Expect-Instance"
+# The longest that a steady clock may have run: 30,000 years.  Leases that end
+# after it could not be written, and no answer could tell so any more.
+CLOCK_MOST_S = 1e12
 
 
 class Reason(enum.Enum):
@@ -297,6 +300,8 @@
     :param raw: The answer.
     :param least: The least that the answer to the call can tell.
     """
+    if not 0 <= clock <= CLOCK_MOST_S:
+        raise ValueError(f"no steady clock shows {clock} s")
     if clock < least and not raw.first:
         raise _OtherCallError(
             f"the answer to an earlier call: its clock shows {clock} s, "
