--- a/features/answers.feature
+++ b/features/answers.feature
@@ -45,6 +45,12 @@
       | a list of VMs     | during the next call   |
       | an admission      | during the next call   |
 
+  # A refusal has no clock.  Taken for the answer to the next order, it lets a task
+  # start elsewhere while it runs here.
+  Scenario: The second refusal of an unwell worker refuses no other order
+    Given a worker that refuses one order with 503, twice, and takes all others
+    Then of 2 orders in turn the first is refused and the second is taken
+
   Scenario: A connection to a server that is called no more is not used again
     Given a server that answers after 50 ms
     When another one is to be called while a call to it is under way
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -12,6 +12,7 @@
 from features.steps import site_steps
 from features import stutter_bench as benches
 from rackvalve.platform import connections
+from rackvalve.platform import workers
 from tools import site as sites
 
 TIMEOUT_S = 0.5
@@ -139,6 +140,41 @@
     assert not found, found
 
 
+@behave.given(
+    "a worker that refuses one order with 503, twice, and takes all others"
+)
+def make_refusing(context):
+    refusal = b"HTTP/1.1 503 Unwell\r\nContent-Length: 0\r\n\r\n"
+
+    def script(number):
+        if number > 2:
+            yield write_answer(b'{"clock-ms":482113}')
+            return
+        if number == 2:
+            # The first order's refusal once more; the answer comes too late.
+            yield refusal
+            yield 0.01
+        yield write_answer(b'{"clock-ms":482113}') if number > 1 else refusal
+
+    context.server = ScriptedServer(script)
+
+
+@behave.then(
+    "of 2 orders in turn the first is refused and the second is taken"
+)
+def check_refusals(context):
+    worker = workers.Worker(
+        "127.0.0.1", context.server.port, "i-1", timeout=TIMEOUT_S
+    )
+    outcomes = [
+        worker.stop(task="t", run=run, fence=1, least=0.0) for run in (1, 2)
+    ]
+    worker.close()
+    context.server.stop()
+    kinds = [type(outcome) for outcome in outcomes]
+    assert kinds == [workers.Unwell, workers.Done], outcomes
+
+
 @behave.given("a server that answers after 50 ms")
 def make_slow_server(context):
     context.servers = [
