An order whose answer shows nothing is made again on a connection of its own

An unwell worker's refusal has no clock: its second copy, late, was taken for the answer to the next order, which was then let start elsewhere while it may have been carried out here. Ruled out: to take any such refusal for no answer (the run would have to be sealed by a stop, beside workers that refuse a part of what they get), and a connection for each order.

Change: an answer to an order that is neither taken nor rejected, on a connection that was used before, is asked for again on a new one; an order may come twice. It costs one call more for each such refusal, and one that was shed may be taken at once.

The second order: refused before, taken after.

--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -275,6 +275,13 @@
         self, path: str, order: dict[str, str | int], least: float
     ) -> Outcome:
         raw = self._send(self._orders, path, order, self.timeout)
+        if _shows_nothing(raw):
+            # Believed, an earlier order's refusal would let a task start
+            # elsewhere while it runs here.  An order may come twice.
+            self._orders.distrust()
+            raw = self._send(
+                self._orders, path, order, self.timeout, alone=True
+            )
         return _read_outcome(raw, self._orders, least)
 
     def _send(
@@ -283,6 +290,8 @@
         path: str,
         order: dict[str, str | int],
         timeout: float,
+        *,
+        alone: bool = False,
     ) -> connections.Answer | connections.NoAnswer:
         return client.exchange(
             "POST",
@@ -290,9 +299,17 @@
             msgspec.json.encode(order),
             headers=self._headers,
             timeout=timeout,
+            alone=alone,
         )
 
 
+def _shows_nothing(raw: connections.Answer | connections.NoAnswer) -> bool:
+    """Return whether nothing tells which order an answer belongs to."""
+    if isinstance(raw, connections.NoAnswer) or raw.first:
+        return False
+    return raw.status not in (STATUS_OK, STATUS_REJECTED)
+
+
 def _check_clock(clock: float, raw: connections.Answer, least: float) -> None:
     """Check that an answer belongs to its call.
 
