Nothing is started in a hall that is evacuated, and other VMs stand in for its own

Cause: nothing read what the operator had asked. Ruled out: a view that is late (the document was never read).

Change: the view follows the halls that are to be evacuated, also through a reading after lost history; workers there take no work, one that comes there included; sizes count their VMs as missing, take no spare VM of such a hall and give none of its VMs away. What runs there runs on: to move lasting tasks early is not weighed here.

Four scenarios, one with real processes whose owner is killed meanwhile.

--- /dev/null
+++ b/features/steps/evacuation_steps.py
@@ -0,0 +1,202 @@
+"""Steps about halls that are evacuated."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import behave
+
+from features import job_bench as benches
+from features import job_models as models
+from features.steps import site_steps
+from rackvalve.jobs import definition
+from rackvalve.manager import view as views
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import queues
+from rackvalve.scheduling import silence
+from rackvalve.scheduling import sizing
+from rackvalve.scheduling import upkeep
+
+PREFIX = "op/evacuate/"
+SPARE = "spare"
+HALL_KEY = PREFIX + "hall-1"
+STEP = definition.Step(tasks=6, cpu=1)
+# Between the operator's wish and the least that the users allow.
+SETTLE_S = 1.0
+
+
+def ask(revision, hall):
+    return stores.Item(
+        key=PREFIX + hall, payload=b"{}", revision=revision, created=revision
+    )
+
+
+def change(view, written=(), removed=()):
+    view.take_changes(
+        stores.Changes(
+            written=tuple(written),
+            removed=tuple((PREFIX + hall, at) for at, hall in removed),
+            revision=9,
+        )
+    )
+
+
+CHANGES = {
+    "a and b are read": lambda v: v.take_range((ask(1, "a"), ask(2, "b"))),
+    "a is asked": lambda v: change(v, [ask(3, "a")]),
+    "a is taken back": lambda v: change(v, [], [(4, "a")]),
+    "a is asked and taken back": lambda v: change(
+        v, [ask(5, "a")], [(6, "a")]
+    ),
+    "b is taken back and asked": lambda v: change(
+        v, [ask(8, "b")], [(7, "b")]
+    ),
+    "only c is read": lambda v: v.take_range((ask(9, "c"),)),
+    "nothing is read": lambda v: v.take_range(()),
+    "one without a name is read": lambda v: v.take_range((ask(9, ""),)),
+}
+
+
+@behave.then("these changes leave these halls evacuated")
+def check_view(context):
+    view = views.View()
+    wrong = []
+    for row in context.table:
+        CHANGES[row["change"]](view)
+        if view.evacuated != set(row["evacuated"].split()):
+            wrong.append((row["change"], sorted(view.evacuated)))
+    assert not wrong, wrong
+
+
+def put_in_hall(bench, name, hall):
+    """Have a worker say that it is in a hall."""
+    entry = bench.book.workers[name].entry
+    bench.book.set_entry(dataclasses.replace(entry, hall=hall))
+
+
+@behave.given(
+    "a pool of 2 workers in hall a and 1 in hall b, and a job of 6 tasks"
+)
+def make_pool(context):
+    context.bench = benches.Bench(["w1", "w2", "w3"])
+    for name, hall in (("w1", "a"), ("w2", "a"), ("w3", "b")):
+        put_in_hall(context.bench, name, hall)
+    context.bench.add(STEP)
+
+
+@behave.when("hall a is evacuated and the job is planned")
+def evacuate(context):
+    context.bench.book.set_evacuated(frozenset({"a"}))
+    plan(context)
+
+
+@behave.when("a worker comes in hall a and the job is planned")
+def add_worker(context):
+    bench = context.bench
+    known = bench.book.workers["w1"].entry
+    bench.book.set_entry(dataclasses.replace(known, identity="w4", vm="w4"))
+    bench.numbers["w4"] = 0
+    bench.report("w4")
+    plan(context)
+
+
+@behave.when("hall a is taken back and the job is planned")
+def take_back(context):
+    context.bench.book.set_evacuated(frozenset())
+    plan(context)
+
+
+def plan(context):
+    bench = context.bench
+    bench.plan()
+    context.halls = [
+        bench.book.workers[order.worker].entry.hall for order in bench.starts()
+    ]
+
+
+@behave.then("all starts are in hall b")
+def check_elsewhere(context):
+    assert set(context.halls) <= {"b"}, context.halls
+
+
+@behave.then("a start is in hall a")
+def check_back(context):
+    assert "a" in context.halls, context.halls
+
+
+@behave.given("4 VMs of a pool in hall a, and spare ones in halls a and b")
+def make_vms(context):
+    names = [f"w{n}" for n in range(4)]
+    bench = context.bench = benches.Bench(names)
+    for name in names:
+        put_in_hall(bench, name, "a")
+    configuration = models.CONFIGURATION
+    spare = queues.Pool(name=SPARE, spare=True)
+    bench.book.set_configuration(
+        dataclasses.replace(
+            configuration, pools={**configuration.pools, SPARE: spare}
+        )
+    )
+    context.upkeep = upkeep.Upkeep(bench.book)
+    vms = [make_vm(name, models.POOL, "a", worker=name) for name in names]
+    vms += [make_vm(f"a{n}", SPARE, "a") for n in range(9)]
+    vms += [make_vm(f"b{n}", SPARE, "b") for n in range(9)]
+    context.upkeep.take_list(vms, bench.now)
+    context.sizing = sizing.Sizing(
+        bench.book,
+        context.upkeep,
+        silence.Silence(bench.book, context.upkeep),
+    )
+
+
+def make_vm(name, pool, hall, worker=""):
+    up = fleet.Condition.UP if worker else fleet.Condition.DOWN
+    return fleet.Vm(
+        identity=name, pool=pool, condition=up, worker=worker, hall=hall
+    )
+
+
+@behave.when("hall a is evacuated and work for 2 VMs waits")
+def evacuate_busy(context):
+    bench = context.bench
+    bench.book.set_evacuated(frozenset({"a"}))
+    bench.add(definition.Step(tasks=8, cpu=1))
+    context.moves = context.sizing.decide(bench.now)
+
+
+@behave.then("only VMs of hall b are moved, and as many as the pool needs")
+def check_moves(context):
+    size = context.sizing.pools[models.POOL]
+    moved = [move.vm for move in context.moves if move.pool == models.POOL]
+    assert moved and all(vm.startswith("b") for vm in moved), moved
+    assert len(moved) == size.wanted, (moved, size.wanted)
+
+
+@behave.then("no VM of hall a is given away")
+def check_kept(context):
+    assert not context.sizing.leaving()
+
+
+@behave.when(
+    "its only hall is evacuated, the owner is killed and 4 jobs are handed in"
+)
+def evacuate_all(context):
+    site = context.own_fleet
+    site.order({"put": HALL_KEY, "value": {}})
+    time.sleep(SETTLE_S)
+    site.owner()["process"].kill()
+    for _ in range(4):
+        site_steps.submit(context)
+
+
+@behave.then("no task starts for {seconds:d} s")
+def check_no_start(context, seconds):
+    time.sleep(seconds)
+    assert not site_steps.read_runs(context)
+
+
+@behave.when("the hall is taken back")
+def take_hall_back(context):
+    context.own_fleet.order({"drop": HALL_KEY})
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -86,6 +86,7 @@
     "admission.given": "The admission service answered for a step.",
     "admission.failed": "The admission service gave no answer; says why.",
     "run.paced": "A worker is told to let a run work at a share.",
+    "halls.evacuated": "Nothing more is sent to the VMs of these halls.",
     "wave.taken": "The owner learned of a maintenance wave.",
     "wave.status": "A wave's status is published.",
     "vm.maintained": "The platform was told to maintain a VM; says how it "
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -268,7 +268,8 @@
         self._on_change()
 
     def _apply_closing(self) -> None:
-        """Tell the workers whether their VMs leave now or later."""
+        """Tell the workers whether they take no work, and why."""
+        self._book.set_evacuated(self._view.evacuated)
         waves = self._upkeep.leaving()
         surplus = self._sizing.leaving()
         later = self._upkeep.later()
--- a/src/rackvalve/manager/view.py
+++ b/src/rackvalve/manager/view.py
@@ -14,13 +14,22 @@
 class View:
     """The newest configuration and waves that were seen."""
 
-    __slots__ = ("configuration", "revision", "waves", "confirmed", "_heard")
+    __slots__ = (
+        "configuration",
+        "revision",
+        "waves",
+        "evacuated",
+        "confirmed",
+        "_heard",
+    )
 
     def __init__(self) -> None:
         self.configuration: queues.Configuration | None = None
         # Store revision of the configuration.
         self.revision = 0
         self.waves: dict[int, fleet.Wave] = {}
+        # Halls to whose VMs nothing more is to be sent.
+        self.evacuated: frozenset[str] = frozenset()
         # The last time, in seconds, at which this view is known to have been
         # the newest.
         self.confirmed = float("-inf")
@@ -51,6 +60,8 @@
         """
         for item in items:
             self.take_item(item)
+        found = [documents.evacuated_hall_of(item.key) for item in items]
+        self._set_evacuated({hall for hall in found if hall is not None})
 
     def take_changes(self, changes: stores.Changes) -> None:
         """Take what the operator has just written.
@@ -59,6 +70,22 @@
         """
         for item in changes.written:
             self.take_item(item)
+        halls = set(self.evacuated)
+        for key, is_asked in _list_changes(changes):
+            hall = documents.evacuated_hall_of(key)
+            if hall is not None and is_asked:
+                halls.add(hall)
+            elif hall is not None:
+                halls.discard(hall)
+        self._set_evacuated(halls)
+
+    def _set_evacuated(self, halls: set[str]) -> None:
+        """Take which halls are evacuated, and tell if that has changed."""
+        found = frozenset(halls)
+        if found == self.evacuated:
+            return
+        self.evacuated = found
+        logs.write_event("halls.evacuated", halls=sorted(found))
 
     def take_item(self, item: stores.Item) -> None:
         """Take one document.
@@ -104,3 +131,10 @@
             workspaces=len(newer.workspaces),
             keys=newer.workspaces.key_count,
         )
+
+
+def _list_changes(changes: stores.Changes) -> list[tuple[str, bool]]:
+    """Return the keys that changed, in order, and whether they are there."""
+    rows = [(item.revision, item.key, True) for item in changes.written]
+    rows += [(revision, key, False) for key, revision in changes.removed]
+    return [(key, is_there) for _, key, is_there in sorted(rows)]
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -24,6 +24,7 @@
 CONFIGURATION_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
 WAVE_PREFIX = "op/wave/"
+EVACUATION_PREFIX = "op/evacuate/"
 WAVE_STATUS_PREFIX = "status/wave/"
 WORKER_PREFIX = "servers/"
 # The first label of a worker is its kind, the second its rack.
@@ -218,6 +219,17 @@
     return key.removeprefix(WORKER_PREFIX)
 
 
+def evacuated_hall_of(key: str) -> str | None:
+    """Return the hall that a document asks to be evacuated.
+
+    :param key: The document's key.
+    :return: The hall; ``None`` for a document of another kind.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX) or None
+
+
 def read_wave(payload: bytes) -> fleet.Wave:
     """Decode the operator's order of a maintenance wave.
 
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -47,6 +47,7 @@
 
     __slots__ = (
         "configuration",
+        "evacuated",
         "jobs",
         "open_jobs",
         "workers",
@@ -72,6 +73,8 @@
         now: float,
     ) -> None:
         self.configuration = configuration
+        # Halls on whose VMs nothing is started.
+        self.evacuated: frozenset[str] = frozenset()
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.jobs: dict[str, progress.JobState] = {}
         # Those of them that have not ended: ended ones are kept for callers
@@ -108,6 +111,16 @@
         self.configuration = configuration
         self.queues = {queue.name: queue for queue in configuration.queues}
 
+    def set_evacuated(self, halls: frozenset[str]) -> None:
+        """Start nothing on the workers of some halls, and of no others.
+
+        :param halls: Names of the halls.
+        """
+        if halls != self.evacuated:
+            self.evacuated = halls
+            for worker in self.workers.values():
+                worker.set_evacuated(halls)
+
     def add_job(
         self, state: progress.JobState, now: float, wall: float
     ) -> None:
@@ -176,6 +189,7 @@
         """
         worker = self._worker_of(entry.identity)
         worker.set_entry(entry)
+        worker.set_evacuated(self.evacuated)
         self.lives.setdefault(entry.vm, {})[entry.identity] = worker
         self.members.setdefault(entry.pool, {})[entry.identity] = worker
         return worker
--- a/src/rackvalve/scheduling/hindrance.py
+++ b/src/rackvalve/scheduling/hindrance.py
@@ -47,6 +47,7 @@
     PASSED_OVER = "slow"
     WAVE = "closed for a wave"
     SURPLUS = "closed as surplus"
+    EVACUATED = "in a hall that is evacuated"
     DRAINING = "draining"
     SILENT = "silent"
     UNASKED = "not yet heard by this owner"
@@ -101,6 +102,8 @@
         return Availability.DRAINING
     if worker.closing == upkeep.CLOSED:
         return Availability.WAVE
+    if worker.evacuated:
+        return Availability.EVACUATED
     if worker.closing:
         return Availability.SURPLUS
     return Availability.TAKING
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -251,7 +251,7 @@
 
         One that is out of reach may be so for long; others stand in for it.
         """
-        if vm.lost:
+        if vm.lost or vm.hall in self._book.evacuated:
             return False
         worker = self._book.workers.get(vm.worker)
         if worker is None or worker.entry is None:
@@ -296,6 +296,7 @@
             and vm.identity not in leaving
             and vm.identity not in self._upkeep.held
             and vm.hall not in self._silence.halls
+            and vm.hall not in self._book.evacuated
         ]
         found.sort(key=lambda vm: vm in later)
         return found
@@ -329,6 +330,9 @@
                 continue
             if worker.identity in self._silence.workers:
                 continue
+            # It was not counted, and is of use again once the hall is.
+            if vm.hall in self._book.evacuated:
+                continue
             if now - self.arrived.get(vm.identity, float("-inf")) < STAY_S:
                 continue
             lasting, runs = _count_cost(worker)
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -71,6 +71,7 @@
         "suspect_until",
         "failures",
         "closing",
+        "evacuated",
         "leaves_later",
         "ordered_away",
         "slowness",
@@ -109,6 +110,8 @@
         self.failures = 0
         # Why it takes no more work, empty while it does.
         self.closing = ""
+        # Whether nothing more is to be sent to its hall.
+        self.evacuated = False
         # Whether its VM is still to be maintained.
         self.leaves_later = False
         # Whether its VM was, or may have been, told to move or to be
@@ -194,6 +197,13 @@
         """
         return now >= self.lease_over
 
+    def set_evacuated(self, halls: frozenset[str]) -> None:
+        """Take no work if its hall is among those that are evacuated.
+
+        :param halls: Names of the halls.
+        """
+        self.evacuated = self.entry is not None and self.entry.hall in halls
+
     def takes_work(self, now: float, freshness: float) -> bool:
         """Return whether new runs may be placed on it.
 
@@ -204,6 +214,7 @@
             self.entry is not None
             and not self.entry.draining
             and not self.closing
+            and not self.evacuated
             and self.established
             and now - self.heard <= freshness
             and self.gone_since is None
--- a/standins/site.py
+++ b/standins/site.py
@@ -245,6 +245,8 @@
     def _obey(self, order):
         if "put" in order:
             self.store.put(order["put"], json.dumps(order["value"]).encode())
+        if "drop" in order:
+            self.store.remove(order["drop"])
         if "fault" in order:
             machine = self.machines[order["machine"]]
             if machine.worker is not None:
