Soak: calls of one caller at the same time share no client

Several jobs that crash workers are looked after by one caller at a time of its own each; a call that failed closed the client under another one. The soak's fault, there before; the product has no part in it. A client is one call's until it is given back.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -317,10 +317,9 @@
         if invented:
             key = f"{INVENTED_KEY}{len(self.calls)}"
             headers["Authorization"] = f"Bearer {key}"
+        client = self._take_client(manager)
         try:
-            response = self._client(manager).request(
-                method, path, text, headers
-            )
+            response = client.request(method, path, text, headers)
             answer = bytes(response.read())
             call.status = response.status_code
         except TimeoutError:
@@ -329,18 +328,24 @@
             # Cut or refused; the checks decide whether it may be.
             call.error = repr(found)
             call.refused = isinstance(found, ConnectionRefusedError)
-        if not call.status:
-            self._clients.pop(manager).close()
+        self._give_back(manager, client, is_sound=bool(call.status))
         call.ended = time.monotonic()
         self.calls.append(call)
         return call, answer
 
-    def _client(self, manager):
-        if manager not in self._clients:
-            self._clients[manager] = http_clients.HTTPClient(
-                HOST,
-                self._fronts[manager],
-                connection_timeout=TIMEOUT_S,
-                network_timeout=TIMEOUT_S,
-            )
-        return self._clients[manager]
+    def _take_client(self, manager):
+        """Return a client of a manager that no other call uses meanwhile."""
+        kept = self._clients.pop(manager, None)
+        return kept or http_clients.HTTPClient(
+            HOST,
+            self._fronts[manager],
+            connection_timeout=TIMEOUT_S,
+            network_timeout=TIMEOUT_S,
+        )
+
+    def _give_back(self, manager, client, *, is_sound):
+        """Keep a client for the next call, if it is sound and the only one."""
+        if is_sound and manager not in self._clients:
+            self._clients[manager] = client
+        else:
+            client.close()
