--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -79,3 +79,19 @@
     Given a task under which two workers have crashed, and 3 workers
     When it is started beside other tasks
     Then a new owner that reads its record keeps its worker for it too
+
+  # A lasting task was given up beside six jobs that crashed the VMs of a pool of
+  # seven, with owners frozen.  Two crashes counted as in isolation, 4.1 and 4.5 s
+  # after its runs had begun: their workers took other tasks again after 3 s, and
+  # crashed within 1.1 s of the last one that came.  Its log showed both.
+  Scenario Outline: A crash <when> counts in isolation: <counts>
+    Given a task under which two workers have crashed, and 3 workers
+    When it is started beside other tasks
+    And its worker crashes <when>
+    Then it counts in isolation: <counts>
+
+    Examples:
+      | when                                | counts |
+      | at once                             | yes    |
+      | after 4 s alone                     | yes    |
+      | after another task has come there   | no     |
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -308,6 +308,27 @@
     assert context.state.tasks[context.order.task].crashes == 0
 
 
+@behave.when("its worker crashes {when}")
+def crash_worker(context, when):
+    bench, name = context.bench, context.order.worker
+    # A run of it had lived so long before a crash: to work for 4 s clears it
+    # of nothing.
+    context.state.tasks[context.order.task].lived = 10.0
+    if when != "at once":
+        bench.now += 4.0
+    if when == "after another task has come there":
+        bench.report(name, bench.rows(name))
+        orders = bench.start_all()
+        assert name in {order.worker for order in orders}, orders
+    bench.end_life(name)
+
+
+@behave.then("it counts in isolation: {counts}")
+def check_isolated(context, counts):
+    task = context.state.tasks[context.order.task]
+    assert task.isolated_crashes == (counts == "yes"), task.isolated_crashes
+
+
 @behave.then("a new owner that reads its record keeps its worker for it too")
 def check_kept(context):
     bench, name = context.bench, context.order.worker
