A crash counts in isolation only if no other task had come to the worker

A lasting job that could be done was given up beside six that crash workers. Cause: an isolated run keeps its worker for itself for 3 s; a crash after that, beside tasks that had come since, counted as one in isolation, of which two end the job. The log shows both: at 4.1 and 4.5 s, the last other task ordered 1.1 s before.

Change: a crash counts in isolation if no other run was ordered to that worker after the isolated one. A task to blame that works for more than 3 s each time is given up by its fifth crash, as before.

The scenario failed before and passes.

--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -398,7 +398,7 @@
         ended = list(worker.runs.values())
         fate = releases.judge_fate(worker, proof)
         for placed in ended:
-            crashes.blame(placed, fate, now)
+            crashes.blame(placed, fate, now, ended)
             # Failures of lasting tasks are not bounded.
             if fate is releases.Fate.OUT_OF_REACH and not placed.step.lasting:
                 placed.task.untold.add(placed.run.number)
--- a/src/rackvalve/scheduling/crashes.py
+++ b/src/rackvalve/scheduling/crashes.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import math
 
 from rackvalve.jobs import definition
@@ -44,12 +45,18 @@
 CLEARED_MOST_S = 60.0
 
 
-def blame(placed: workers.Placed, fate: releases.Fate, now: float) -> None:
+def blame(
+    placed: workers.Placed,
+    fate: releases.Fate,
+    now: float,
+    neighbours: Iterable[workers.Placed] = (),
+) -> None:
     """Count the end of a worker against a task that ran there.
 
     :param placed: The run.
     :param fate: What became of the worker.
     :param now: Present time, in seconds.
+    :param neighbours: All runs of the worker.
     """
     task, run = placed.task, placed.run
     if run.stage is progress.Stage.PLANNED or task.done:
@@ -60,12 +67,22 @@
     if fate is not releases.Fate.CRASHED and not suspected:
         return
     task.crashes += 1
-    if run.number == task.isolated:
+    # Its worker takes others again while it works on; a crash after that
+    # speaks against these as well.
+    is_alone = not any(_came_after(placed, other) for other in neighbours)
+    if run.number == task.isolated and is_alone:
         task.isolated_crashes += 1
     task.lived = max(task.lived, now - run.since)
     placed.state.suspects.add(task.name)
 
 
+def _came_after(placed: workers.Placed, other: workers.Placed) -> bool:
+    """Return whether another run came to a run's worker after it."""
+    if other.run.stage is progress.Stage.PLANNED:
+        return False
+    return other.run.since > placed.run.since
+
+
 def is_given_up(task: progress.Task) -> bool:
     """Return whether so many workers crashed under a task that it must end.
 
