--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -96,7 +96,7 @@
         managers=4,
         shape=plan.BURSTS,
         only=("job crashing", "owner killed", "owner frozen"),
-        cause="a lasting task was given up beside jobs that crash workers: two "
+        cause="a lasting task was given up beside jobs that crash workers: "
         "crashes counted as in isolation after others had come; its fifth "
         "crash still ends it (KNOWN-RED.txt)",
     ),
