--- a/features/answers.feature
+++ b/features/answers.feature
@@ -51,6 +51,13 @@
     Given a worker that refuses one order with 503, twice, and takes all others
     Then of 2 orders in turn the first is refused and the second is taken
 
+  # Clocks are told in whole milliseconds: a report that came again 2 ms later, to a
+  # hold that was sent at once, showed no earlier time than was known.  A run that had
+  # been confirmed in between was taken to be gone, and started beside itself.
+  Scenario: A report that tells no later time than the one before is that one
+    Given a worker that answers 2 holds in the same millisecond, then a later one
+    Then of 3 holds in turn on one connection the second has no answer
+
   Scenario: A connection to a server that is called no more is not used again
     Given a server that answers after 50 ms
     When another one is to be called while a call to it is under way
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -175,6 +175,41 @@
     assert kinds == [workers.Unwell, workers.Done], outcomes
 
 
+@behave.given(
+    "a worker that answers 2 holds in the same millisecond, then a later one"
+)
+def make_quick(context):
+    def script(number):
+        clock = 482113 if number < 3 else 482114
+        body = '{"clock-ms":%d,"running":[],"ended":[]}' % clock
+        yield write_answer(body.encode())
+
+    context.server = ScriptedServer(script)
+
+
+@behave.then("of 3 holds in turn on one connection the second has no answer")
+def check_holds(context):
+    worker = workers.Worker(
+        "127.0.0.1", context.server.port, "i-1", timeout=TIMEOUT_S
+    )
+    outcomes = [
+        worker.hold(
+            lease_until=None,
+            fence=1,
+            acknowledged=0,
+            wait=0.0,
+            timeout=TIMEOUT_S,
+            least=0.0,
+        )
+        for _ in range(3)
+    ]
+    worker.close()
+    context.server.stop()
+    kinds = [type(outcome) for outcome in outcomes]
+    expected = [workers.Report, connections.NoAnswer, workers.Report]
+    assert kinds == expected, outcomes
+
+
 @behave.given("a server that answers after 50 ms")
 def make_slow_server(context):
     context.servers = [
