A report that tells no later time than the one before is that one

One run was started beside another one of its task, on the same worker, while workers answered twice. Cause: clocks are told in whole milliseconds, and the bound was not strict. A report came again 2 ms later, as the answer to a hold that was sent at once; its clock was the last one known, and a run that had been confirmed in between was not in it, so that it counted as gone.

Ruled out: an older report (its clock would have been behind), a late order (both starts were ordered).

Left: two answers to orders on one connection in the same millisecond; the run that is believed to have started is there a moment later, or the next report tells that it is not.

--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 import msgspec
 
@@ -148,7 +149,7 @@
     :param timeout: Longest wait for the answer to an order, in seconds.
     """
 
-    __slots__ = ("_orders", "_holds", "_headers", "timeout")
+    __slots__ = ("_orders", "_holds", "_reported", "_headers", "timeout")
 
     def __init__(
         self, host: str, port: int, life: str, *, timeout: float
@@ -156,6 +157,8 @@
         # A late answer to an order, which tells of no runs, meets no hold.
         self._orders = connections.HttpClient(host, port)
         self._holds = connections.HttpClient(host, port)
+        # What the clock showed in the last report, in seconds.
+        self._reported = float("-inf")
         self._headers = ((LIFE_HEADER, life),)
         # Longest wait for the answer to an order, in seconds.
         self.timeout = timeout
@@ -265,10 +268,14 @@
             return _read_outcome(raw, self._holds, least)
         try:
             report = _read_report(raw.body)
-            _check_clock(report.clock, raw, least)
+            # Clocks are told in whole milliseconds: the report before, told
+            # once more, shows no earlier time than is known.
+            later = math.nextafter(self._reported, math.inf)
+            _check_clock(report.clock, raw, max(least, later))
         except _UNREADABLE as error:
             self._holds.distrust()
             return connections.NoAnswer(reason=repr(error), sent=True)
+        self._reported = report.clock
         return report
 
     def _order(
