--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -107,6 +107,19 @@
         only=(*_ODD_ANSWERS, "owner killed"),
         cause=_SECOND,
     ),
+    Regression(
+        seed=32005,
+        managers=4,
+        shape=plan.BURSTS,
+        only=(
+            *_ODD_ANSWERS,
+            "owner killed",
+            "owner frozen",
+            "worker crashed",
+            "store silent",
+        ),
+        cause="one run at a time: a report came again within its millisecond",
+    ),
     Regression(
         seed=8200,
         managers=4,
