--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -48,6 +48,8 @@
     :param clock: The worker's steady clock, in seconds.
     :param running: All runs on it.
     :param ended: Ends that were not acknowledged yet, oldest first.
+    :param born: When the life began that tells this, in milliseconds since
+        1970; ``None`` if it does not tell.
     """
 
     clock: float
