Sight: a line when another life of a worker answers under its name

The logs showed runs that were 'no longer listed' on workers that had started again, and nothing of the workers themselves: neither that another life answers, nor which number of an end the owner took as known. No logic has changed: all that is sent and believed is as before.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -57,6 +57,8 @@
     "worker.found": "A worker was seen for the first time.",
     "worker.recorded": "A worker that only records name is asked.",
     "worker.established": "A worker has taken the owner's fencing token.",
+    "worker.restarted": "Another life of a worker answers under its name; "
+    "says what the one before had told last.",
     "worker.draining": "A worker says that it will leave.",
     "worker.lost": "What ran on a worker is over: its VM is off or gone.",
     "worker.released": "Runs of a worker are over without its word; says what "
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -32,6 +32,8 @@
 # An order to stop a run that no record names is not repeated for ever; the
 # next report asks for it again.
 STRAY_TRIES = 3
+# Most numbers of ends that a line shows.
+ENDS_SHOWN = 10
 
 
 class Contact:
@@ -64,6 +66,8 @@
         self._patience = timing.ORDER_TIMEOUT_S
         # How long beyond its wait the last ones took, in seconds.
         self._late = 0.0
+        # The birth that the last report told, in milliseconds since 1970.
+        self._born: int | None = None
 
     def start(self) -> None:
         """Start to hold and to send."""
@@ -175,6 +179,7 @@
     def _take_report(self, report: clients.Report) -> None:
         now = clocks.read_steady()
         self._answering = True
+        self._note_birth(report)
         if self._lost:
             self._lost = False
             logs.write_event(
@@ -190,6 +195,22 @@
             now,
         )
 
+    def _note_birth(self, report: clients.Report) -> None:
+        """Tell if another life has made this report than the last one."""
+        if self._born is not None and report.born != self._born:
+            logs.write_warning(
+                "worker.restarted",
+                worker=self._worker.identity,
+                born=report.born,
+                before=self._born,
+                clock=report.clock,
+                handled=self._worker.handled,
+                running=len(report.running),
+                ended=[str(row.number) for row in report.ended[:ENDS_SHOWN]],
+                runs=len(self._worker.runs),
+            )
+        self._born = report.born
+
     def _wait_for_record(self) -> None:
         """Let the ends of the last report come into the store first."""
         until = clocks.read_steady() + timing.RECORD_WAIT_S
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from rackvalve.platform import births
 from rackvalve.platform import connections
 from rackvalve.scheduling import messages
 
@@ -55,6 +56,7 @@
     clock: float
     running: tuple[messages.RunningRow, ...]
     ended: tuple[messages.EndedRow, ...]
+    born: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -129,6 +131,7 @@
     # prove all runs over.
     running: list[list[str | int | float]]
     ended: list[list[str | int]]
+    born: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _OtherCallError(ValueError):
@@ -392,4 +395,9 @@
         )
         for row in wire.ended
     )
-    return Report(clock=wire.clock / 1000, running=running, ended=ended)
+    return Report(
+        clock=wire.clock / 1000,
+        running=running,
+        ended=ended,
+        born=births.read_birth(wire.born),
+    )
