A failing test: tasks start again on workers that start again under their names

Real processes on loopback: the stand-in's workers now start again under the name that they had, know nothing of before, and tell their birth. With two of six back every second 10 tasks were started again after their acknowledged end, with all at one moment, twice, 24; no task of the 30 jobs had two runs at once.

--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,105 @@
+"""Steps about workers that start again under the names that they had."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import time
+
+import behave
+
+from tools import site as sites
+
+POOLS = {"lookups": 6, "rebuilds": 1, "spare": 1}
+STEPS = [{"count": 4, "cpu": 500}]
+# How long the entry of a life that is over stays, in seconds.
+ENTRY_S = 1.5
+BACK_S = 0.2
+SPACING_S = 0.1
+
+
+@behave.given("a site of {count:d} managers with 6 VMs for the jobs")
+def start_site(context, count):
+    context.own_fleet = sites.Site(count, pools=POOLS)
+    context.own_fleet.start()
+    context.submitted = []
+
+
+@behave.when(
+    "{count:d} jobs of 4 tasks of 0.4 s run while workers start again under "
+    "their names, {when}"
+)
+def run_beside_restarts(context, count, when):
+    site = context.own_fleet
+    names = sorted(site.list_members("lookups"))
+    pairs = itertools.cycle([names[0:2], names[2:4], names[4:6]])
+    restart = RESTARTS[when]
+    for number in range(count):
+        identity = site.submit("lookup", STEPS, "work_ms=400")
+        context.submitted.append(("lookup", identity))
+        time.sleep(SPACING_S)
+        if number % 10 == 5:
+            restart(site, names, next(pairs))
+
+
+def restart_two(site, names, pair):
+    site.order({"restart": pair, "entry": ENTRY_S, "away": BACK_S})
+
+
+def restart_all(site, names, pair):
+    site.order({"restart": names, "entry": ENTRY_S, "away": BACK_S})
+
+
+def restart_and_kill(site, names, pair):
+    restart_two(site, names, pair)
+    owner = site.find_owner()
+    if owner is not None:
+        owner["process"].kill()
+        owner["process"].start()
+
+
+def restart_late(site, names, pair):
+    """Leave orders for a moment; who has the name then carries them out."""
+    for name in pair:
+        site.order({"machine": name, "fault": "late"})
+    time.sleep(3 * SPACING_S)
+    restart_two(site, names, pair)
+
+
+RESTARTS = {
+    "two of six every second": restart_two,
+    "all at one moment, twice": restart_all,
+    "two of six, the owner killed": restart_and_kill,
+    "two of six, orders carried out late": restart_late,
+}
+
+
+def read_events(context):
+    """Return what workers did and were told to forget, in order."""
+    seen = context.own_fleet.journal()
+    known = [[row[0], "known", *row[1:]] for row in seen["known"]]
+    return sorted(seen["journal"] + known)
+
+
+@behave.then("no task was started again after its good end was acknowledged")
+def check_known(context):
+    for queue, identity in context.submitted:
+        context.own_fleet.wait_final(queue, identity)
+    known, again = set(), []
+    for _, kind, worker, task, run, how in read_events(context):
+        if kind == "known" and how == "done":
+            known.add(task)
+        elif kind == "start" and task in known:
+            again.append((task, run, worker))
+    assert not again, (len(again), again[:5])
+
+
+@behave.then("no task had two runs at once")
+def check_alone(context):
+    running = collections.defaultdict(set)
+    for _, kind, worker, task, run, _ in read_events(context):
+        if kind == "start":
+            assert not running[task], (task, run, worker, running[task])
+            running[task].add((worker, run))
+        elif kind == "end":
+            running[task].discard((worker, run))
--- a/standins/site.py
+++ b/standins/site.py
@@ -31,6 +31,11 @@
 COPY_S = 0.1
 # The slowest clock that the platform's pages allow.
 SLOW_RATE = 0.98
+# How long after a crash by a task the worker's entry stays, and when the next
+# life is there, in seconds; and when one is that keeps its name.
+CRASHED_ENTRY_S = 1.5
+CRASHED_AWAY_S = 2.5
+RESTARTED_AWAY_S = 0.3
 WORKER_PREFIX = "servers/"
 
 
@@ -71,6 +76,8 @@
         self.slow_clocks = options.slow_clocks
         self.away = {"moving": options.move, "upkeep": options.upkeep}
         self.list_lag = options.list_lag
+        # Whether workers that tasks have crashed keep their names.
+        self.keep_names = options.keep_names
         # Copies of the list of VMs, each with its time.
         self.lists = collections.deque()
         self.host = HOST
@@ -106,13 +113,25 @@
         _, task, run, how, _ = row
         self.known.append([time.monotonic(), worker.identity, task, run, how])
 
+    def carry_out(self, life, path, order):
+        """Carry an order out that was left, by whoever has the name now."""
+        present = self.machines[life.machine].worker
+        if present is not None and present.identity == life.identity:
+            present.carry_out(path, order)
+
     def _choose_rate(self):
         slow = self.slow_clocks and len(self.machines) % 2
         return SLOW_RATE if slow else 1.0
 
-    def start_worker(self, name):
-        """Begin a new life on a VM."""
+    def start_worker(self, name, identity=""):
+        """Begin a new life on a VM.
+
+        :param name: The VM.
+        :param identity: The worker's name if it has one from before.
+        """
         machine = self.machines[name]
+        if machine.worker is not None:
+            return
         life = workers.Worker(
             self,
             name,
@@ -120,6 +139,7 @@
             machine.shown,
             self.capacity,
             machine.rate,
+            identity,
         )
         life.server = serving.make_server(HOST, machine.port, life)
         life.server.start()
@@ -148,8 +168,7 @@
             life.server.stop(timeout=0)
         machine.worker = None
         machine.state = "down"
-        key = WORKER_PREFIX + life.identity
-        gevent.spawn_later(entry, self.store.remove, key)
+        gevent.spawn_later(entry, self._remove_entry, life)
 
     def __call__(self, environ, start_response):
         path = environ["PATH_INFO"]
@@ -257,6 +276,9 @@
                 entry=order.get("entry", 0.0),
                 away=order.get("away", AWAY_S),
             )
+        if "restart" in order:
+            for name in order["restart"]:
+                self.restart(name, entry=order["entry"], away=order["away"])
         if "lose" in order:
             self.end_worker(
                 order["lose"], "crash", order["entry"], is_silent=True
@@ -289,6 +311,36 @@
         self.end_worker(name, "crash", entry)
         gevent.spawn_later(away, self.start_worker, name)
 
+    def restart(self, name, *, entry, away):
+        """Let a worker crash and start again under its name.
+
+        :param name: The VM.
+        :param entry: How much longer the worker's entry stays unless the next
+            life writes its own, in seconds.
+        :param away: When the next life is there, in seconds.
+        """
+        life = self.machines[name].worker
+        if life is None:
+            return
+        self.end_worker(name, "crash", entry)
+        # For the platform it is the same worker all along.
+        self.machines[name].state = "up"
+        gevent.spawn_later(away, self.start_worker, name, life.identity)
+
+    def crash_by_task(self, name):
+        """Let a worker crash because of what it runs."""
+        if self.keep_names:
+            away = RESTARTED_AWAY_S
+            self.restart(name, entry=CRASHED_ENTRY_S, away=away)
+            return
+        self.crash(name, entry=CRASHED_ENTRY_S, away=CRASHED_AWAY_S)
+
+    def _remove_entry(self, life):
+        """Remove a life's entry, unless a later one has written its own."""
+        present = self.machines[life.machine].worker
+        if present is None or present.identity != life.identity:
+            self.store.remove(WORKER_PREFIX + life.identity)
+
     def _unlist(self, name, away):
         """Let a worker's entry be gone for a while."""
         life = self.machines[name].worker
@@ -317,6 +369,7 @@
     parser.add_argument("--upkeep", type=float, default=AWAY_S)
     parser.add_argument("--list-lag", type=float, default=0.0)
     parser.add_argument("--closing", type=int, default=0)
+    parser.add_argument("--keep-names", action="store_true")
     options = parser.parse_args()
     serving.Closing.every = options.closing
     pools = {
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,6 +4,8 @@
 time, ``lasting`` to be at work after that time until it is stopped,
 ``crash_ms=10`` to crash the worker that long after its start.  What each
 worker did, and what ended each run, stands in the site's journal.
+A worker that starts again keeps its name, knows nothing of before, and tells
+by ``born`` that it is another life; what its clock shows begins anew.
 Faults on command: ``dead`` neither answers nor runs on, ``silent`` does not
 answer and runs on, ``late`` leaves orders unanswered and carries them out
 after a while, ``closing`` ends connections by its answers, ``stuttering``
@@ -25,20 +27,21 @@
 SILENCE_S = 3600.0
 HOLD_MOST_S = 10.0
 STOP_S = 0.05
-# How long after a crash by a task the worker's entry stays, and when the next
-# life is there, in seconds.
-CRASHED_ENTRY_S = 1.5
-CRASHED_AWAY_S = 2.5
 
 
 class Worker:
     """One life of a worker, as a WSGI application."""
 
-    def __init__(self, site, machine, pool, port, capacity, rate=1.0):
+    def __init__(
+        self, site, machine, pool, port, capacity, rate=1.0, identity=""
+    ):
         # How fast its steady clock runs.
         self.rate = rate
         self.site = site
-        self.identity = f"i-{uuid.uuid4().hex[:10]}"
+        self.identity = identity or f"i-{uuid.uuid4().hex[:10]}"
+        self.born = int(time.time() * 1000)
+        # When its clock showed nothing yet.
+        self.began = time.monotonic() if identity else 0.0
         self.machine = machine
         self.pool = pool
         self.port = port
@@ -70,11 +73,12 @@
             "machine": self.machine,
             "clock-ms": int(self.clock() * 1000),
             "seq": 1,
+            "born": self.born,
         }
 
     def clock(self):
         """Return what its steady clock shows, in seconds."""
-        return time.monotonic() * self.rate
+        return (time.monotonic() - self.began) * self.rate
 
     def end(self, cause):
         """End this life; all that runs dies.
@@ -94,9 +98,9 @@
             return serving.answer_json(start_response, {}, "421 Other life")
         path = environ["PATH_INFO"]
         if self.fault == "late" and path != "/hold":
-            gevent.spawn_later(LATE_S, self._carry_out, path, order)
+            gevent.spawn_later(LATE_S, self.site.carry_out, self, path, order)
             gevent.sleep(SILENCE_S)
-        status, body = self._carry_out(path, order)
+        status, body = self.carry_out(path, order)
         # It may have been lost, or cut off, while a hold waited.
         if not self.alive or self.fault in ("dead", "silent"):
             gevent.sleep(SILENCE_S)
@@ -104,7 +108,11 @@
             environ, start_response, body, status, self.fault
         )
 
-    def _carry_out(self, path, order):
+    def carry_out(self, path, order):
+        """Carry an order out now.
+
+        :return: The status and the body of the answer.
+        """
         if not self.alive:
             return "421 Other life", {}
         self._lapse()
@@ -171,6 +179,7 @@
         ]
         return "200 OK", {
             **self._clock_body(),
+            "born": self.born,
             "running": running,
             "ended": self.ended,
         }
@@ -203,11 +212,7 @@
             now = self.clock()
             for key, state in list(self.running.items()):
                 if 0 <= state["crash"] <= now - state["began"]:
-                    self.site.crash(
-                        self.machine,
-                        entry=CRASHED_ENTRY_S,
-                        away=CRASHED_AWAY_S,
-                    )
+                    self.site.crash_by_task(self.machine)
                     return
                 if state["stopped"]:
                     if now >= state["stopped"]:
