All that is known of a worker is known of one life of it

Callers saw nothing: each job completed. What its tasks do outside was done twice: a task was started again after it had ended well and that end had been acknowledged, on workers that had crashed and were back under their names at once.

Cause: what an owner knew of a worker was kept by its name and so outlived its life. Holds told the next life to forget its ends up to the last number of the life before, unread; a run that it then did not list counted as lost with it. The same belief let crashes go uncounted, and kept a clock, tickets, suspicion, orders away and the proofs by the platform's list.

Ruled out: a change of owner (one owner throughout), a late report (no second start before the first run's end).

Change: the adapter names a life by the worker's name and birth, and every place that keeps something by identity keeps it by that, so that a later life cannot inherit. A life ends by the word of the one that answers in its place (scheduling/succession), which also tells which runs are its own by now; an entry alone ends none. Lists of VMs tell names: one that may tell of a time before a life began has not named that life. Weighed and not taken: to reset field by field when a birth changes; each new field would be another chance to forget one.

--- a/features/job_bench.py
+++ b/features/job_bench.py
@@ -6,6 +6,7 @@
 from features import job_models as models
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import endings
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 
@@ -119,7 +120,9 @@
 
     def end_life(self, name, proof="another life answers"):
         """Let a worker's life be over by a proof."""
-        return self.book.end_life(name, proof, now=self.now, wall=self.now)
+        return endings.end_life(
+            self.book, name, proof, now=self.now, wall=self.now
+        )
 
     def start_all(self):
         self.plan()
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -10,6 +10,7 @@
 from rackvalve.jobs import records
 from rackvalve.manager import owner as owners
 from rackvalve.manager import timing
+from rackvalve.scheduling import endings
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
@@ -151,7 +152,8 @@
         if life is None:
             vm = worker.entry.vm
             if reachable and self.platform.is_replaced(vm, identity):
-                self.book.end_life(
+                endings.end_life(
+                    self.book,
                     identity,
                     "another life answers",
                     now=self.world.now,
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -1,5 +1,10 @@
 # Tasks that must run once were started again after their end had been acknowledged,
-# seen by the users on workers that had crashed and were back at once.
+# on workers that had crashed and were back at once under their names.  What was kept
+# of a worker was kept by its name and outlived its life: the next life was told to
+# forget its ends up to the last number of the one before, unread, and a run that it
+# then did not list was taken to have been lost with it.  Proved by real processes: the
+# lives that such ends were on had told none, with 8 to 16 ends of the life before
+# known and 16 runs there; none elsewhere, and none where no worker started again.
 Feature: A worker that starts again under its name is another life
 
   Scenario Outline: Tasks run once beside restarts, with real processes, <when>
@@ -13,3 +18,78 @@
       | when                                  | jobs |
       | two of six every second               | 30   |
       | all at one moment, twice              | 30   |
+
+  Scenario Outline: What becomes of a task whose worker has started again and <tells>
+    Given a task that runs on a worker which has told 8 ends
+    When the worker starts again and <tells>
+    Then the task <outcome>
+    And the life before is forgotten
+
+    Examples:
+      | tells                         | outcome                                     |
+      | does not name it              | waits, and a crash counts against it        |
+      | lists it                      | runs there, and no crash counts against it  |
+      | tells its good end as its 1st | is done, and no crash counts against it     |
+      | tells that it was stopped     | waits, and no crash counts against it       |
+      | drained before, names nothing | waits, and no crash counts against it       |
+
+  Scenario: A run that was to be stopped is stopped where it is now
+    Given a task that runs on a worker which has told 8 ends
+    When it is to be stopped, and the worker starts again and lists it
+    Then the later life is told to stop it
+
+  Scenario Outline: A record that tells no birth, and a life that <tells>
+    Given a new owner with a record of a run on a worker, without its birth
+    When the worker's present life <tells>
+    Then the task <outcome>
+
+    Examples:
+      | tells                         | outcome                                     |
+      | lists it                      | runs there, and no crash counts against it  |
+      | does not name it              | waits, and no crash counts against it       |
+      | tells its good end as its 1st | is done, and no crash counts against it     |
+
+  Scenario: What is known of a life is not known of the next
+    Given a worker that is closed, suspected, slow, ordered away and 100 s ahead
+    When it has started again and has told what it has
+    Then it takes work as a worker that was never seen before
+
+  Scenario: An entry alone ends no life
+    Given a task that runs on a worker which has told 8 ends
+    When an entry names another birth of the worker, and its life answers on
+    Then the task runs there, and no crash counts against it
+
+  Scenario Outline: The platform's list and a life that began <age> ago
+    Given a life that began <age> ago, after one that lists have named
+    When a list is read right after its last answer and names no worker
+    Then its life is <proved>
+
+    Examples:
+      | age    | proved          |
+      | 1 s    | not proved over |
+      | 10 s   | proved over     |
+
+  Scenario Outline: A birth that is <told>
+    Given an entry and a list whose birth is <told>
+    Then it is <taken> for a birth
+
+    Examples:
+      | told                 | taken     |
+      | 1771263913116        | taken     |
+      | left out             | not taken |
+      | 0                    | not taken |
+      | -5                   | not taken |
+      | 1771263913116.5      | not taken |
+      | "1771263913116"      | not taken |
+      | null                 | not taken |
+      | true                 | not taken |
+      | 1e300                | not taken |
+
+  Scenario: A name and a birth make an identity that no other life has
+    Then these lives are read from their identities as they were
+      | name   | born | identity  |
+      | i-1    | 17   | i-1@17    |
+      | i-1    |      | i-1       |
+      | i-1@17 |      | i-1@17@0  |
+      | i@     | 4    | i@@4      |
+      | i@x    |      | i@x@0     |
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -303,9 +303,11 @@
     listed = {"m-2": vms.list_vm("m-2", worker=worker)}
     context.listings = listings.Listings()
     for read in (first, second):
-        context.listings.take(listed, float(read), {name: None})
+        context.listings.take(listed, float(read), {name})
 
 
 @behave.then("the life is not proved over")
 def check_not_proved(context):
-    assert not context.listings.prove_over(*context.life)
+    name, vm, heard = context.life
+    began = float("-inf")
+    assert not context.listings.prove_over(name, vm, began=began, alive=heard)
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -12,6 +12,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
+from rackvalve.scheduling import lives
 
 LONG = "work_ms=2000"
 
@@ -50,7 +51,7 @@
 def check_told(context):
     site = context.own_fleet
     told = {
-        event["worker"]
+        lives.read_life(event["worker"]).worker
         for manager in site.managers
         for event in read_events(site, manager, "worker.over")
         if event["reason"] == "another life answers"
--- /dev/null
+++ b/features/steps/restarted_life_steps.py
@@ -0,0 +1,277 @@
+"""Steps about what is believed of a worker that has started again."""
+
+from __future__ import annotations
+
+import json
+
+import behave
+
+from features import job_bench as benches
+from features import vm_bench
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.platform import documents
+from rackvalve.platform import workers as clients
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import lives
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import silence
+from rackvalve.scheduling import upkeep
+
+EARLIER = "w1@1000"
+LATER = "w1@2000"
+LISTS = "lists it"
+DRAINED = "drained before, names nothing"
+ENDS = {
+    "tells its good end as its 1st": messages.Ending.DONE,
+    "tells that it was stopped": messages.Ending.CUT_SHORT,
+}
+
+
+@behave.given("a task that runs on a worker which has told 8 ends")
+def start_task(context):
+    bench = context.bench = benches.Bench([EARLIER])
+    context.state = bench.add(definition.Step(tasks=1, cpu=1))
+    (context.order,) = bench.start_all()
+    bench.now += 1.0
+    strays = [("x.0.0.0", 1, messages.Ending.DONE)] * 8
+    bench.report(EARLIER, bench.rows(EARLIER), strays)
+    assert bench.book.workers[EARLIER].handled == 8
+
+
+def start_again(bench, running=(), ended=()):
+    """Let a later life of the worker tell what it has."""
+    entry = bench.book.workers[EARLIER].entry
+    bench.book.set_entry(make_entry(LATER, entry))
+    bench.numbers[LATER] = 0
+    bench.now += 0.5
+    bench.report(LATER, running, ended)
+
+
+def make_entry(identity, entry=None):
+    return fleet.Entry(
+        identity=identity,
+        pool=entry.pool if entry else "pool",
+        host="",
+        port=0,
+        vm=entry.vm if entry else EARLIER,
+        rack="r",
+        hall="h",
+        labels=frozenset(),
+        capacity=entry.capacity if entry else vm_bench.WIDE,
+        draining=False,
+        remaining=None,
+    )
+
+
+def list_run(context):
+    return [
+        messages.RunningRow(
+            task=f"{context.state.identity}.0.0.0",
+            run=1,
+            checkpoint="",
+            percent=5,
+            load=0.0,
+        )
+    ]
+
+
+@behave.when("the worker starts again and {tells}")
+@behave.when("the worker's present life {tells}")
+def tell(context, tells):
+    bench = context.bench
+    full = f"{context.state.identity}.0.0.0"
+    if tells == DRAINED:
+        entry = bench.book.workers[EARLIER].entry
+        fields = {name: getattr(entry, name) for name in entry.__slots__}
+        drained = fleet.Entry(**{**fields, "draining": True})
+        bench.book.set_entry(drained)
+    running = list_run(context) if tells == LISTS else ()
+    ended = [(full, 1, ENDS[tells])] if tells in ENDS else ()
+    if EARLIER in bench.book.workers:
+        start_again(bench, running, ended)
+        return
+    bench.book.set_entry(make_entry(LATER))
+    bench.numbers[LATER] = 0
+    bench.report(LATER, running, ended)
+
+
+@behave.then("the task {where}, and {crashes} counts against it")
+def check_task(context, where, crashes):
+    task = next(iter(context.state.tasks.values()))
+    assert task.crashes == (crashes == "a crash"), task.crashes
+    if where == "waits":
+        assert not task.runs and task.name in context.state.waiting
+    elif where == "is done":
+        assert task.done and not task.runs
+    else:
+        (run,) = task.runs.values()
+        present = context.bench.book.find_present("w1").identity
+        assert run.worker in (present, EARLIER), run.worker
+        worker = context.bench.book.workers[run.worker]
+        assert worker.established and len(worker.runs) == 1
+
+
+@behave.then("the life before is forgotten")
+def check_forgotten(context):
+    bench = context.bench
+    assert list(bench.book.workers) == [LATER]
+    assert bench.book.names.find("w1") == [bench.book.workers[LATER]]
+    (release,) = bench.handler.released
+    assert release.worker == EARLIER
+
+
+@behave.when("it is to be stopped, and the worker starts again and lists it")
+def stop_and_list(context):
+    task = next(iter(context.state.tasks.values()))
+    (run,) = task.runs.values()
+    context.bench.book.stop(context.state, task, run, "a reason")
+    context.bench.book.orders.clear()
+    start_again(context.bench, list_run(context))
+
+
+@behave.then("the later life is told to stop it")
+def check_stop(context):
+    (stop,) = context.bench.stops()
+    assert stop.worker == LATER and stop.run == 1
+
+
+@behave.given(
+    "a new owner with a record of a run on a worker, without its birth"
+)
+def read_record(context):
+    bench = context.bench = benches.Bench([])
+    state = context.state = progress.JobState(
+        benches.IDENTITY,
+        "queue",
+        definition.Job(spec="x", steps=(definition.Step(tasks=1, cpu=1),)),
+        bench.now,
+    )
+    name = definition.TaskName(repetition=0, step=0, index=0)
+    run = progress.Run(1, "w1", progress.Stage.ORDERED, bench.now)
+    run.inherited = True
+    state.task(name).runs[1] = run
+    state.next_run = 2
+    bench.book.add_job(state, bench.now, bench.now)
+
+
+@behave.given(
+    "a worker that is closed, suspected, slow, ordered away and 100 s ahead"
+)
+def spoil_worker(context):
+    bench = context.bench = benches.Bench([EARLIER])
+    worker = bench.book.workers[EARLIER]
+    worker.closing = "it is closed"
+    worker.suspect_until = bench.now + 100.0
+    worker.failures = 5
+    worker.slowness = 4.0
+    worker.ordered_away = True
+    worker.handled = 8
+    worker.unrecorded = [(8, None)]
+
+
+@behave.when("it has started again and has told what it has")
+def tell_nothing(context):
+    start_again(context.bench)
+
+
+@behave.then("it takes work as a worker that was never seen before")
+def check_fresh(context):
+    bench = context.bench
+    found = bench.book.workers[LATER]
+    other = benches.Bench([LATER]).book.workers[LATER]
+    for field in (
+        "closing",
+        "suspect_until",
+        "failures",
+        "slowness",
+        "ordered_away",
+        "handled",
+        "unrecorded",
+    ):
+        assert getattr(found, field) == getattr(other, field), field
+    assert found.takes_work(bench.now, 0.9)
+
+
+@behave.when(
+    "an entry names another birth of the worker, and its life answers on"
+)
+def name_other(context):
+    bench = context.bench
+    entry = bench.book.workers[EARLIER].entry
+    bench.book.set_entry(make_entry("w1@900", entry))
+    bench.now += 0.5
+    bench.report(EARLIER, bench.rows(EARLIER))
+
+
+@behave.given(
+    "a life that began {age:d} s ago, after one that lists have named"
+)
+def follow_life(context, age):
+    bench = context.bench = benches.Bench([])
+    context.upkeep = upkeep.Upkeep(bench.book)
+    context.silence = silence.Silence(bench.book, context.upkeep)
+    bench.book.set_entry(make_entry(LATER))
+    bench.add(definition.Step(tasks=1, cpu=1))
+    bench.numbers[LATER] = 0
+    take_list(context, "w1")
+    bench.handler.take(
+        bench.book.workers[LATER],
+        messages.Report(
+            sent=bench.now, running=(), ended=(), clock=float(age)
+        ),
+        now=bench.now,
+        wall=bench.now,
+    )
+    bench.start_all()
+    bench.now += 0.1
+    bench.report(LATER, bench.rows(LATER))
+
+
+def take_list(context, worker):
+    bench = context.bench
+    row = vm_bench.list_vm(EARLIER, worker=worker, up=bool(worker))
+    context.upkeep.take_list([row], bench.now)
+    context.silence.look(bench.now)
+
+
+@behave.when("a list is read right after its last answer and names no worker")
+def list_nobody(context):
+    context.bench.now += 0.8
+    take_list(context, "")
+
+
+@behave.then("its life is {proved}")
+def check_proved(context, proved):
+    worker = context.bench.book.workers[LATER]
+    is_over = worker.lease_over == float("-inf")
+    assert is_over == (proved == "proved over"), worker.lease_over
+
+
+@behave.given("an entry and a list whose birth is {told}")
+def read_births(context, told):
+    field = {} if told == "left out" else {"born": json.loads(told)}
+    entry = {"addr": "127.0.0.1:7", "service": "p", "state": "ready"}
+    text = json.dumps({**entry, **field}).encode()
+    read = documents.read_worker("servers/w1", text)
+    report = {"clock-ms": 7, "running": [], "ended": []}
+    text = json.dumps({**report, **field}).encode()
+    context.births = [
+        lives.read_life(read.identity).born,
+        clients._read_report(text).born,
+    ]
+
+
+@behave.then("it is {taken} for a birth")
+def check_births(context, taken):
+    expected = 1771263913116 if taken == "taken" else None
+    assert context.births == [expected, expected], context.births
+
+
+@behave.then("these lives are read from their identities as they were")
+def check_identities(context):
+    for row in context.table:
+        born = int(row["born"]) if row["born"] else None
+        life = lives.Life(worker=row["name"], born=born)
+        assert life.identity == row["identity"], life.identity
+        assert lives.read_life(life.identity) == life, life
--- a/src/rackvalve/manager/contact.py
+++ b/src/rackvalve/manager/contact.py
@@ -32,8 +32,6 @@
 # An order to stop a run that no record names is not repeated for ever; the
 # next report asks for it again.
 STRAY_TRIES = 3
-# Most numbers of ends that a line shows.
-ENDS_SHOWN = 10
 
 
 class Contact:
@@ -66,8 +64,6 @@
         self._patience = timing.ORDER_TIMEOUT_S
         # How long beyond its wait the last ones took, in seconds.
         self._late = 0.0
-        # The birth that the last report told, in milliseconds since 1970.
-        self._born: int | None = None
 
     def start(self) -> None:
         """Start to hold and to send."""
@@ -179,7 +175,6 @@
     def _take_report(self, report: clients.Report) -> None:
         now = clocks.read_steady()
         self._answering = True
-        self._note_birth(report)
         if self._lost:
             self._lost = False
             logs.write_event(
@@ -190,27 +185,14 @@
         self._owner.take_report(
             self._worker,
             messages.Report(
-                sent=self._sent, running=report.running, ended=report.ended
+                sent=self._sent,
+                running=report.running,
+                ended=report.ended,
+                clock=report.clock,
             ),
             now,
         )
 
-    def _note_birth(self, report: clients.Report) -> None:
-        """Tell if another life has made this report than the last one."""
-        if self._born is not None and report.born != self._born:
-            logs.write_warning(
-                "worker.restarted",
-                worker=self._worker.identity,
-                born=report.born,
-                before=self._born,
-                clock=report.clock,
-                handled=self._worker.handled,
-                running=len(report.running),
-                ended=[str(row.number) for row in report.ended[:ENDS_SHOWN]],
-                runs=len(self._worker.runs),
-            )
-        self._born = report.born
-
     def _wait_for_record(self) -> None:
         """Let the ends of the last report come into the store first."""
         until = clocks.read_steady() + timing.RECORD_WAIT_S
@@ -224,7 +206,7 @@
     def _take_outcome(self, outcome: clients.Outcome) -> None:
         """Act on an answer that is no report."""
         if isinstance(outcome, clients.OtherLife):
-            self._owner.end_life(self._worker.identity, "another life answers")
+            self._leave_life(outcome)
             return
         if isinstance(outcome, clients.Rejected):
             if outcome.reason is clients.Reason.FENCED:
@@ -242,6 +224,16 @@
             )
         self._answering = False
 
+    def _leave_life(self, other: clients.OtherLife) -> None:
+        """Have the owner turn to the life that answers instead."""
+        if other.born is None:
+            self._owner.end_life(self._worker.identity, "another life answers")
+            return
+        if not self._worker.established:
+            # Even one that tells another birth each time costs few calls.
+            gevent.sleep(timing.ORDER_PAUSE_S)
+        self._owner.follow(self._worker, other.born)
+
     def _send_forever(self) -> None:
         while True:
             _send_order(self._orders.get(), self)
--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -224,6 +224,7 @@
             return
         first = not worker.established
         self._handler.take(worker, report, now=now, wall=clocks.read_wall())
+        self._forget_lives()
         if first:
             logs.write_event(
                 "worker.established",
@@ -280,6 +281,22 @@
         """
         self._book.take_stop(worker, key, clocks.read_steady())
 
+    def _forget_lives(self) -> None:
+        """Have nothing more to do with lives that later ones have ended."""
+        for release in self._handler.released:
+            self._roster.forget(release.worker)
+            self._reporter.log_release(release)
+        self._handler.released.clear()
+
+    def follow(self, worker: workers.WorkerState, born: int) -> None:
+        """Turn to the life that answers in place of an earlier one.
+
+        :param worker: The earlier one.
+        :param born: When the later one began, in milliseconds since 1970.
+        """
+        if not self.deposed:
+            self._roster.follow(worker, born)
+
     def end_life(self, identity: str, reason: str) -> None:
         """Forget a worker whose life is over.
 
--- a/src/rackvalve/manager/ports.py
+++ b/src/rackvalve/manager/ports.py
@@ -94,6 +94,13 @@
         :param key: Full name of the task and number of the run.
         """
 
+    def follow(self, worker: workers.WorkerState, born: int) -> None:
+        """Turn to the life that answers in place of an earlier one.
+
+        :param worker: The earlier one.
+        :param born: When the later one began, in milliseconds since 1970.
+        """
+
     def end_life(self, identity: str, reason: str) -> None:
         """Forget a worker whose life is over.
 
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -17,7 +17,9 @@
 from rackvalve.platform import store as stores
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import endings
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import workers
@@ -85,9 +87,10 @@
             self._take(item)
             present.add(documents.worker_of(item.key))
         now = clocks.read_steady()
-        for identity, worker in self._book.workers.items():
-            if worker.entry is not None and identity not in present:
-                self._book.remove_entry(identity, now)
+        for worker in self._book.workers.values():
+            name = worker.life.worker
+            if worker.entry is not None and name not in present:
+                self._book.remove_entry(name, now)
         self._ask_recorded(now)
         self._on_change()
 
@@ -113,8 +116,7 @@
         :return: The runs that are over by that; ``None`` for a worker that
             is not known.
         """
-        contact = self._contacts.pop(identity, None)
-        self._early.pop(identity, None)
+        self.forget(identity)
         worker = self._book.workers.get(identity)
         if worker is not None:
             logs.write_event(
@@ -123,7 +125,8 @@
                 reason=reason,
                 runs=len(worker.runs),
             )
-        release = self._book.end_life(
+        release = endings.end_life(
+            self._book,
             identity,
             reason,
             now=clocks.read_steady(),
@@ -131,10 +134,53 @@
         )
         if release is not None:
             self._on_change()
+        return release
+
+    def forget(self, identity: str) -> None:
+        """End the contact with a life that is over.
+
+        :param identity: The life.
+        """
+        self._early.pop(identity, None)
+        contact = self._contacts.pop(identity, None)
         if contact is not None:
             # May be called by one of the contact's own greenlets.
             gevent.spawn(contact.close)
-        return release
+
+    def follow(self, worker: workers.WorkerState, born: int) -> None:
+        """Ask the life that answers in place of another one.
+
+        What the earlier one had is settled once the later one has told what
+        it has; until then nothing is said to be over.
+
+        :param worker: The earlier one.
+        :param born: When the later one began, in milliseconds since 1970.
+        """
+        if worker.replaced or worker.location is None:
+            return
+        life = lives.Life(worker=worker.life.worker, born=born)
+        worker.replaced = True
+        logs.write_event(
+            "worker.restarted",
+            worker=life.identity,
+            before=worker.identity,
+            handled=worker.handled,
+            runs=len(worker.runs),
+        )
+        self.forget(worker.identity)
+        if life.identity in self._contacts:
+            return
+        later = self._book.add_life(life.identity)
+        later.location = later.location or worker.location
+        later.note_extension(clocks.read_steady(), timing.WORKER_LEASE_S)
+        if worker.entry is not None:
+            self._pass_entry(worker.entry)
+        self._open_contact(later, later.location)
+
+    def _pass_entry(self, entry: fleet.Entry) -> None:
+        """Let an entry that tells no birth be the present life's."""
+        if lives.read_life(entry.identity).born is None:
+            self._book.set_entry(entry)
 
     def forget_gone(self, now: float) -> None:
         """Forget workers that have left: no entry, no answer, no lease.
@@ -144,12 +190,12 @@
         for identity, worker in list(self._book.workers.items()):
             if worker.runs or not worker.is_over(now):
                 continue
-            gone = worker.entry is None or (
+            is_missing = (
                 worker.gone_since is not None
                 and now - worker.gone_since > timing.ENTRY_GRACE_S
                 and now - worker.answered > timing.ENTRY_GRACE_S
             )
-            if gone:
+            if worker.entry is None or worker.replaced or is_missing:
                 self.end_life(identity, "its entry is gone, it is silent")
 
     def _ask_recorded(self, now: float) -> None:
@@ -165,7 +211,8 @@
                 continue
             if identity in self._contacts:
                 continue
-            self._book.remove_entry(identity, now)
+            if worker.gone_since is None:
+                worker.gone_since = now
             logs.write_event(
                 "worker.recorded",
                 worker=identity,
@@ -202,14 +249,16 @@
             )
             # It names no worker to use; a life that had a good one before
             # is not over by that.
-            identity = documents.worker_of(item.key)
-            self._book.remove_entry(identity, clocks.read_steady())
+            name = documents.worker_of(item.key)
+            self._book.remove_entry(name, clocks.read_steady())
             return
         self._log(entry, item.revision)
         worker = self._book.set_entry(entry)
-        if entry.identity not in self._contacts:
+        name = worker.life.worker
+        self._book.remove_entry(name, clocks.read_steady(), besides=worker)
+        if worker.identity not in self._contacts:
             contact = self._open_contact(worker, entry.location)
-            for order in self._early.pop(entry.identity, []):
+            for order in self._early.pop(worker.identity, []):
                 contact.send(order)
 
     def _log(self, entry: fleet.Entry, revision: int) -> None:
@@ -221,6 +270,7 @@
                 pool=entry.pool,
                 on_vm=entry.vm,
                 revision=revision,
+                born=lives.read_life(entry.identity).born,
             )
         elif entry.draining and not known.entry.draining:
             logs.write_event(
--- a/src/rackvalve/platform/advisers.py
+++ b/src/rackvalve/platform/advisers.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from rackvalve.platform import connections
+from rackvalve.scheduling import lives
 
 STATUS_OK = 200
 # The service takes no more names in one call.
@@ -21,7 +22,7 @@
 class Admitted:
     """Workers that may run a step.
 
-    :param tickets: The ticket to bring with a start, by worker.
+    :param tickets: The ticket to bring with a start, by the worker's life.
     :param valid: How long the tickets hold, in seconds.
     """
 
@@ -61,11 +62,13 @@
         """Ask which workers may run a step.
 
         :param step: Name of the step.
-        :param workers: Identities of workers, :data:`WORKERS_PER_CALL` at
-            most.
+        :param workers: Identities of the lives of workers,
+            :data:`WORKERS_PER_CALL` at most.
         :param timeout: Longest wait for the answer, in seconds.
         """
-        body = msgspec.json.encode({"step": step, "workers": workers})
+        # The service knows each worker by its name, and its present life.
+        asked = {lives.read_life(life).worker: life for life in workers}
+        body = msgspec.json.encode({"step": step, "workers": list(asked)})
         raw = self._client.exchange(
             "POST", "/advise", body, timeout=timeout, alone=True
         )
@@ -77,4 +80,9 @@
             wire = msgspec.json.decode(raw.body, type=_WireAnswer)
         except msgspec.DecodeError as error:
             return Unavailable(reason=repr(error))
-        return Admitted(tickets=dict(wire.good), valid=wire.valid_ms / 1000)
+        tickets = {
+            asked[worker]: ticket
+            for worker, ticket in wire.good
+            if worker in asked
+        }
+        return Admitted(tickets=tickets, valid=wire.valid_ms / 1000)
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -13,7 +13,9 @@
 import msgspec
 
 from rackvalve import errors
+from rackvalve.platform import births
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import lives
 from rackvalve.scheduling import queues
 from rackvalve.workspaces import account as accounts
 from rackvalve.workspaces import credentials
@@ -34,7 +36,7 @@
 PORT_MOST = 65535
 _PORT = re.compile("[0-9]{1,5}")
 # It is sent in a header of each call.
-_IDENTITY = re.compile("[!-~]+")
+_NAME = re.compile("[!-~]+")
 
 
 class _WireAdvice(msgspec.Struct):
@@ -114,6 +116,7 @@
     # The data hall.
     zone: str = ""
     remaining_ms: float | None = None
+    born: msgspec.Raw = births.MISSING
 
 
 class _WireWave(msgspec.Struct, rename="kebab"):
@@ -152,7 +155,7 @@
 def read_worker(key: str, payload: bytes) -> fleet.Entry:
     """Decode what a worker says of itself.
 
-    :param key: Its key in the store, which ends with its identity.
+    :param key: Its key in the store, which ends with its name.
     :param payload: The stored value.
     :raises DocumentInvalidError: It does not decode.
     """
@@ -161,8 +164,9 @@
     host, port = _read_address(wire.addr)
     rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
     remaining = wire.remaining_ms
+    life = lives.Life(worker=worker_of(key), born=births.read_birth(wire.born))
     return fleet.Entry(
-        identity=worker_of(key),
+        identity=life.identity,
         pool=wire.service,
         host=host,
         port=port,
@@ -180,13 +184,13 @@
     )
 
 
-def _check_server(identity: str, wire: _WireServer) -> None:
+def _check_server(name: str, wire: _WireServer) -> None:
     """Check that an entry names a worker that can be used.
 
     :raises DocumentInvalidError: It does not; it may be of another writer.
     """
-    if not _IDENTITY.fullmatch(identity):
-        raise errors.DocumentInvalidError(f"identity {identity!r}")
+    if not _NAME.fullmatch(name):
+        raise errors.DocumentInvalidError(f"name {name!r}")
     if wire.state not in STATES:
         raise errors.DocumentInvalidError(f"state {wire.state!r}")
     if not wire.service:
@@ -212,7 +216,7 @@
 
 
 def worker_of(key: str) -> str:
-    """Return the identity of the worker that a key belongs to.
+    """Return the name of the worker that a key belongs to.
 
     :param key: The key of a worker's entry.
     """
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -10,6 +10,7 @@
 
 from rackvalve.platform import births
 from rackvalve.platform import connections
+from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 
 STATUS_OK = 200
@@ -93,7 +94,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class OtherLife:
-    """Another life of a worker answers at this address."""
+    """Another life of a worker answers at this address.
+
+    :param born: Its birth if it has the name of the one that was called, in
+        milliseconds since 1970; ``None`` for another worker.
+    """
+
+    born: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -131,7 +138,7 @@
     # prove all runs over.
     running: list[list[str | int | float]]
     ended: list[list[str | int]]
-    born: msgspec.Raw = msgspec.Raw(b"null")
+    born: msgspec.Raw = births.MISSING
 
 
 class _OtherCallError(ValueError):
@@ -150,11 +157,18 @@
 
     :param host: IP number of its address.
     :param port: Port of its address.
-    :param life: Its identity, which appears nowhere else.
+    :param life: Its identity.
     :param timeout: Longest wait for the answer to an order, in seconds.
     """
 
-    __slots__ = ("_orders", "_holds", "_reported", "_headers", "timeout")
+    __slots__ = (
+        "_orders",
+        "_holds",
+        "_reported",
+        "_headers",
+        "_born",
+        "timeout",
+    )
 
     def __init__(
         self, host: str, port: int, life: str, *, timeout: float
@@ -164,7 +178,10 @@
         self._holds = connections.HttpClient(host, port)
         # What the clock showed in the last report, in seconds.
         self._reported = float("-inf")
-        self._headers = ((LIFE_HEADER, life),)
+        known = lives.read_life(life)
+        # By its name a call reaches whatever life the worker has now.
+        self._headers = ((LIFE_HEADER, known.worker),)
+        self._born = known.born
         # Longest wait for the answer to an order, in seconds.
         self.timeout = timeout
 
@@ -276,6 +293,8 @@
             # Clocks are told in whole milliseconds: the report before, told
             # once more, shows no earlier time than is known.
             later = math.nextafter(self._reported, math.inf)
+            if self._is_others(report):
+                return OtherLife(born=report.born)
             _check_clock(report.clock, raw, max(least, later))
         except _UNREADABLE as error:
             self._holds.distrust()
@@ -283,6 +302,10 @@
         self._reported = report.clock
         return report
 
+    def _is_others(self, report: Report) -> bool:
+        """Return whether another life of the worker has made a report."""
+        return report.born is not None and report.born != self._born
+
     def _order(
         self, path: str, order: dict[str, str | int], least: float
     ) -> Outcome:
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -13,11 +13,11 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.scheduling import beginnings
-from rackvalve.scheduling import crashes
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import index
+from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
-from rackvalve.scheduling import releases
 from rackvalve.scheduling import speeds
 from rackvalve.scheduling import workers
 from rackvalve.workspaces import account as accounts
@@ -51,6 +51,7 @@
         "jobs",
         "open_jobs",
         "workers",
+        "names",
         "lives",
         "members",
         "orders",
@@ -81,10 +82,11 @@
         # and must not cost time at each decision.
         self.open_jobs: dict[str, progress.JobState] = {}
         self.workers: dict[str, workers.WorkerState] = {}
-        # The same workers by their VM, once their entries have named it.
-        self.lives: dict[str, dict[str, workers.WorkerState]] = {}
-        # And by the pool that they work for.
-        self.members: dict[str, dict[str, workers.WorkerState]] = {}
+        # The same workers by their names, which several lives may have.
+        self.names = index.Index()
+        # And by their VM and pool, once their entries have named them.
+        self.lives = index.Index()
+        self.members = index.Index()
         # What is to be sent to workers, oldest first.
         self.orders: collections.deque[messages.Order] = collections.deque()
         # Jobs of which a first task has begun and that were not told of yet.
@@ -142,7 +144,7 @@
             self.open_jobs[state.identity] = state
         for task in state.tasks.values():
             for run in task.runs.values():
-                worker = self._worker_of(run.worker)
+                worker = self.add_life(run.worker)
                 worker.location = worker.location or run.location
                 worker.add(workers.Placed(state, task, run))
                 self._count_run(state, task)
@@ -187,22 +189,46 @@
 
         :param entry: Its newest entry.
         """
-        worker = self._worker_of(entry.identity)
+        worker = None
+        life = lives.read_life(entry.identity)
+        if life.born is None:
+            # It may be of whichever life the worker has now.
+            worker = self.find_present(life.worker)
+        if worker is None:
+            worker = self.add_life(entry.identity)
         worker.set_entry(entry)
         worker.set_evacuated(self.evacuated)
-        self.lives.setdefault(entry.vm, {})[entry.identity] = worker
-        self.members.setdefault(entry.pool, {})[entry.identity] = worker
+        self.lives.add(entry.vm, worker)
+        self.members.add(entry.pool, worker)
         return worker
 
-    def remove_entry(self, identity: str, now: float) -> None:
+    def remove_entry(
+        self,
+        name: str,
+        now: float,
+        *,
+        besides: workers.WorkerState | None = None,
+    ) -> None:
         """Note that a worker's entry is missing in the store, or unreadable.
 
-        :param identity: The worker.
+        :param name: Name of the worker.
         :param now: Present time, in seconds.
+        :param besides: The life that the entry is of, if there is one.
+        """
+        for worker in self.names.find(name):
+            if worker is not besides and worker.gone_since is None:
+                worker.gone_since = now
+
+    def find_present(self, name: str) -> workers.WorkerState | None:
+        """Return the life that a worker has now, as far as is known.
+
+        :param name: Name of the worker.
         """
-        worker = self.workers.get(identity)
-        if worker is not None and worker.gone_since is None:
-            worker.gone_since = now
+        known = self.names.find(name)
+        present = [worker for worker in known if not worker.replaced]
+        if not known:
+            return None
+        return present[-1] if present else known[-1]
 
     def place(
         self,
@@ -377,64 +403,20 @@
         if placed is not None and placed.run.confirmed_at is None:
             placed.run.confirmed_at = now
 
-    def release_all(
-        self,
-        worker: workers.WorkerState,
-        proof: str,
-        *,
-        now: float,
-        wall: float,
-    ) -> releases.Release:
-        """Forget the runs of a worker that a proof has ended.
-
-        No report will tell of them, so their ends are accounted for here.
-
-        :param worker: The worker.
-        :param proof: What proves that they are over.
-        :param now: Present time, in seconds.
-        :param wall: Present time, seconds since 1970.
-        :return: What was released.
-        """
-        ended = list(worker.runs.values())
-        fate = releases.judge_fate(worker, proof)
-        for placed in ended:
-            crashes.blame(placed, fate, now, ended)
-            # Failures of lasting tasks are not bounded.
-            if fate is releases.Fate.OUT_OF_REACH and not placed.step.lasting:
-                placed.task.untold.add(placed.run.number)
-        release = releases.make(worker, proof, now)
-        for placed in ended:
-            self.release(placed, now)
-        for placed in ended:
-            self._give_up(placed, wall)
-        return release
-
-    def _give_up(self, placed: workers.Placed, wall: float) -> None:
-        """End a job if too many workers crashed under one of its tasks."""
-        task, state = placed.task, placed.state
-        if state.is_final or not crashes.is_given_up(task):
-            return
-        reason = f"{task.crashes} workers crashed under task {task.name}"
-        self.finish_job(state, progress.Phase.FAILED, wall, reason)
-
-    def end_life(
-        self, identity: str, proof: str, *, now: float, wall: float
-    ) -> releases.Release | None:
-        """Forget a worker whose life is over, and all its runs.
+    def remove_life(self, identity: str) -> workers.WorkerState | None:
+        """Take a life that is over out; its runs are still to be released.
 
-        :param identity: The worker.
-        :param proof: What proves that it is over.
-        :param now: Present time, in seconds.
-        :param wall: Present time, seconds since 1970.
-        :return: What was released; ``None`` for a worker that is not known.
+        :param identity: The life.
+        :return: The life; ``None`` if it is not known.
         """
         worker = self.workers.pop(identity, None)
         if worker is None:
             return None
+        self.names.remove(worker.life.worker, worker)
         if worker.entry is not None:
-            _forget(self.lives, worker.entry.vm, identity)
-            _forget(self.members, worker.entry.pool, identity)
-        return self.release_all(worker, proof, now=now, wall=wall)
+            self.lives.remove(worker.entry.vm, worker)
+            self.members.remove(worker.entry.pool, worker)
+        return worker
 
     def mark(self, state: progress.JobState, *, urgent: bool = False) -> None:
         """Have a job's record written.
@@ -482,19 +464,33 @@
         )
         self.release(placed or workers.Placed(state, task, run), now)
 
-    def _worker_of(self, identity: str) -> workers.WorkerState:
+    def add_life(self, identity: str) -> workers.WorkerState:
+        """Return a life of a worker, which may have been unknown.
+
+        :param identity: Its identity.
+        """
         found = self.workers.get(identity)
         if found is None:
             found = workers.WorkerState(identity, None, self._inherited_until)
             self.workers[identity] = found
+            self.names.add(found.life.worker, found)
         return found
 
+    def move_run(
+        self, placed: workers.Placed, later: workers.WorkerState
+    ) -> None:
+        """Take a run to be on a later life of its worker.
 
-def _forget(
-    index: dict[str, dict[str, workers.WorkerState]], key: str, identity: str
-) -> None:
-    """Take a worker out of an index, and its key with the last one."""
-    found = index.get(key, {})
-    found.pop(identity, None)
-    if not found:
-        index.pop(key, None)
+        :param placed: The run.
+        :param later: The life.
+        """
+        run = placed.run
+        self.workers[run.worker].drop(placed)
+        run.worker = later.identity
+        run.location = later.location
+        later.add(placed)
+        self.mark(placed.state)
+        if run.stop_wanted and run.stage is not progress.Stage.PLANNED:
+            # The life before was told to stop it.
+            run.stop_wanted = False
+            self.stop(placed.state, placed.task, run, "it is to be stopped")
--- /dev/null
+++ b/src/rackvalve/scheduling/endings.py
@@ -0,0 +1,83 @@
+"""Ends of runs that no report will tell, by a proof about their worker."""
+
+from __future__ import annotations
+
+from rackvalve.jobs import progress
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import crashes
+from rackvalve.scheduling import releases
+from rackvalve.scheduling import workers
+
+
+def release_all(
+    book: books.Book,
+    worker: workers.WorkerState,
+    proof: str,
+    *,
+    now: float,
+    wall: float,
+) -> releases.Release:
+    """Forget the runs of a worker that a proof has ended.
+
+    :param book: The book.
+    :param worker: The worker.
+    :param proof: What proves that they are over.
+    :param now: Present time, in seconds.
+    :param wall: Present time, seconds since 1970.
+    :return: What was released.
+    """
+    ended = list(worker.runs.values())
+    fate = releases.judge_fate(worker, proof)
+    for placed in ended:
+        crashes.blame(placed, fate, now, ended)
+        # Failures of lasting tasks are not bounded.
+        if fate is releases.Fate.OUT_OF_REACH and not placed.step.lasting:
+            placed.task.untold.add(placed.run.number)
+    release = releases.make(worker, proof, now)
+    for placed in ended:
+        book.release(placed, now)
+    for placed in ended:
+        _give_up(book, placed, wall)
+    return release
+
+
+def release_over(
+    book: books.Book, worker: workers.WorkerState, now: float, wall: float
+) -> releases.Release:
+    """Forget the runs of a worker whose leases are over.
+
+    :param book: The book.
+    :param worker: The worker.
+    :param now: Present time, in seconds.
+    :param wall: Present time, seconds since 1970.
+    :return: What was released.
+    """
+    proof = releases.find_proof(worker)
+    return release_all(book, worker, proof, now=now, wall=wall)
+
+
+def end_life(
+    book: books.Book, identity: str, proof: str, *, now: float, wall: float
+) -> releases.Release | None:
+    """Forget a life of a worker that is over, and all its runs.
+
+    :param book: The book.
+    :param identity: The life.
+    :param proof: What proves that it is over.
+    :param now: Present time, in seconds.
+    :param wall: Present time, seconds since 1970.
+    :return: What was released; ``None`` for a life that is not known.
+    """
+    worker = book.remove_life(identity)
+    if worker is None:
+        return None
+    return release_all(book, worker, proof, now=now, wall=wall)
+
+
+def _give_up(book: books.Book, placed: workers.Placed, wall: float) -> None:
+    """End a job if too many workers crashed under one of its tasks."""
+    task, state = placed.task, placed.state
+    if state.is_final or not crashes.is_given_up(task):
+        return
+    reason = f"{task.crashes} workers crashed under task {task.name}"
+    book.finish_job(state, progress.Phase.FAILED, wall, reason)
--- a/src/rackvalve/scheduling/fleet.py
+++ b/src/rackvalve/scheduling/fleet.py
@@ -105,7 +105,7 @@
 class Entry:
     """What one life of a worker says of itself.
 
-    :param identity: Its identity, which appears nowhere else.
+    :param identity: Identity of the life, as :mod:`lives` makes it.
     :param pool: The pool that it works for.
     :param host: IP number.
     :param port: Port.
@@ -154,7 +154,7 @@
     :param identity: Its name, which stays with it.
     :param pool: Its pool.
     :param condition: What state it is in.
-    :param worker: Identity of the worker that lives on it, empty for none.
+    :param worker: Name of the worker that lives on it, empty for none.
     :param hall: The data hall that it stands in.
     """
 
--- a/src/rackvalve/scheduling/hindrance.py
+++ b/src/rackvalve/scheduling/hindrance.py
@@ -203,7 +203,7 @@
         found = self._pools.get(name)
         if found is None:
             found = self._pools[name] = PoolState(
-                list(self._book.members.get(name, {}).values()),
+                self._book.members.find(name),
                 self._planner.list_members(name, self._now),
                 self._now,
                 self._freshness,
--- a/src/rackvalve/scheduling/messages.py
+++ b/src/rackvalve/scheduling/messages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from rackvalve.jobs import definition
 
@@ -128,11 +129,14 @@
     :param sent: When the hold was sent, in seconds.
     :param running: What runs.
     :param ended: What ended and was not acknowledged.
+    :param clock: What the worker's steady clock showed, in seconds: how long
+        this life has lasted at least; endless if that is not known.
     """
 
     sent: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    clock: float = math.inf
 
 
 Order = StartRun | StopRun | SetPace
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -17,6 +17,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import crashes
+from rackvalve.scheduling import endings
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import objectives
@@ -114,10 +115,8 @@
         released: list[releases.Release] = []
         for worker in list(self._book.workers.values()):
             if worker.runs and worker.is_over(now):
-                proof = releases.find_proof(worker)
-                released.append(
-                    self._book.release_all(worker, proof, now=now, wall=wall)
-                )
+                over = endings.release_over(self._book, worker, now, wall)
+                released.append(over)
                 continue
             for placed in list(worker.runs.values()):
                 self._check_run(worker, placed, now)
@@ -263,7 +262,7 @@
         """
         members = [
             worker
-            for worker in self._book.members.get(pool, {}).values()
+            for worker in self._book.members.find(pool)
             if worker.takes_work(now, self._limits.freshness)
         ]
         quick = [worker for worker in members if now >= worker.slow_until]
--- a/src/rackvalve/scheduling/releases.py
+++ b/src/rackvalve/scheduling/releases.py
@@ -10,6 +10,7 @@
 
 LEASE_OVER = "its lease is over"
 LISTED_OFF = "its VM is listed as off"
+RESTARTED = "its worker has started again"
 
 
 class Fate(enum.Enum):
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -10,7 +10,9 @@
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import releases
 from rackvalve.scheduling import speeds
+from rackvalve.scheduling import succession
 from rackvalve.scheduling import workers
 
 # A worker tells at most this many ends at once; with as many, more may come.
@@ -63,6 +65,7 @@
         "_hold_wait",
         "_hold_most",
         "ended",
+        "released",
     )
 
     def __init__(
@@ -81,6 +84,8 @@
         self._hold_most = hold_most
         # Ends that were handled and not yet logged.
         self.ended: list[RunEnded] = []
+        # What ended with earlier lives of workers, not yet taken up.
+        self.released: list[releases.Release] = []
 
     def take(
         self,
@@ -101,6 +106,9 @@
         worker.heard = min(now, report.sent + self._hold_most)
         # After a pause of this process the answer tells of a time before it.
         worker.answered = min(now, report.sent + self._hold_wait)
+        self.released += succession.take_over(
+            self._book, worker, report, now=now, wall=wall
+        )
         for row in report.ended:
             if row.number <= worker.handled:
                 continue
@@ -123,6 +131,7 @@
                 self._stop_stray(worker, key)
         if not worker.established:
             worker.note_established(now, self._lease, self._settling)
+            worker.began = now - report.clock
 
     def _take_end(
         self,
--- a/src/rackvalve/scheduling/silence.py
+++ b/src/rackvalve/scheduling/silence.py
@@ -72,7 +72,9 @@
         :return: Workers that were newly found to be lost.
         """
         self._listings.take(
-            self._upkeep.vms, self._upkeep.read, self._book.workers
+            self._upkeep.vms,
+            self._upkeep.read,
+            {worker.life.worker for worker in self._book.workers.values()},
         )
         # Also those that only records name: their entries are gone.
         known = {
@@ -124,7 +126,9 @@
         assert worker.location is not None
         alive = self._last_sign(worker)
         vm = worker.location.vm
-        if not self._listings.prove_over(worker.identity, vm, alive):
+        if not self._listings.prove_over(
+            worker.life.worker, vm, began=worker.began, alive=alive
+        ):
             return False
         worker.note_lost()
         if worker.identity in self._lost:
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -167,7 +167,7 @@
         return {
             worker.identity
             for vm, pool in self.moving.items()
-            for worker in self._book.lives.get(vm, {}).values()
+            for worker in self._book.lives.find(vm)
             if worker.entry is not None and worker.entry.pool != pool
         }
 
@@ -253,7 +253,7 @@
         """
         if vm.lost or vm.hall in self._book.evacuated:
             return False
-        worker = self._book.workers.get(vm.worker)
+        worker = self._book.find_present(vm.worker)
         if worker is None or worker.entry is None:
             return not vm.up
         if worker.identity in self._silence.workers:
@@ -323,7 +323,7 @@
         later = self._upkeep.later()
         ranked: list[tuple[tuple[int, int, int], str]] = []
         for vm in self._upkeep.vms.values():
-            worker = self._book.workers.get(vm.worker)
+            worker = self._book.find_present(vm.worker)
             if vm.pool != name or not vm.up or vm.identity in away:
                 continue
             if worker is None or worker.entry is None:
--- /dev/null
+++ b/src/rackvalve/scheduling/succession.py
@@ -0,0 +1,82 @@
+"""When a worker has started again: what becomes of its life before.
+
+A life ends by the word of the one that follows it: no entry and no list can
+tell as surely, for they are of a moment ago.  That word also tells what has
+become of the runs.  An order that was still on its way may have met the later
+life, where its run then is, or has ended; what the later life doesn't name
+ended with the earlier one.
+"""
+
+from __future__ import annotations
+
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import endings
+from rackvalve.scheduling import messages
+from rackvalve.scheduling import releases
+from rackvalve.scheduling import workers
+
+
+def take_over(
+    book: books.Book,
+    worker: workers.WorkerState,
+    report: messages.Report,
+    *,
+    now: float,
+    wall: float,
+) -> list[releases.Release]:
+    """Let a life that answers take over from those before it.
+
+    :param book: The book.
+    :param worker: The life that has made the report.
+    :param report: All that it has.
+    :param now: Present time, in seconds.
+    :param wall: Present time, seconds since 1970.
+    :return: What ended with each of the lives before.
+    """
+    found = []
+    for earlier in _list_earlier(book, worker):
+        _move_runs(book, earlier, worker, report)
+        release = endings.end_life(
+            book, earlier.identity, releases.RESTARTED, now=now, wall=wall
+        )
+        if release is not None:
+            found.append(release)
+    return found
+
+
+def _list_earlier(
+    book: books.Book, worker: workers.WorkerState
+) -> list[workers.WorkerState]:
+    """Return the lives that a worker has had before.
+
+    One that only an entry names, and that was never asked, may be the next.
+    """
+    return [
+        other
+        for other in book.names.find(worker.life.worker)
+        if other is not worker
+        and (
+            other.replaced
+            or other.established
+            or other.entry is None
+            or other.life.born is None
+        )
+    ]
+
+
+def _move_runs(
+    book: books.Book,
+    earlier: workers.WorkerState,
+    later: workers.WorkerState,
+    report: messages.Report,
+) -> None:
+    """Move the runs that are, or were, on the later life.
+
+    A record that tells no birth may mean the later one in all of its runs.
+    """
+    told = {(row.task, row.run) for row in report.running}
+    told |= {(row.task, row.run) for row in report.ended}
+    is_unknown = earlier.life.born is None
+    for key, placed in list(earlier.runs.items()):
+        if key in told or (is_unknown and placed.run.inherited):
+            book.move_run(placed, later)
--- a/src/rackvalve/scheduling/upkeep.py
+++ b/src/rackvalve/scheduling/upkeep.py
@@ -247,11 +247,10 @@
 
         :param vm: The VM.
         """
-        lives = dict(self._book.lives.get(vm, {}))
+        found = self._book.lives.find(vm)
         listed = self.vms.get(vm)
-        if listed is not None and listed.worker in self._book.workers:
-            lives[listed.worker] = self._book.workers[listed.worker]
-        return list(lives.values())
+        named = self._book.names.find(listed.worker) if listed else []
+        return found + [worker for worker in named if worker not in found]
 
     def vacate(
         self, vm: str, reason: str, patience: float, now: float
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -4,6 +4,7 @@
 
 from rackvalve.jobs import progress
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import lives
 
 # How much slower than ours a worker's clock may run; the platform's pages
 # give 2 %, one more is margin.
@@ -46,7 +47,7 @@
 class WorkerState:
     """One life of a worker.
 
-    :param identity: Its identity.
+    :param identity: Identity of the life.
     :param entry: What it says of itself; ``None`` if only a job's record
         names it.
     :param lease_over: When all that an earlier owner may have let run there
@@ -55,12 +56,15 @@
 
     __slots__ = (
         "identity",
+        "life",
+        "replaced",
         "entry",
         "location",
         "free",
         "runs",
         "suspects",
         "established",
+        "began",
         "settled",
         "heard",
         "answered",
@@ -83,6 +87,9 @@
         self, identity: str, entry: fleet.Entry | None, lease_over: float
     ) -> None:
         self.identity = identity
+        self.life = lives.read_life(identity)
+        # Whether a later life has answered in its place.
+        self.replaced = False
         self.entry = entry
         # Where it can be asked, by its entry or else by a job's record.
         self.location = entry.location if entry is not None else None
@@ -92,6 +99,8 @@
         self.suspects: dict[RunKey, Placed] = {}
         # Whether it has taken our fencing token and told what runs.
         self.established = False
+        # No earlier than this did it begin, in seconds.
+        self.began = float("-inf")
         # When all stops of earlier owners have ended.
         self.settled = float("inf")
         # When its last answer to a hold came, and the time that it tells of.
@@ -218,6 +227,7 @@
             and self.established
             and now - self.heard <= freshness
             and self.gone_since is None
+            and not self.replaced
         )
 
     def note_write(self, write: int) -> None:
--- a/tools/emulator/day.py
+++ b/tools/emulator/day.py
@@ -18,6 +18,7 @@
 from rackvalve.jobs import progress
 from rackvalve.manager import timing
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import endings
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
@@ -234,18 +235,17 @@
             self.planner.stop_and_release(self.now, self.now)
             for vm in self.vms.values():
                 self._hold(vm)
-            self._forget_gone()
+            self._forget_gone(self.now)
             self._wake()
             self._take_changes()
         self._sample()
         self.at(self.now + timing.CHECK_INTERVAL_S, self._check)
 
-    def _forget_gone(self) -> None:
-        now = self.now
-        for identity, worker in list(self.book.workers.items()):
-            gone = identity not in self._by_worker and worker.is_over(now)
-            if gone and now - worker.answered > timing.ENTRY_GRACE_S:
-                self.book.end_life(identity, "gone", now=now, wall=now)
+    def _forget_gone(self, now: float) -> None:
+        for name, worker in list(self.book.workers.items()):
+            is_gone = name not in self._by_worker and worker.is_over(now)
+            if is_gone and now - worker.answered > timing.ENTRY_GRACE_S:
+                endings.end_life(self.book, name, "gone", now=now, wall=now)
 
     def _care(self) -> None:
         if not self._is_away():
