A call to a worker is carried out by the life that it is meant for only

Callers saw nothing yet; found by reading, shown by the stand-in. A call names a worker, and whatever life has the name carries it out: until its owner knew of the next life, that one started runs that were taken to be on the life before, released with it and started again elsewhere, and it forgot ends that nobody had read.

Cause: the header that names the intended life names the worker. Mend: a connection leads to one life for as long as it is open, for it ends with its process. So a new connection first asks what the worker has, which changes nothing, and carries anything else only if the life that is meant has answered. Its answer stands for the hold's own. Workers that tell no birth are called as before, and servers that end each connection by their answer are asked before each call. An order that finds another life, or no answer, was not sent, so that its task need not wait for a lease.

Ruled out: to believe the clock, which starts anew: a life that was short, or a VM that was suspended, shows the same.

The four calls of the outline were carried out by the next life before (Done, no end left), by none now; answers.feature (answers that come twice or end their connection) as before.

--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -107,4 +107,6 @@
     Examples:
       | call                                  |
       | a start                               |
+      | a stop                                |
       | a hold that lets it forget 8 ends     |
+      | a start while all answers end their connection |
--- a/features/steps/restarted_life_steps.py
+++ b/features/steps/restarted_life_steps.py
@@ -11,7 +11,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.platform import documents
-from rackvalve.platform import workers as clients
+from rackvalve.platform import reports
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
@@ -258,7 +258,7 @@
     text = json.dumps({**report, **field}).encode()
     context.births = [
         lives.read_life(read.identity).born,
-        clients._read_report(text).born,
+        reports.read_report(text).born,
     ]
 
 
--- a/src/rackvalve/platform/connections.py
+++ b/src/rackvalve/platform/connections.py
@@ -103,6 +103,17 @@
         self._address = (host, port)
         self._drop_idle()
 
+    def has_connection(self) -> bool:
+        """Return whether the next call can go over a connection that is open.
+
+        It does so if it is made before anything else is waited for.
+        """
+        connection = self._find_idle()
+        if connection is None:
+            return False
+        self._idle.append(connection)
+        return True
+
     def distrust(self) -> None:
         """Use no connection again that is idle now.
 
@@ -208,6 +219,10 @@
 
     def _take_connection(self) -> _Connection:
         """Return the connection that was used last, or a new one."""
+        return self._find_idle() or self._open()
+
+    def _find_idle(self) -> _Connection | None:
+        """Take the connection that was used last, if it can still be used."""
         now = gevent.get_hub().loop.now()
         while self._idle:
             connection = self._idle.pop()
@@ -216,7 +231,7 @@
             if is_recent and not _has_ended(connection.sock):
                 return connection
             _end(connection)
-        return self._open()
+        return None
 
     def _open(self) -> _Connection:
         sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -8,27 +8,22 @@
 
 import msgspec
 
-from rackvalve.platform import births
 from rackvalve.platform import connections
+from rackvalve.platform import reports
 from rackvalve.scheduling import lives
-from rackvalve.scheduling import messages
 
 STATUS_OK = 200
 STATUS_REJECTED = 409
 STATUS_OTHER_LIFE = 421
 STATUS_UNWELL = frozenset({429, 503})
-# The other words mean that a run did not end by itself: stopped; lapsed (its
-# lease ran out); broken (another member of its gang ended); alone (the other
-# members did not come).
-_ENDINGS = {
-    "done": messages.Ending.DONE,
-    "failed": messages.Ending.FAILED,
-}
 LIFE_HEADER = "Expect-Instance"
 # The longest that a steady clock may have run: 30,000 years.  Leases that end
 # after it could not be written, and no answer could tell so any more.
 CLOCK_MOST_S = 1e12
 
+# What a worker answers to a hold.
+Report = reports.Report
+
 
 class Reason(enum.Enum):
     """Why a worker rejected a start, in the platform's words."""
@@ -43,23 +38,6 @@
     TICKET = "ticket"
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Report:
-    """What a worker says of itself.
-
-    :param clock: The worker's steady clock, in seconds.
-    :param running: All runs on it.
-    :param ended: Ends that were not acknowledged yet, oldest first.
-    :param born: When the life began that tells this, in milliseconds since
-        1970; ``None`` if it does not tell.
-    """
-
-    clock: float
-    running: tuple[messages.RunningRow, ...]
-    ended: tuple[messages.EndedRow, ...]
-    born: int | None = None
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Done:
     """The worker has carried out the order.
@@ -130,15 +108,8 @@
 class _WireAnswer(msgspec.Struct):
     clock: float = msgspec.field(name="clock-ms")
     reason: str = ""
-
-
-class _WireReport(msgspec.Struct):
-    clock: float = msgspec.field(name="clock-ms")
-    # Without these it is the answer to an order: taken for a report, it would
-    # prove all runs over.
-    running: list[list[str | int | float]]
-    ended: list[list[str | int]]
-    born: msgspec.Raw = births.MISSING
+    # With this it is the answer to a hold.
+    running: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class _OtherCallError(ValueError):
@@ -155,6 +126,10 @@
     elsewhere.  A clock that is behind on a new connection is a worker that was
     suspended.
 
+    A worker may start again under its name.  A new connection asks first which
+    life is there, if the worker tells births, and carries other calls to the
+    one that is meant only.
+
     :param host: IP number of its address.
     :param port: Port of its address.
     :param life: Its identity.
@@ -204,6 +179,8 @@
     ) -> Outcome:
         """Start a run of a task.
 
+        One that could not be sent to this life was not sent.
+
         :param task: Name of the task.
         :param run: Number of the run.
         :param spec: The job's text for its tasks.
@@ -277,6 +254,10 @@
         :param timeout: How much later its answer may come, in seconds.
         :param least: The least that the worker's clock can show, in seconds.
         """
+        if self._must_ask(self._holds):
+            shown = self._ask_life(self._holds, fence, timeout)
+            if not isinstance(shown, Report) or self._holds.has_connection():
+                return shown
         order: dict[str, str | int] = {
             "fence": fence,
             "last-seen": acknowledged,
@@ -285,21 +266,56 @@
             order["until-ms"] = int(lease_until * 1000)
         if wait > 0:
             order["wait-ms"] = int(wait * 1000)
-        raw = self._send(self._holds, "/hold", order, wait + timeout)
+        # The report before, told once more, shows no earlier time than is
+        # known: clocks are told in whole milliseconds.
+        later = max(least, math.nextafter(self._reported, math.inf))
+        return self._take_hold(self._holds, order, wait + timeout, later)
+
+    def _must_ask(self, client: connections.HttpClient) -> bool:
+        """Return whether it is to be asked first which life is there.
+
+        A call reaches whatever life has the worker's name.  The one that
+        answered on a connection is there for as long as that is open; on a
+        new one, a start might run beside another of its task, and ends that
+        nobody has read might be forgotten.
+        """
+        return self._born is not None and not client.has_connection()
+
+    def _ask_life(
+        self, client: connections.HttpClient, fence: int, timeout: float
+    ) -> Report | Outcome:
+        """Ask what a worker has, and change nothing there.
+
+        :return: The report, if it is this life's.
+        """
+        order: dict[str, str | int] = {"fence": fence, "last-seen": 0}
+        return self._take_hold(client, order, timeout, float("-inf"))
+
+    def _take_hold(
+        self,
+        client: connections.HttpClient,
+        order: dict[str, str | int],
+        timeout: float,
+        least: float,
+    ) -> Report | Outcome:
+        """Make a hold.
+
+        :param least: The least that the worker's clock can show, in seconds.
+        """
+        raw = self._send(client, "/hold", order, timeout)
         if not isinstance(raw, connections.Answer) or raw.status != STATUS_OK:
-            return _read_outcome(raw, self._holds, least)
+            return _read_outcome(raw, client, least)
         try:
-            report = _read_report(raw.body)
-            # Clocks are told in whole milliseconds: the report before, told
-            # once more, shows no earlier time than is known.
-            later = math.nextafter(self._reported, math.inf)
+            report = reports.read_report(raw.body)
             if self._is_others(report):
+                client.distrust()
                 return OtherLife(born=report.born)
-            _check_clock(report.clock, raw, max(least, later))
+            _check_clock(report.clock, raw, least)
         except _UNREADABLE as error:
-            self._holds.distrust()
+            client.distrust()
             return connections.NoAnswer(reason=repr(error), sent=True)
-        self._reported = report.clock
+        if client is self._holds:
+            self._reported = report.clock
         return report
 
     def _is_others(self, report: Report) -> bool:
@@ -309,14 +325,47 @@
     def _order(
         self, path: str, order: dict[str, str | int], least: float
     ) -> Outcome:
-        raw = self._send(self._orders, path, order, self.timeout)
-        if _shows_nothing(raw):
-            # Believed, an earlier order's refusal would let a task start
-            # elsewhere while it runs here.  An order may come twice.
-            self._orders.distrust()
-            raw = self._send(
-                self._orders, path, order, self.timeout, alone=True
-            )
+        outcome = self._try_order(path, order, least, is_last=False)
+        if outcome is not None:
+            return outcome
+        # Believed, an earlier order's refusal would let a task start
+        # elsewhere while it runs here.  An order may come twice.
+        self._orders.distrust()
+        outcome = self._try_order(path, order, least, is_last=True)
+        assert outcome is not None
+        return outcome
+
+    def _try_order(
+        self,
+        path: str,
+        order: dict[str, str | int],
+        least: float,
+        *,
+        is_last: bool,
+    ) -> Outcome | None:
+        """Send an order once, to this life only.
+
+        :param is_last: Whether it has a connection to itself.
+        :return: What its answer comes to; ``None`` if that may be another
+            order's.
+        """
+        asks = self._must_ask(self._orders)
+        if asks:
+            fence = int(order["fence"])
+            shown = self._ask_life(self._orders, fence, self.timeout)
+            if not isinstance(shown, Report):
+                return _withhold(shown)
+            # That of a worker that was suspended is behind.
+            least = min(least, shown.clock)
+        raw = self._send(
+            self._orders,
+            path,
+            order,
+            self.timeout,
+            alone=is_last and not asks,
+        )
+        if _shows_nothing(raw) and not asks and not is_last:
+            return None
         return _read_outcome(raw, self._orders, least)
 
     def _send(
@@ -338,6 +387,13 @@
         )
 
 
+def _withhold(outcome: Outcome) -> Outcome:
+    """Return what becomes of an order that was not sent for an outcome."""
+    if isinstance(outcome, connections.NoAnswer):
+        return connections.NoAnswer(reason=outcome.reason, sent=False)
+    return outcome
+
+
 def _shows_nothing(raw: connections.Answer | connections.NoAnswer) -> bool:
     """Return whether nothing tells which order an answer belongs to."""
     if isinstance(raw, connections.NoAnswer) or raw.first:
@@ -382,6 +438,8 @@
         return Malformed(status=raw.status)
     try:
         wire = msgspec.json.decode(raw.body, type=_WireAnswer)
+        if wire.running is not msgspec.UNSET:
+            raise _OtherCallError("the answer to a hold")
         clock = wire.clock / 1000
         _check_clock(clock, raw, least)
     except _UNREADABLE as error:
@@ -393,34 +451,3 @@
         return Rejected(clock=clock, reason=Reason(wire.reason))
     except ValueError:
         return Rejected(clock=clock, reason=None)
-
-
-def _read_report(body: bytes) -> Report:
-    wire = msgspec.json.decode(body, type=_WireReport)
-    running = tuple(
-        messages.RunningRow(
-            task=str(row[0]),
-            run=int(row[1]),
-            checkpoint=str(row[2]),
-            percent=float(row[3]),
-            load=float(row[4]) if len(row) > 4 else 0.0,
-        )
-        for row in wire.running
-    )
-    ended = tuple(
-        messages.EndedRow(
-            number=int(row[0]),
-            task=str(row[1]),
-            run=int(row[2]),
-            ending=_ENDINGS.get(str(row[3]), messages.Ending.CUT_SHORT),
-            cause=str(row[3]),
-            checkpoint=str(row[4]),
-        )
-        for row in wire.ended
-    )
-    return Report(
-        clock=wire.clock / 1000,
-        running=running,
-        ended=ended,
-        born=births.read_birth(wire.born),
-    )
