A step is asked about again when all whose tickets it has have started again

Callers: a step with an admission waited until its tickets ran out, up to their whole time, where the workers that were admitted had started again (or were gone). Cause: the question is only asked where a step has no tickets, and those of a life that is over are of no use. Mend: tickets of lives that the owner knows count. Found by reading, for the same cause elsewhere; the scenario failed before (asked once, nothing started).

--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -136,3 +136,10 @@
       | a stop                                |
       | a hold that lets it forget 8 ends     |
       | a start while all answers end their connection |
+
+  # Found by reading: the tickets of a life are of no use to the next one, and until they
+  # ran out nobody asked for others.
+  Scenario: A step whose admitted worker has started again is asked about again
+    Given a step whose only worker is admitted for a minute
+    When the worker starts again
+    Then it is asked whether the later life may run the step, and it may
--- a/features/steps/restarted_life_steps.py
+++ b/features/steps/restarted_life_steps.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from unittest import mock
 
 import behave
 
 from features import job_bench as benches
+from features import job_models as models
 from features import vm_bench
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.manager import admission as admissions
 from rackvalve.manager import contact as contacts
+from rackvalve.platform import advisers
 from rackvalve.platform import documents
 from rackvalve.platform import reports
 from rackvalve.platform import workers as clients
@@ -19,6 +23,7 @@
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import queues
 from rackvalve.scheduling import silence
 from rackvalve.scheduling import upkeep
 
@@ -305,3 +310,54 @@
     shown = context.owner.fences.find(context.worker)
     assert shown == (9 if does == "uses that one" else 7), shown
     assert context.owner.depose.called == (does == "is deposed")
+
+
+class FakeAdviser:
+    """Admits each worker that it is asked about."""
+
+    def __init__(self):
+        self.asked = []
+
+    def ask(self, step, workers, timeout):
+        self.asked.append(workers)
+        tickets = {worker: f"ticket-{worker}" for worker in workers}
+        return advisers.Admitted(tickets=tickets, valid=60.0)
+
+
+@behave.given("a step whose only worker is admitted for a minute")
+def admit(context):
+    bench = context.bench = benches.Bench([EARLIER])
+    advice = queues.Advice(decide_time=0.1, worker_time=0.01, valid=60.0)
+    queue = dataclasses.replace(models.QUEUE, advice=advice)
+    bench.book.set_configuration(
+        dataclasses.replace(models.CONFIGURATION, queues=(queue,))
+    )
+    context.state = bench.add(definition.Step(tasks=1, cpu=1))
+    context.adviser = FakeAdviser()
+    context.admission = admissions.Admission(
+        context.adviser, bench.book, bench.planner, on_change=lambda: None
+    )
+    ask_next(context)
+    assert context.adviser.asked == [[EARLIER]]
+    ask_next(context)
+    assert context.adviser.asked == [[EARLIER]]
+
+
+def ask_next(context):
+    now = context.bench.now
+    with mock.patch.object(admissions.clocks, "read_steady", return_value=now):
+        context.admission._ask_next()
+
+
+@behave.when("the worker starts again")
+def begin_later(context):
+    start_again(context.bench)
+    ask_next(context)
+
+
+@behave.then("it is asked whether the later life may run the step, and it may")
+def check_asked(context):
+    assert context.adviser.asked == [[EARLIER], [LATER]]
+    context.bench.plan()
+    (order,) = context.bench.starts()
+    assert order.worker == LATER
--- a/src/rackvalve/manager/admission.py
+++ b/src/rackvalve/manager/admission.py
@@ -66,7 +66,7 @@
                 continue
             name = next(iter(state.waiting))
             step = state.step_name(name.repetition, name.step)
-            if self._planner.tickets.get(step):
+            if self._is_admitted(step):
                 continue
             names = self._find_candidates(state, name, queue, step, now)
             if names:
@@ -74,6 +74,14 @@
                 return True
         return False
 
+    def _is_admitted(self, step: str) -> bool:
+        """Return whether a worker that is known may run a step.
+
+        The tickets of a life that is over are of no use to the next one.
+        """
+        tickets = self._planner.tickets.get(step, {})
+        return any(life in self._book.workers for life in tickets)
+
     def _expire(self, now: float) -> None:
         for step, expiry in list(self._expiry.items()):
             if now >= expiry:
