--- a/features/job_models.py
+++ b/features/job_models.py
@@ -9,8 +9,8 @@
 import dataclasses
 
 from rackvalve.jobs import definition
+from rackvalve.jobs import lives
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
 
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -6,6 +6,7 @@
 
 from features import job_cores as cores
 from features import job_models as models
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve.manager import owner as owners
@@ -13,7 +14,6 @@
 from rackvalve.scheduling import endings
 from rackvalve.scheduling import fences
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import silence
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -143,3 +143,9 @@
     Given a step whose only worker is admitted for a minute
     When the worker starts again
     Then it is asked whether the later life may run the step, and it may
+
+  Scenario: A record tells births beside the names that earlier releases go by
+    Given a job with runs on two lives of one worker and on one without a birth
+    When its record is written and read
+    Then the runs are on the same lives, and the record's runs tell names alone
+    And a record of an earlier release tells of lives without births
--- a/features/steps/other_life_steps.py
+++ b/features/steps/other_life_steps.py
@@ -4,8 +4,8 @@
 
 import behave
 
+from rackvalve.jobs import lives
 from rackvalve.platform import workers as clients
-from rackvalve.scheduling import lives
 from standins import serving
 from standins import worker as standins
 from tools import fleet as fleets
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -10,9 +10,9 @@
 from features import job_cores as cores
 from features.steps import site_steps
 from rackvalve.jobs import definition
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
-from rackvalve.scheduling import lives
 
 LONG = "work_ms=2000"
 
--- a/features/steps/restarted_life_steps.py
+++ b/features/steps/restarted_life_steps.py
@@ -12,7 +12,9 @@
 from features import job_models as models
 from features import vm_bench
 from rackvalve.jobs import definition
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
+from rackvalve.jobs import records
 from rackvalve.manager import admission as admissions
 from rackvalve.manager import contact as contacts
 from rackvalve.platform import advisers
@@ -21,7 +23,6 @@
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import fences
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import silence
@@ -361,3 +362,62 @@
     context.bench.plan()
     (order,) = context.bench.starts()
     assert order.worker == LATER
+
+
+@behave.given(
+    "a job with runs on two lives of one worker and on one without a birth"
+)
+def make_runs(context):
+    context.state = make_state()
+    name = definition.TaskName(repetition=0, step=0, index=0)
+    context.on = {1: EARLIER, 2: LATER, 3: "w2"}
+    for number, identity in context.on.items():
+        run = progress.Run(
+            number,
+            identity,
+            progress.Stage.ORDERED,
+            0.0,
+            location=progress.Location(host="h", port=1, vm="m"),
+        )
+        context.state.task(name).runs[number] = run
+
+
+def make_state():
+    return progress.JobState(
+        benches.IDENTITY,
+        "queue",
+        definition.Job(spec="x", steps=(definition.Step(tasks=1, cpu=1),)),
+        0.0,
+    )
+
+
+@behave.when("its record is written and read")
+def write_and_read(context):
+    context.record = records.write_progress(context.state)
+
+
+def read_workers(payload):
+    """Return on which lives the runs of a record are, by number."""
+    state = make_state()
+    records.read_progress(state, payload, 0.0)
+    (task,) = state.tasks.values()
+    assert all(run.location is not None for run in task.runs.values())
+    return {number: run.worker for number, run in task.runs.items()}
+
+
+@behave.then(
+    "the runs are on the same lives, and the record's runs tell names alone"
+)
+def check_record(context):
+    assert read_workers(context.record) == context.on
+    (task,) = json.loads(context.record)["tasks"]
+    assert [[1, "w1"], [2, "w1"], [3, "w2"]] in task, task
+
+
+@behave.then("a record of an earlier release tells of lives without births")
+def check_earlier(context):
+    record = json.loads(context.record)
+    (task,) = record["tasks"]
+    assert task.pop() == [1000, 2000, 0]
+    found = read_workers(json.dumps(record).encode())
+    assert found == {1: "w1", 2: "w1", 3: "w2"}, found
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -10,12 +10,14 @@
 
 import dataclasses
 import enum
+import itertools
 from typing import TypeVar
 
 import msgspec
 
 from rackvalve import errors
 from rackvalve.jobs import definition
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 
 T = TypeVar("T")
@@ -72,6 +74,9 @@
     isolated: int = 0
     # Numbers of runs whose workers may still tell how they ended.
     untold: list[int] = []
+    # Of each of the runs, the birth of its worker; 0 if it is not known.
+    # Releases that know of none go by the names.
+    births: list[int] = []
 
 
 class _Location(msgspec.Struct, array_like=True):
@@ -185,7 +190,14 @@
             done=task.done,
             failures=task.failures,
             checkpoint="" if task.done else task.checkpoint,
-            runs=[(run.number, run.worker) for run in task.runs.values()],
+            runs=[
+                (run.number, lives.read_life(run.worker).worker)
+                for run in task.runs.values()
+            ],
+            births=[
+                lives.read_life(run.worker).born or 0
+                for run in task.runs.values()
+            ],
             crashes=task.crashes,
             isolated_crashes=task.isolated_crashes,
             lived=round(task.lived, 3),
@@ -245,10 +257,12 @@
             state.suspects.add(task.name)
             # How long it has waited to be isolated is not known.
             task.not_before = now
-        for number, worker in row.runs:
+        births = itertools.chain(row.births, itertools.repeat(0))
+        for (number, worker), born in zip(row.runs, births, strict=False):
+            life = lives.Life(worker=worker, born=born or None)
             run = progress.Run(
                 number,
-                worker,
+                life.identity,
                 progress.Stage.ORDERED,
                 now,
                 location=_read_location(record.locations.get(worker)),
@@ -261,7 +275,7 @@
 def _write_locations(state: progress.JobState) -> dict[str, _Location]:
     """Return where the workers of a job's runs can be asked."""
     return {
-        run.worker: _Location(
+        lives.read_life(run.worker).worker: _Location(
             host=run.location.host,
             port=run.location.port,
             vm=run.location.vm,
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -8,6 +8,7 @@
 
 from rackvalve import clocks
 from rackvalve import errors
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve import logs
 from rackvalve.manager import contact as contacts
@@ -19,7 +20,6 @@
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import endings
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import succession
--- a/src/rackvalve/platform/advisers.py
+++ b/src/rackvalve/platform/advisers.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from rackvalve.jobs import lives
 from rackvalve.platform import connections
-from rackvalve.scheduling import lives
 
 STATUS_OK = 200
 # The service takes no more names in one call.
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from rackvalve import errors
+from rackvalve.jobs import lives
 from rackvalve.platform import births
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import queues
 from rackvalve.workspaces import account as accounts
 from rackvalve.workspaces import credentials
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from rackvalve.jobs import lives
 from rackvalve.platform import connections
 from rackvalve.platform import reports
-from rackvalve.scheduling import lives
 
 STATUS_OK = 200
 STATUS_REJECTED = 409
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -11,11 +11,11 @@
 import collections
 
 from rackvalve.jobs import definition
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import index
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import speeds
--- a/src/rackvalve/scheduling/succession.py
+++ b/src/rackvalve/scheduling/succession.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
+from rackvalve.jobs import lives
 from rackvalve.scheduling import book as books
 from rackvalve.scheduling import endings
-from rackvalve.scheduling import lives
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import workers
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve.scheduling import fleet
-from rackvalve.scheduling import lives
 
 # How much slower than ours a worker's clock may run; the platform's pages
 # give 2 %, one more is margin.
