A worker that starts on a VM that leaves takes no work from the first moment

Cause: a VM is ordered away once nothing is left on it; until the order is sent, after a write to the store, its workers are closed. That was kept by the lives that were known when it was decided, and told again each 0.1 s: a life that started between took work at once. It was so for new names, too; under the old name a worker is back sooner. Mend: closures belong to VMs (scheduling/closures), and an entry that comes meets them. Sizing tells the VMs in place of workers, the pool that a VM moves to excepted.

The step of the sizing test asks for more than before: the life of the old pool is closed as soon as it is known (it was only listed to be), that of the new one is not.

--- a/features/steps/sizing_steps.py
+++ b/features/steps/sizing_steps.py
@@ -152,7 +152,7 @@
 
 @behave.then("the worker of that VM is closed and is not taken back")
 def check_closed(context):
-    assert context.gone <= context.sizing.departing()
+    assert context.gone <= context.sizing.find_closures().keys()
     for vm in context.gone:
         assert context.bench.book.workers[vm].closing == sizing.SURPLUS
         assert not context.bench.book.workers[vm].takes_work(
@@ -168,10 +168,11 @@
     book = context.bench.book
     (vm, *_) = context.gone
     known = book.workers[vm].entry
+    book.closures.set(context.sizing.find_closures())
     for name, pool in (("old", known.pool), ("new", vms.SPARE)):
         book.set_entry(dataclasses.replace(known, identity=name, pool=pool))
-    departing = context.sizing.departing()
-    assert "old" in departing and "new" not in departing
+    assert book.workers["old"].closing == sizing.SURPLUS
+    assert not book.workers["new"].closing
 
 
 @behave.when("work for {count:d} VMs has just ended there")
--- a/src/rackvalve/manager/caretaker.py
+++ b/src/rackvalve/manager/caretaker.py
@@ -18,6 +18,7 @@
 from rackvalve.platform import machines as clients
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import closures
 from rackvalve.scheduling import silence
 from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import upkeep as upkeeps
@@ -270,19 +271,17 @@
     def _apply_closing(self) -> None:
         """Tell the workers whether they take no work, and why."""
         self._book.set_evacuated(self._view.evacuated)
-        waves = self._upkeep.leaving()
-        surplus = self._sizing.leaving()
         later = self._upkeep.later()
-        departing = self._sizing.departing()
+        closed = {
+            vm: closures.Closure(reason=UNCERTAIN) for vm in self._uncertain
+        }
+        closed |= self._sizing.find_closures()
+        for vm in self._upkeep.leaving():
+            closed[vm] = closures.Closure(reason=upkeeps.CLOSED)
+        self._book.closures.set(closed)
         for worker in self._book.workers.values():
+            self._book.closures.apply(worker)
             vm = worker.entry.vm if worker.entry is not None else ""
-            worker.closing = ""
-            if vm in waves:
-                worker.closing = upkeeps.CLOSED
-            elif vm in surplus or worker.identity in departing:
-                worker.closing = sizings.SURPLUS
-            elif vm in self._uncertain:
-                worker.closing = UNCERTAIN
             worker.leaves_later = vm in later
 
     def _log_sizes(self, now: float) -> None:
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -14,6 +14,7 @@
 from rackvalve.jobs import lives
 from rackvalve.jobs import progress
 from rackvalve.scheduling import beginnings
+from rackvalve.scheduling import closures
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import index
 from rackvalve.scheduling import messages
@@ -48,6 +49,7 @@
     __slots__ = (
         "configuration",
         "evacuated",
+        "closures",
         "jobs",
         "open_jobs",
         "workers",
@@ -76,6 +78,7 @@
         self.configuration = configuration
         # Halls on whose VMs nothing is started.
         self.evacuated: frozenset[str] = frozenset()
+        self.closures = closures.Closures()
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.jobs: dict[str, progress.JobState] = {}
         # Those of them that have not ended: ended ones are kept for callers
@@ -189,15 +192,13 @@
 
         :param entry: Its newest entry.
         """
-        worker = None
         life = lives.read_life(entry.identity)
-        if life.born is None:
-            # It may be of whichever life the worker has now.
-            worker = self.find_present(life.worker)
-        if worker is None:
-            worker = self.add_life(entry.identity)
+        # Without a birth it may be of whichever life the worker has now.
+        known = self.find_present(life.worker) if life.born is None else None
+        worker = known or self.add_life(entry.identity)
         worker.set_entry(entry)
         worker.set_evacuated(self.evacuated)
+        self.closures.apply(worker)
         self.lives.add(entry.vm, worker)
         self.members.add(entry.pool, worker)
         return worker
--- /dev/null
+++ b/src/rackvalve/scheduling/closures.py
@@ -0,0 +1,53 @@
+"""Why workers on some VMs take no work, whichever lives they are.
+
+A VM is ordered to move, or to be maintained, once nothing is left on it, and a
+worker may start on it between that look and the order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+
+from rackvalve.scheduling import workers
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Closure:
+    """Why the workers on a VM take no work.
+
+    :param reason: Why.
+    :param besides: Pool whose workers take work there all the same; empty for
+        none.
+    """
+
+    reason: str
+    besides: str = ""
+
+
+class Closures:
+    """The VMs that are closed."""
+
+    __slots__ = ("_by_vm",)
+
+    def __init__(self) -> None:
+        self._by_vm: Mapping[str, Closure] = {}
+
+    def set(self, by_vm: Mapping[str, Closure]) -> None:
+        """Take which VMs are closed, and no others.
+
+        :param by_vm: Why, by VM.
+        """
+        self._by_vm = by_vm
+
+    def apply(self, worker: workers.WorkerState) -> None:
+        """Let a worker take no work if its VM is closed.
+
+        :param worker: The worker.
+        """
+        entry = worker.entry
+        found = self._by_vm.get(entry.vm) if entry is not None else None
+        if entry is None or found is None or entry.pool == found.besides:
+            worker.closing = ""
+        else:
+            worker.closing = found.reason
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -12,6 +12,7 @@
 import math
 
 from rackvalve.scheduling import book as books
+from rackvalve.scheduling import closures
 from rackvalve.scheduling import demand as demands
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import forecast as forecasts
@@ -158,18 +159,19 @@
             reserved += max(0, math.ceil(expected * HEADROOM) - size.have)
         return reserved
 
-    def departing(self) -> set[str]:
-        """Return the workers whose lives end with a move.
+    def find_closures(self) -> dict[str, closures.Closure]:
+        """Return the VMs whose workers take no work, and why.
 
-        Also one that has come to its VM's old pool since the move was chosen;
-        one of the new pool shows that the VM has moved.
+        A worker that has come to its VM's old pool since the move was chosen
+        ends with it; one of the new pool shows that the VM has moved.
         """
-        return {
-            worker.identity
+        found = {
+            vm: closures.Closure(reason=SURPLUS, besides=pool)
             for vm, pool in self.moving.items()
-            for worker in self._book.lives.find(vm)
-            if worker.entry is not None and worker.entry.pool != pool
         }
+        for vm in self.leaving():
+            found[vm] = closures.Closure(reason=SURPLUS)
+        return found
 
     def restore(self, vm: str, pool: str) -> None:
         """Go on with a move that an earlier owner has ordered.
