--- a/src/rackvalve/manager/owner.py
+++ b/src/rackvalve/manager/owner.py
@@ -292,7 +292,6 @@
         """Have nothing more to do with lives that later ones have ended."""
         for release in self._handler.released:
             self._roster.forget(release.worker)
-            self.fences.forget(release.worker)
             self._reporter.log_release(release)
         self._handler.released.clear()
 
--- a/src/rackvalve/manager/roster.py
+++ b/src/rackvalve/manager/roster.py
@@ -143,6 +143,7 @@
         :param identity: The life.
         """
         self._early.pop(identity, None)
+        self._owner.fences.forget(identity)
         contact = self._contacts.pop(identity, None)
         if contact is not None:
             # May be called by one of the contact's own greenlets.
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -227,9 +227,8 @@
         """
         known = self.names.find(name)
         present = [worker for worker in known if not worker.replaced]
-        if not known:
-            return None
-        return present[-1] if present else known[-1]
+        newest_first = (present or known)[::-1]
+        return next(iter(newest_first), None)
 
     def place(
         self,
--- a/src/rackvalve/scheduling/fences.py
+++ b/src/rackvalve/scheduling/fences.py
@@ -25,7 +25,8 @@
 
     def __init__(self, fence: int) -> None:
         self._fence = fence
-        # What lives are shown, by identity, and the greatest by name.
+        # What lives are shown, by identity; the greatest by name, kept for as
+        # long as this process owns.
         self._shown: dict[str, int] = {}
         self._greatest: dict[str, int] = {}
 
