explain job tells of a worker that has started again

A caller's question why a job was late found no cause where its worker had started again: worker.restarted was not among the events that explain a pause. The case failed before (no cause named it).

--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -165,6 +165,17 @@
         end(7.0, run=2, worker="w2"),
         finish(7.1),
     ],
+    "a job late by a restart": [
+        *accept(1.0),
+        order(1.1, worker="w1@1000"),
+        line(2.0, "worker.restarted", "vm-1", worker="w9@2", before="w9@1"),
+        line(
+            2.0, "worker.restarted", "vm-1", worker="w1@2000", before="w1@1000"
+        ),
+        order(6.2, run=2, worker="w2"),
+        end(7.0, run=2, worker="w2"),
+        finish(7.1),
+    ],
     "a job late by its owner": [
         *accept(1.0),
         line(3.2, "ownership.taken", "vm-3", fence=9),
--- a/src/rackvalve/explain/story.py
+++ b/src/rackvalve/explain/story.py
@@ -18,7 +18,12 @@
 )
 # Events that concern the jobs that run on the worker they name.
 _WORKER_EVENTS = frozenset(
-    {"dependency.lost", "worker.over", "worker.released"}
+    {
+        "dependency.lost",
+        "worker.over",
+        "worker.released",
+        "worker.restarted",
+    }
 )
 # Tells of a pause, and does not end it.
 _STANDING = "job.standing"
@@ -245,7 +250,7 @@
         f"{event.vm}: {event.name} ({describe(event)})"
         for event in around
         if event.name in _OWNERSHIP_EVENTS
-        or (event.name in _WORKER_EVENTS and event.get("worker") in workers)
+        or (event.name in _WORKER_EVENTS and _find_life(event) in workers)
     )
     if pause.ended is None or pause.ended.name == "run.ordered":
         causes.extend(_find_want_of_right(own, around))
@@ -253,6 +258,11 @@
     return causes
 
 
+def _find_life(event: Event) -> object:
+    """Return the life of a worker that an event tells of."""
+    return event.get("before") or event.get("worker")
+
+
 def _leave_out_standing(own: tuple[Event, ...]) -> tuple[Event, ...]:
     return tuple(event for event in own if event.name != _STANDING)
 
