Histories: a start that is left is of a run that is still wanted

The product does not send it: before each try it looks whether the run is still placed and ordered (Contact.start_run), and so does the model where the answer is not lost (deliver_start). Only the branch for calls that are carried out late did not look.

Ruled out: a lease that was released too early. It was over on the owner's clock by 0.9 s, and no order for it had been sent.

Change: both branches ask the same question. The checks are as they were.

--- a/features/job_history.py
+++ b/features/job_history.py
@@ -233,6 +233,8 @@
             return
         order = owner.planned.pop(0)
         if isinstance(order, messages.StartRun) and lost:
+            if owner.find_wanted(order) is None:
+                return
             until = owner.lease_until(order.worker)
             if until is not None:
                 full = f"{order.job}.{order.task}"
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -274,11 +274,20 @@
             return True
         return self.deliver_start(order, life, lose_answer)
 
-    def deliver_start(self, order, life, lose_answer: bool) -> bool:
+    def find_wanted(self, order: messages.StartRun) -> workers.Placed | None:
+        """Return the run of an order to start; ``None`` if it is over."""
         full = f"{order.job}.{order.task}"
         worker = self.book.workers.get(order.worker)
         placed = worker.runs.get((full, order.run)) if worker else None
         if placed is None or placed.run.stop_wanted:
+            return None
+        return placed
+
+    def deliver_start(self, order, life, lose_answer: bool) -> bool:
+        full = f"{order.job}.{order.task}"
+        worker = self.book.workers.get(order.worker)
+        placed = self.find_wanted(order)
+        if placed is None:
             return True
         until = self.lease_until(order.worker)
         if until is None:
