A job is given up only for crashes that no other job can have caused

What callers saw: a job that could be done was told "failed" beside jobs that crash their workers.

Cause: five crashes in all ended a job whatever was known of them. What the logs of the provoked runs show: every crash under a job that was given up had a task on the same worker that crashes each one; "isolated" meant only that no suspect was there, so a task that had never run could start 10 ms before and crash it; a suspect that had waited for 1.8 s started anywhere, so the next crash told nothing either; and each crash of others made the time longer that clears a task.

Ruled out: crashes that a new owner ages wrongly (given up without any change of owner, too), the lease as the proof (all were lists of VMs), and orders carried out twice (run numbers only rise).

Change: a crash speaks against a job only if its run was isolated and what else may have been on the worker was of the same job or known to be at work for 1 to 3 s. Two such crashes soon after the start end the job, or one if five workers crashed in all; the count alone ends none. From the third crash on (fourth, where nothing but its presence speaks against a task) a task starts nowhere else, so that the users' bound of two more starts and the innocence do not clash; the last start keeps its worker until the task is cleared. Workers are reserved for such starts, half of a pool at the most. In a series of crashes the run that started last is tried first. Once a job is given up, what counts against others for the same crashes is taken back. The count of all crashes, which bounds starts, stays. An order's and an end's log line tell crashes and isolation.

Why it holds: no crash that another job on the worker could have caused is among those that end a job, and between the third crash and the end of a job all starts but one are where the next crash tells.

--- /dev/null
+++ b/features/isolation.feature
@@ -0,0 +1,74 @@
+# A lasting job that could be done was given up beside six jobs that crashed the
+# VMs of its pool: five workers had crashed under one of its tasks, each beside
+# tasks that crash them.  With real processes it took ordinary jobs as well, up
+# to 17 of 46 in 38 s.  The count of crashes ended a job whatever was known of
+# them, and a suspect that had waited started anywhere, so that the next crash
+# told nothing either.  The journals showed it: in every crash under the jobs
+# that were given up, a task had started on the worker that crashes each one.
+Feature: A job is given up only for crashes that no other job can have caused
+
+  Scenario: Generated histories that gave up a job that could be done
+    When the histories run again that gave up a job beside others that crash their workers
+    Then no history starts a task three times more after three crashes, or gives up another job
+
+  Scenario: Beside jobs that crash the VMs of a small pool one after the other
+    Given a site of 3 managers with 4 VMs for the jobs
+    When 12 jobs crash a worker of the pool every 0.5 s beside jobs that last, start together and end
+    Then no job that could be done is shown as failed within 15 s
+    And no task that crashes its workers is started three times more after three crashes
+
+  # Five crashes ended its job before.
+  Scenario: Crashes beside others end no job, however many
+    Given 6 workers and a job of 1 task, beside which another one crashes its worker
+    When 6 workers crash under both
+    Then neither job has ended
+
+  Scenario: Two crashes where nothing else ran end a job, and nothing counts against others any more
+    Given 4 workers and a job of 1 task, beside which another one crashes its worker
+    When 2 workers crash under both
+    And the other one crashes a worker where it is alone, twice
+    Then the job of the other one is given up
+    And 0 crashes may still be the doing of the first
+
+  Scenario Outline: After <crashes> crashes a task beside <neighbour> starts <how>
+    Given a task under which <crashes> workers have crashed, and one worker with <neighbour>
+    When what waits is started
+    Then the task is started: <how>
+
+    Examples:
+      | crashes | neighbour                   | how |
+      | 3       | nothing                     | yes |
+      | 3       | a task that has just begun  | no  |
+      | 3       | a task at work for 2 s      | yes |
+      | 3       | a suspect at work for 2 s   | no  |
+      | 4       | a task that has just begun  | no  |
+      | 1       | a task that has just begun  | yes |
+
+  # It stood still before, or started beside others: no worker of a busy pool is
+  # ever without a task that has just begun.
+  Scenario: A worker is reserved for a task that must start alone
+    Given a task under which 3 workers have crashed, and 2 workers that tasks keep busy
+    When the tasks end one after the other, and others wait
+    Then the task starts alone on its worker, and the other worker stays busy
+
+  Scenario: The last start that users bear keeps its worker until the task is cleared
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most
+    When it has worked alone for 15 s beside others that wait
+    Then nothing else starts on its worker
+    And others do once it has worked for 21 s
+
+  Scenario: Tasks of a job that must start alone start on one worker
+    Given a job of 3 tasks under each of which 3 workers have crashed, and 4 workers
+    When what waits is started
+    Then its tasks are on one worker, and nothing else is
+
+  Scenario: Members of a gang under which three workers crashed start where nothing else runs
+    Given a gang of 6 tasks under which 3 workers have crashed, and 4 workers with a task each
+    When these tasks have ended, and others wait
+    Then the gang starts on workers of its own
+
+  Scenario: What may be to blame is known to the next owner
+    Given 4 workers and a job of 1 task, beside which another one crashes its worker
+    When 2 workers crash under both
+    And a new owner reads their records
+    Then the other one is known to have started last before the second crash
--- a/features/job_models.py
+++ b/features/job_models.py
@@ -56,6 +56,7 @@
     :param crashing: Part of the jobs whose tasks crash their workers.
     :param restarting: Part of the crashed workers that start again under
         their names, where calls that were left may meet them.
+    :param asking: Whether owners ask lives that only records name, too.
     :param births: Whether owners tell the lives of a worker apart.
     :param raised: Whether a later life is shown a greater token.
     """
@@ -69,6 +70,7 @@
     lag: float = 0.0
     crashing: float = 0.0
     restarting: float = 0.0
+    asking: bool = False
     births: bool = True
     raised: bool = True
 
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -187,8 +187,8 @@
         worker = self.book.workers.get(identity)
         if worker is None or worker.location is None or self.deposed:
             return
-        if worker.entry is None and not self.rules.restarting:
-            # Lives that only records name are asked where lives may follow.
+        is_asking = self.rules.asking or self.rules.restarting
+        if worker.entry is None and not is_asking:
             return
         name = worker.life.worker
         reachable = name not in self.cut
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -342,7 +342,7 @@
     state = hand_over(bench, context.state)
     task = state.tasks[context.order.task]
     assert (task.crashes, task.isolated) == (2, context.order.run)
-    assert crashes.is_isolating(bench.book.workers[name], bench.now)
+    assert crashes.is_isolating(bench.book.workers[name])
 
 
 @behave.given(
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -79,6 +79,7 @@
         "sampled_percent",
         "rate",
         "confirmed_at",
+        "listed_at",
         "begun",
         "stop_wanted",
         "load",
@@ -111,6 +112,8 @@
         self.sampled: float | None = None
         self.rate: float | None = None
         self.confirmed_at: float | None = None
+        # When its worker was asked for the last report that lists it.
+        self.listed_at: float | None = None
         # Whether its worker has said that it is, or was, there.
         self.begun = False
         self.stop_wanted = False
@@ -138,9 +141,15 @@
         "avoid",
         "not_before",
         "crashes",
+        "youngest_crashes",
+        "explained",
+        "crashed_lives",
         "lived",
         "isolated",
         "isolated_crashes",
+        "prompt_crashes",
+        "settled_beside",
+        "crashed_on",
         "untold",
     )
 
@@ -157,14 +166,46 @@
         # that a run of it may have lived before one of them, in seconds.
         self.crashes = 0
         self.lived = 0.0
+        # How many of the crashes came when its run was the last one that had
+        # started on the worker.
+        self.youngest_crashes = 0
+        # How many of the crashes another job was found to have caused, and
+        # the lives of workers that ended in the others.
+        self.explained = 0
+        self.crashed_lives: set[str] = set()
         # Number of its run that had, or has, a worker for itself; 0 for none.
         self.isolated = 0
-        # How many of the crashes were in isolation.
+        # How many of the crashes were in isolation, and how many of these
+        # came soon after the start.
         self.isolated_crashes = 0
+        self.prompt_crashes = 0
+        # Runs, by full name of the task and number, that had been at work for
+        # long beside that run when it began.
+        self.settled_beside: set[tuple[str, int]] = set()
+        # VMs on which workers crashed under it.
+        self.crashed_on: set[str] = set()
         # Numbers of runs that were taken to be over while their workers were
         # out of reach: these may still tell how they ended.
         self.untold: set[int] = set()
 
+    @property
+    def unexplained(self) -> int:
+        """How many crashes may still be this task's doing."""
+        return self.crashes - self.explained
+
+    def forget_crashes(self) -> None:
+        """Count no crash against the task any more."""
+        self.crashes = 0
+        self.youngest_crashes = 0
+        self.explained = 0
+        self.crashed_lives.clear()
+        self.isolated_crashes = 0
+        self.prompt_crashes = 0
+        self.lived = 0.0
+        self.isolated = 0
+        self.settled_beside.clear()
+        self.crashed_on.clear()
+
 
 class JobState:
     """A job and how far it is.
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -79,6 +79,23 @@
     births: list[int] = []
 
 
+class _Suspect(msgspec.Struct, omit_defaults=True):
+    """What is known of the crashes that count against a task."""
+
+    # Crashes when its run was the last that had started on the worker, those
+    # under the isolated run soon after its start, and those that another job
+    # was found to have caused.
+    youngest_crashes: int = 0
+    prompt_crashes: int = 0
+    explained: int = 0
+    # The workers' lives that ended in those that are not explained, and the
+    # VMs on which workers crashed.
+    crashed_lives: list[str] = []
+    crashed_on: list[str] = []
+    # Runs that had been at work for long beside the isolated run.
+    settled_beside: list[tuple[str, int]] = []
+
+
 class _Location(msgspec.Struct, array_like=True):
     host: str
     port: int
@@ -97,6 +114,8 @@
     locations: dict[str, _Location] = {}
     # As in the definition, so that one reading answers a caller.
     workspace: str = ""
+    # By name of the task.
+    suspects: dict[str, _Suspect] = {}
 
 
 class _Phase(msgspec.Struct):
@@ -221,6 +240,7 @@
             tasks=tasks,
             locations=_write_locations(state),
             workspace=state.workspace,
+            suspects=_write_suspects(state),
         )
     )
 
@@ -257,6 +277,7 @@
             state.suspects.add(task.name)
             # How long it has waited to be isolated is not known.
             task.not_before = now
+            _read_suspect(task, record.suspects.get(row.name))
         births = itertools.chain(row.births, itertools.repeat(0))
         for (number, worker), born in zip(row.runs, births, strict=False):
             life = lives.Life(worker=worker, born=born or None)
@@ -272,6 +293,34 @@
             task.runs[number] = run
 
 
+def _write_suspects(state: progress.JobState) -> dict[str, _Suspect]:
+    """Return what is known of the crashes that count against tasks."""
+    return {
+        str(task.name): _Suspect(
+            youngest_crashes=task.youngest_crashes,
+            prompt_crashes=task.prompt_crashes,
+            explained=task.explained,
+            crashed_lives=sorted(task.crashed_lives),
+            crashed_on=sorted(task.crashed_on),
+            settled_beside=sorted(task.settled_beside),
+        )
+        for task in state.tasks.values()
+        if task.crashes and not task.done
+    }
+
+
+def _read_suspect(task: progress.Task, wire: _Suspect | None) -> None:
+    """Decode that; earlier releases do not tell."""
+    if wire is None:
+        return
+    task.youngest_crashes = wire.youngest_crashes
+    task.prompt_crashes = wire.prompt_crashes
+    task.explained = wire.explained
+    task.crashed_lives.update(wire.crashed_lives)
+    task.crashed_on.update(wire.crashed_on)
+    task.settled_beside.update(wire.settled_beside)
+
+
 def _write_locations(state: progress.JobState) -> dict[str, _Location]:
     """Return where the workers of a job's runs can be asked."""
     return {
--- a/src/rackvalve/manager/reporter.py
+++ b/src/rackvalve/manager/reporter.py
@@ -68,12 +68,15 @@
         """
         if isinstance(order, messages.StartRun):
             self._count_start(order)
+            task = self._book.jobs[order.job].tasks[order.task]
             logs.write_event(
                 "run.ordered",
                 job=order.job,
                 task=str(order.task),
                 run=order.run,
                 worker=order.worker,
+                crashes=task.crashes,
+                isolated=task.isolated == order.run,
             )
         elif isinstance(order, messages.StopRun):
             logs.write_event(
@@ -179,6 +182,7 @@
                 counted=True,
                 age=round(run.age, 3),
                 crashes=run.crashes,
+                isolated_crashes=run.isolated_crashes,
             )
 
     def log_standing(self, now: float) -> None:
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -15,6 +15,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import closures
+from rackvalve.scheduling import crash_series
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import index
 from rackvalve.scheduling import messages
@@ -65,6 +66,7 @@
         "durations",
         "speeds",
         "usage",
+        "crash_series",
         "_rates",
     )
 
@@ -105,6 +107,7 @@
         self.speeds = speeds.Speeds()
         # What each workspace may have running.
         self.usage = usage.Usage()
+        self.crash_series = crash_series.CrashSeries()
         # Which jobs were sent within the rates that workspaces have paid for.
         self._rates = rates.Rates()
 
--- a/src/rackvalve/scheduling/crashes.py
+++ b/src/rackvalve/scheduling/crashes.py
@@ -3,97 +3,222 @@
 A worker that crashes tells nothing of its runs, and each of them may be to
 blame.  So each crash is counted against all of them, and the count is part of
 the job's record, which is in the store before the task's next start: it
-outlives its owner.  What keeps innocent tasks from being given up is how they
-are tried again: at first away from other suspects, then isolated, on a worker
-that takes no other run meanwhile, so that the next crash speaks against this
-task alone.
+outlives its owner.
+
+The count alone ends no job, for an innocent task may meet any number of
+crashes that others cause.  It decides how a task is tried again: at first
+away from other suspects, then on a worker that takes no other run meanwhile,
+and from the third crash on only where nothing else could cause the next one.
+A job ends by crashes that no other job can have caused.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
+import enum
 import math
 
-from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import workers
 
-# Crashes after which a job is given up whatever is known of them: the users
-# bear five starts of a task that crashes each worker, two after the third.
+# Users bear five starts of a task that crashes each worker, two after the
+# third crash.
 CRASHES_MOST = 5
-# Crashes in isolation after which it is given up.
-ISOLATED_CRASHES_MOST = 2
-# Crashes after which a task is tried in isolation: the first may have had any
-# of a worker's runs to blame, some ten of them in what was seen.
+# Crashes in isolation, each soon after the start, after which a job is given
+# up: one may be the VM's own.
+PROMPT_CRASHES_MOST = 2
+# A run that is not known to have worked for longer than this (seconds) has
+# crashed its worker soon after its start.
+PROMPT_S = 0.3
+# Crashes after which a task is tried in isolation; after one, if others of the
+# pool have crashed lately and its run was the last that had started there.
 ISOLATED_FROM = 2
+# Crashes after which such a task starts in no other way.
+ALONE_FROM = 3
+# Crashes after which the next start is the last one that users bear: its
+# worker takes nothing else until the task is cleared.
+LAST_START_FROM = CRASHES_MOST - 1
+# Runs whose starts were confirmed so near to each other (seconds) count as
+# started at the same time; if these are more than a few, they tell nothing.
+SAME_START_S = 0.05
+SAME_START_MOST = 3
 # A task that finds no worker to be isolated on for this long (seconds) starts
-# anywhere: with the 0.7 s until a crash is noticed this stays below the 3 s
-# for which nothing of an accepted job may run.  Each further crash doubles it:
-# in generated histories with three VMs, several tasks that crash them, and
-# changes of owner, 7 of 300 gave up another job where it did not.
+# anywhere, while that is still allowed: with the 0.7 s until a crash is
+# noticed this stays below the 3 s for which nothing of an accepted job may
+# run.
 ISOLATION_WAIT_S = 1.8
-# A run that has worked for this long (seconds) does not keep its worker for
-# itself any more: tasks that crash workers at once have done so.
-ISOLATION_MOST_S = 3.0
-# A run that is known to have worked for this long, in seconds, and longer than
-# any run of its task that a crash has ended, clears its task.  With 3 s at the
-# least a lasting task was given up beside six jobs that crashed the VMs of its
-# pool every 0.5 s.  The most is for tasks that last, too: their VMs crash now
-# and then, and that is not added up over months.
+# A run that is known to have worked for this long (seconds), and longer than
+# any run of its task that a crash has ended, clears its task.  Beyond the most
+# it need not be longer: the VMs of tasks that last crash now and then.
 CLEARED_LEAST_S = 1.0
 CLEARED_MOST_S = 60.0
+# With this as the most (seconds) it is settled: it is not what crashes its
+# worker just when another task has started there.
+SETTLED_MOST_S = 3.0
+
+
+class Isolation(enum.Enum):
+    """Whether a task starts where no other job could cause a crash."""
 
+    # Anywhere: nothing speaks against it.
+    NONE = "none"
+    # It waits for one, though not for long.
+    PREFERRED = "preferred"
+    # It starts nowhere else.
+    REQUIRED = "required"
 
-def blame(
-    placed: workers.Placed,
+    @property
+    def waits(self) -> bool:
+        """Whether a task waits for such a worker."""
+        return self in (Isolation.PREFERRED, Isolation.REQUIRED)
+
+
+def blame_all(
+    ended: Sequence[workers.Placed],
     fate: releases.Fate,
     now: float,
-    neighbours: Iterable[workers.Placed] = (),
+    *,
+    is_series: bool = False,
 ) -> None:
+    """Count the end of a worker against the tasks that may have caused it.
+
+    :param ended: All runs of the worker.
+    :param fate: What became of the worker.
+    :param now: Present time, in seconds.
+    :param is_series: Whether others of its pool have crashed lately.
+    """
+    sole = next((one for one in ended if _is_sole_suspect(one, ended)), None)
+    youngest = _list_youngest(ended) if is_series else []
+    for placed in ended:
+        if sole is not None and placed.state is not sole.state:
+            # It is explained without this one.
+            continue
+        is_counted = blame(placed, fate, now)
+        if placed in youngest:
+            placed.task.youngest_crashes += is_counted
+        if placed is sole and is_counted:
+            placed.task.isolated_crashes += 1
+            # Out of reach it may live on.
+            is_known = fate is releases.Fate.CRASHED
+            is_prompt = is_known and _is_prompt(placed.run)
+            placed.task.prompt_crashes += is_prompt
+
+
+def blame(placed: workers.Placed, fate: releases.Fate, now: float) -> bool:
     """Count the end of a worker against a task that ran there.
 
     :param placed: The run.
     :param fate: What became of the worker.
     :param now: Present time, in seconds.
-    :param neighbours: All runs of the worker.
+    :return: Whether it counts.
     """
     task, run = placed.task, placed.run
     if run.stage is progress.Stage.PLANNED or task.done:
-        return
+        return False
     # Out of reach is no sign of a crash by itself, or one pause of an owner
     # would make suspects of all that runs; of a suspect it is taken for one.
     suspected = fate is releases.Fate.OUT_OF_REACH and task.crashes > 0
     if fate is not releases.Fate.CRASHED and not suspected:
-        return
+        return False
     task.crashes += 1
-    # Its worker takes others again while it works on; a crash after that
-    # speaks against these as well.
-    is_alone = not any(_came_after(placed, other) for other in neighbours)
-    if run.number == task.isolated and is_alone:
-        task.isolated_crashes += 1
     task.lived = max(task.lived, now - run.since)
+    task.crashed_lives.add(run.worker)
+    if run.location is not None:
+        task.crashed_on.add(run.location.vm)
     placed.state.suspects.add(task.name)
+    return True
+
+
+def _list_youngest(
+    ended: Iterable[workers.Placed],
+) -> list[workers.Placed]:
+    """Return the runs that started last on a worker, if these are few.
+
+    Of the orders that it has not answered only the first may have met it.
+    """
+    ordered = [
+        one for one in ended if one.run.stage is not progress.Stage.PLANNED
+    ]
+    confirmed = {
+        id(one): one.run.confirmed_at
+        for one in ordered
+        if one.run.confirmed_at is not None
+    }
+    last = max(confirmed.values(), default=math.inf) - SAME_START_S
+    first = min(
+        (one.run.since for one in ordered if id(one) not in confirmed),
+        default=-math.inf,
+    )
+    found = [
+        one
+        for one in ordered
+        if confirmed.get(id(one), -math.inf) >= last
+        or (id(one) not in confirmed and one.run.since <= first + SAME_START_S)
+    ]
+    return found if len(found) <= SAME_START_MOST else []
+
 
+def _is_sole_suspect(
+    placed: workers.Placed, neighbours: Iterable[workers.Placed]
+) -> bool:
+    """Return whether no other job can have caused the crash of a worker.
 
-def _came_after(placed: workers.Placed, other: workers.Placed) -> bool:
-    """Return whether another run came to a run's worker after it."""
-    if other.run.stage is progress.Stage.PLANNED:
+    Its run was isolated, and what else ran there is of the same job, whose
+    tasks run the same, or had been at work for long when it began.
+    """
+    task, run = placed.task, placed.run
+    if task.done or run.stage is progress.Stage.PLANNED:
         return False
-    return other.run.since > placed.run.since
+    if run.number != task.isolated:
+        return False
+    return all(
+        other.state is placed.state
+        or other.run.stage is progress.Stage.PLANNED
+        or (other.full_name, other.run.number) in task.settled_beside
+        for other in neighbours
+    )
 
 
-def is_given_up(task: progress.Task) -> bool:
-    """Return whether so many workers crashed under a task that it must end.
+def _is_prompt(run: progress.Run) -> bool:
+    """Return whether a run has surely not been at work for long."""
+    if run.inherited:
+        # The owner before may have seen it at work.
+        return False
+    return _read_worked(run) <= PROMPT_S
 
+
+def is_given_up(state: progress.JobState, task: progress.Task) -> bool:
+    """Return whether a job must end because of the crashes under a task.
+
+    :param state: The job.
     :param task: The task.
     """
     if task.done:
         return False
-    return (
-        task.crashes >= CRASHES_MOST
-        or task.isolated_crashes >= ISOLATED_CRASHES_MOST
-    )
+    prompt = sum(one.prompt_crashes for one in _list_suspects(state))
+    if prompt >= PROMPT_CRASHES_MOST:
+        return True
+    is_spent = task.crashes >= CRASHES_MOST
+    return is_spent and count_isolated_crashes(state) > 0
+
+
+def count_isolated_crashes(state: progress.JobState) -> int:
+    """Return how many crashes only tasks of a job can have caused.
+
+    Its tasks run the same, so that what one has shown stands for all.
+
+    :param state: The job.
+    """
+    return sum(task.isolated_crashes for task in _list_suspects(state))
+
+
+def _list_suspects(state: progress.JobState) -> list[progress.Task]:
+    """Return the tasks of a job under which workers crashed."""
+    suspects = [state.tasks[name] for name in state.suspects]
+    return [task for task in suspects if not task.done]
 
 
 def clear(
@@ -107,72 +232,182 @@
         the answer may have waited for a process that stood still.
     :return: Whether it was a suspect and is none any more.
     """
-    task, run = placed.task, placed.run
+    task, run, state = placed.task, placed.run, placed.state
     if not task.crashes or run.confirmed_at is None:
         return False
-    longer = max(CLEARED_LEAST_S, min(CLEARED_MOST_S, task.lived))
-    if asked - run.confirmed_at <= longer:
+    if asked - run.confirmed_at <= _limit(task.lived, CLEARED_MOST_S):
         return False
-    task.crashes = 0
-    task.isolated_crashes = 0
-    task.lived = 0.0
-    task.isolated = 0
-    placed.state.suspects.discard(task.name)
+    task.forget_crashes()
+    state.suspects.discard(task.name)
     worker.suspects.pop((placed.full_name, run.number), None)
     return True
 
 
-def awaits_isolation(
-    step: definition.Step, task: progress.Task, now: float
-) -> bool:
-    """Return whether a waiting task may start in isolation only.
+def _limit(lived: float, most: float) -> float:
+    """Return how long a run must work for it to speak for its task."""
+    return max(CLEARED_LEAST_S, min(most, lived))
+
 
-    Members of a gang start together or not at all, and are not isolated.
+def choose_isolation(
+    state: progress.JobState, task: progress.Task, now: float
+) -> Isolation:
+    """Return how a waiting task starts.
 
-    :param step: Its step.
+    Members of a gang start together or not at all, and are isolated only
+    where nothing else is allowed.
+
+    :param state: Its job.
     :param task: The task.
     :param now: Present time, in seconds.
     """
-    if task.crashes < ISOLATED_FROM or step.gang:
-        return False
-    doublings = task.crashes - ISOLATED_FROM
-    return now - task.not_before <= math.ldexp(ISOLATION_WAIT_S, doublings)
+    if task.crashes >= LAST_START_FROM:
+        # Whoever caused them, this start must tell.
+        return Isolation.REQUIRED
+    if not task.unexplained:
+        return Isolation.NONE
+    is_likely = is_likely_culprit(state, task)
+    if is_likely and task.crashes >= ALONE_FROM:
+        return Isolation.REQUIRED
+    is_gang = state.step_of(task.name).gang
+    if is_gang or not (is_likely or task.unexplained >= ISOLATED_FROM):
+        return Isolation.NONE
+    if now - task.not_before > ISOLATION_WAIT_S:
+        return Isolation.NONE
+    return Isolation.PREFERRED
 
 
-def find_to_isolate(
-    state: progress.JobState, now: float
-) -> progress.Task | None:
-    """Return the task of a job that is to be tried in isolation next.
+def is_likely_culprit(state: progress.JobState, task: progress.Task) -> bool:
+    """Return whether more speaks against a task than that it was there.
 
-    One of a job at a time: its tasks run the same, and one that is to blame
-    ends the job for all.
+    :param state: Its job.
+    :param task: The task.
+    """
+    if task.youngest_crashes:
+        return True
+    return bool(task.unexplained and count_isolated_crashes(state))
 
-    :param state: The job.
-    :param now: Present time, in seconds.
+
+def explain(
+    culprit: progress.JobState, others: Iterable[progress.JobState]
+) -> list[progress.JobState]:
+    """Take back what counts against others for crashes that a job has caused.
+
+    The count of all crashes stays, for it bounds the starts of each task.
+
+    :param culprit: A job that was given up.
+    :param others: The jobs that have not ended.
+    :return: Those of them of which something was taken back.
     """
-    found = None
+    lives = set()
+    for name in culprit.suspects:
+        lives |= culprit.tasks[name].crashed_lives
+    return [state for state in others if _explain(state, lives)]
+
+
+def _explain(state: progress.JobState, lives: Collection[str]) -> bool:
+    """Take back what counts against a job for the ends of some lives."""
+    found = False
     for name in state.suspects:
         task = state.tasks[name]
-        if task.isolated in task.runs:
-            return None
-        if name not in state.waiting or task.not_before > now:
-            continue
-        if found is None and awaits_isolation(state.step_of(name), task, now):
-            found = task
+        common = task.crashed_lives.intersection(lives)
+        task.crashed_lives -= common
+        task.explained += len(common)
+        left = task.unexplained
+        task.youngest_crashes = min(task.youngest_crashes, left)
+        found = found or bool(common)
     return found
 
 
-def is_isolating(worker: workers.WorkerState, now: float) -> bool:
+def is_isolating(worker: workers.WorkerState) -> bool:
     """Return whether a worker is kept for an isolated run.
 
     :param worker: The worker.
-    :param now: Present time, in seconds.
     """
-    for placed in worker.suspects.values():
-        run = placed.run
-        if placed.task.isolated != run.number:
-            continue
-        began = run.confirmed_at
-        if began is None or now - began <= ISOLATION_MOST_S:
-            return True
-    return False
+    return any(
+        placed.run.number == placed.task.isolated and _keeps_worker(placed)
+        for placed in worker.suspects.values()
+    )
+
+
+def list_unsettled(
+    worker: workers.WorkerState, state: progress.JobState | None
+) -> list[workers.Placed]:
+    """Return the runs of other jobs that could cause a worker's next crash.
+
+    :param worker: The worker.
+    :param state: The job whose task is to start there.
+    """
+    return [
+        placed
+        for placed in worker.runs.values()
+        if placed.state is not state and not _is_settled(placed)
+    ]
+
+
+def _keeps_worker(placed: workers.Placed) -> bool:
+    """Return whether an isolated run still keeps its worker for itself."""
+    task = placed.task
+    if task.unexplained and task.crashes >= LAST_START_FROM:
+        # Until it is cleared.
+        return True
+    return _read_worked(placed.run) <= PROMPT_S
+
+
+def _is_settled(placed: workers.Placed) -> bool:
+    """Return whether a run is known to have been at work for long."""
+    if placed.run.number == placed.task.isolated and _keeps_worker(placed):
+        return False
+    least = _limit(placed.task.lived, SETTLED_MOST_S)
+    return _read_worked(placed.run) > least
+
+
+def _read_worked(run: progress.Run) -> float:
+    """Return how long a run is known to have worked, in seconds."""
+    if run.confirmed_at is None or run.listed_at is None:
+        return 0.0
+    return run.listed_at - run.confirmed_at
+
+
+def count_strangers(
+    worker: workers.WorkerState,
+    state: progress.JobState | None,
+    task: progress.Task,
+) -> int:
+    """Count the runs on a worker that a task is better kept apart from.
+
+    A suspect is kept from what has just started and may yet crash its first
+    worker, and all others from suspects.
+
+    :param worker: The worker.
+    :param state: The task's job.
+    :param task: The task.
+    """
+    if not task.unexplained:
+        placed = worker.suspects.values()
+        return sum(
+            bool(one.task.unexplained) and not _is_settled(one)
+            for one in placed
+        )
+    return sum(not one.task.crashes for one in list_unsettled(worker, state))
+
+
+def isolate(
+    worker: workers.WorkerState,
+    state: progress.JobState,
+    task: progress.Task,
+    number: int,
+) -> None:
+    """Note that a task's next run is isolated on a worker.
+
+    :param worker: The worker, without the run.
+    :param state: The job.
+    :param task: The task.
+    :param number: Number of the run.
+    """
+    task.isolated = number
+    unsettled = {id(placed) for placed in list_unsettled(worker, state)}
+    task.settled_beside = {
+        key
+        for key, placed in worker.runs.items()
+        if placed.state is not state and id(placed) not in unsettled
+    }
--- a/src/rackvalve/scheduling/endings.py
+++ b/src/rackvalve/scheduling/endings.py
@@ -28,8 +28,11 @@
     """
     ended = list(worker.runs.values())
     fate = releases.judge_fate(worker, proof)
+    is_series = False
+    if fate is releases.Fate.CRASHED and worker.entry is not None:
+        is_series = book.crash_series.note(worker.entry.pool, now)
+    crashes.blame_all(ended, fate, now, is_series=is_series)
     for placed in ended:
-        crashes.blame(placed, fate, now, ended)
         # Failures of lasting tasks are not bounded.
         if fate is releases.Fate.OUT_OF_REACH and not placed.step.lasting:
             placed.task.untold.add(placed.run.number)
@@ -75,9 +78,15 @@
 
 
 def _give_up(book: books.Book, placed: workers.Placed, wall: float) -> None:
-    """End a job if too many workers crashed under one of its tasks."""
+    """End a job if it has crashed workers that nothing else has crashed."""
     task, state = placed.task, placed.state
-    if state.is_final or not crashes.is_given_up(task):
+    if state.is_final or not crashes.is_given_up(state, task):
         return
-    reason = f"{task.crashes} workers crashed under task {task.name}"
+    isolated = crashes.count_isolated_crashes(state)
+    reason = (
+        f"{task.crashes} workers crashed under task {task.name}; of the "
+        f"crashes under this job no other job can have caused {isolated}"
+    )
     book.finish_job(state, progress.Phase.FAILED, wall, reason)
+    for other in crashes.explain(state, book.open_jobs.values()):
+        book.mark(other)
--- a/src/rackvalve/scheduling/hindrance.py
+++ b/src/rackvalve/scheduling/hindrance.py
@@ -316,7 +316,8 @@
         need: fleet.Room,
     ) -> Cause:
         step = state.step_of(name)
-        if crashes.awaits_isolation(step, state.tasks[name], self._now):
+        task = state.tasks[name]
+        if crashes.choose_isolation(state, task, self._now).waits:
             return Cause.CRASHES
         pool = self.pool(queue.pool)
         if not pool.takes_work:
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
+from collections.abc import Sequence
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
@@ -30,10 +32,12 @@
     :param members: The workers.
     """
 
-    __slots__ = ("members", "_start")
+    __slots__ = ("members", "reserved", "_start")
 
     def __init__(self, members: list[workers.WorkerState]) -> None:
         self.members = members
+        # Those of them, by identity, that only one job may start on.
+        self.reserved: dict[str, progress.JobState] = {}
         self._start = 0
 
     def choose(
@@ -44,8 +48,10 @@
         used: collections.Counter[str],
         *,
         now: float,
-        isolated: bool = False,
+        state: progress.JobState | None = None,
+        is_isolated: bool = False,
         tickets: dict[str, str] | None = None,
+        among: Collection[str] | None = None,
     ) -> workers.WorkerState | None:
         """Choose a worker for a task.
 
@@ -54,9 +60,12 @@
         :param need: The room that it takes.
         :param used: How many tasks of the step each worker has.
         :param now: Present time, in seconds.
-        :param isolated: Whether it may not be beside a task under which
-            workers crashed.
+        :param state: The task's job, if that matters.
+        :param is_isolated: Whether it starts only where no other job could
+            cause a crash.
         :param tickets: Admitted workers; ``None`` if all are.
+        :param among: Identities of the workers to choose from; ``None`` for
+            all.
         :return: The worker, or ``None`` if there is no room.
         """
         best = None
@@ -68,14 +77,15 @@
             worker = self.members[(self._start + offset) % count]
             if not worker.free.fits(need):
                 continue
-            if worker.suspects:
-                if isolated or crashes.is_isolating(worker, now):
-                    continue
+            if among is not None and worker.identity not in among:
+                continue
+            if not self._is_open(worker, state, is_isolated):
+                continue
             if tickets is not None and worker.identity not in tickets:
                 continue
             if not _allows(worker, step, used):
                 continue
-            score = _score(worker, step, task, used, now)
+            score = _score(worker, step, task, used, now, state)
             if best is None or score < best_score:
                 best, best_score = worker, score
             seen += 1
@@ -83,6 +93,85 @@
                 break
         return best
 
+    def _is_open(
+        self,
+        worker: workers.WorkerState,
+        state: progress.JobState | None,
+        is_isolated: bool,
+    ) -> bool:
+        """Return whether suspects on a worker, or a task itself, allow it."""
+        holder = self.reserved.get(worker.identity)
+        if is_isolated:
+            if holder is not None and holder is not state:
+                return False
+            return not crashes.list_unsettled(worker, state)
+        return holder is None and not crashes.is_isolating(worker)
+
+
+def choose_for_gang(
+    view: PoolView,
+    state: progress.JobState,
+    tasks: Sequence[progress.Task],
+    used: collections.Counter[str],
+    *,
+    now: float,
+    is_isolated: bool = False,
+    tickets: dict[str, str] | None = None,
+) -> list[workers.WorkerState]:
+    """Choose workers for tasks that start together.
+
+    :param view: The workers of the pool.
+    :param state: The tasks' job.
+    :param tasks: The tasks, all of one step.
+    :param used: How many tasks of the step each worker has.
+    :param now: Present time, in seconds.
+    :param is_isolated: Whether they start only where no other job could
+        cause a crash.
+    :param tickets: Admitted workers; ``None`` if all are.
+    :return: A worker for each of the tasks; fewer if there is no room.
+    """
+    step = state.step_of(tasks[0].name)
+    need = fleet.need_of(step)
+    chosen: list[workers.WorkerState] = []
+    for task in tasks:
+        worker = view.choose(
+            step,
+            task,
+            need,
+            used,
+            now=now,
+            state=state,
+            is_isolated=is_isolated,
+            tickets=tickets,
+        )
+        if worker is None:
+            break
+        worker.free = worker.free.minus(need)
+        used[worker.identity] += 1
+        chosen.append(worker)
+    for worker in chosen:
+        worker.free = worker.free.plus(need)
+    return chosen
+
+
+def bears(
+    worker: workers.WorkerState,
+    step: definition.Step,
+    tickets: dict[str, str] | None,
+) -> bool:
+    """Return whether a worker could take a task if it were empty.
+
+    :param worker: The worker.
+    :param step: The task's step.
+    :param tickets: Admitted workers; ``None`` if all are.
+    """
+    entry = worker.entry
+    if entry is None or not entry.labels.issuperset(step.labels):
+        return False
+    if tickets is not None and worker.identity not in tickets:
+        return False
+    return entry.capacity.fits(fleet.need_of(step))
+
 
 def _allows(
     worker: workers.WorkerState,
@@ -104,6 +193,7 @@
     task: progress.Task,
     used: collections.Counter[str],
     now: float,
+    state: progress.JobState | None,
 ) -> Score:
     """Rate a worker for a task; less is better."""
     entry = worker.entry
@@ -119,21 +209,22 @@
     # A lasting task would have to move once more.
     leaves = float(step.lasting and worker.leaves_later)
     neighbours = _count_unfit_neighbours(worker, step)
-    # Suspects apart from each other: fewer of them are hit by the next crash.
-    suspects = float(len(worker.suspects)) if task.crashes else 0.0
+    strangers = float(crashes.count_strangers(worker, state, task))
     return (
         float(worker.identity in task.avoid),
         float(suspect),
+        # The VM itself may be what crashes.
+        float(entry.vm in task.crashed_on),
         float(away_from_data),
         worker.slowness if worker.slowness > SLOW_FROM else 1.0,
-        suspects,
+        strangers,
         crowd,
         leaves,
         neighbours,
         # Lasting tasks are spread; other work is packed, so that VMs that a
         # pool does not need are empty and can leave at once.  A task that may
         # crash its worker goes where it takes the least with it.
-        load if step.lasting or task.crashes else -load,
+        load if step.lasting or task.unexplained else -load,
     )
 
 
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -20,10 +20,12 @@
 from rackvalve.scheduling import endings
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import isolation
 from rackvalve.scheduling import objectives
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import speeds
+from rackvalve.scheduling import starter as starters
 from rackvalve.scheduling import workers
 
 # A task whose progress has not moved for this long is stopped and started
@@ -65,14 +67,24 @@
     :param limits: Times to go by.
     """
 
-    __slots__ = ("_book", "_limits", "_views", "tickets", "held")
+    __slots__ = (
+        "_book",
+        "_limits",
+        "_views",
+        "_starter",
+        "_isolator",
+        "tickets",
+        "held",
+    )
 
     def __init__(self, book: books.Book, limits: Limits) -> None:
         self._book = book
         self._limits = limits
         self._views: dict[str, placement.PoolView] = {}
+        self._starter = starters.Starter(book)
+        self._isolator = isolation.Isolator(book, self._starter)
         # Admitted workers by step, for queues with an admission service.
-        self.tickets: dict[str, dict[str, str]] = {}
+        self.tickets = self._starter.tickets
         # Tasks that their workspaces' bounds held back in the last plan.
         self.held: collections.Counter[str] = collections.Counter()
 
@@ -92,6 +104,9 @@
                 waiting.setdefault(queue.pool, []).append(state)
         planned = 0
         self.held.clear()
+        for pool, view in self._views.items():
+            if pool not in waiting:
+                view.reserved = {}
         for pool, states in waiting.items():
             view = self._view(pool, now)
             if not view.members:
@@ -155,12 +170,10 @@
         self, view: placement.PoolView, placed: workers.Placed, now: float
     ) -> None:
         state, task, step = placed.state, placed.task, placed.step
-        workspace = self._book.find_workspace(state)
-        ask = fleet.ask_of(step)
-        if not self._book.usage.count_allowed(workspace, ask, 1):
+        if not self._starter.count_allowed(state, step, 1):
             return
         name = task.name
-        used = _count_used(state, name.repetition, name.step, step)
+        used = starters.count_used(state, name.repetition, name.step)
         worker = view.choose(step, task, placed.need, used, now=now)
         if worker is not None:
             number = state.take_run_number()
@@ -281,23 +294,18 @@
         states: list[progress.JobState],
         now: float,
     ) -> int:
-        planned = 0
+        planned = self._isolator.plan(view, states, now)
         # Needs that found no room in this round; greater ones find none
         # either.
         full: list[fleet.Room] = []
         for state in states:
-            workspace = self._book.find_workspace(state)
-            if state.suspects:
-                planned += self._plan_isolated(view, state, now)
             by_step = _group_ready(state, now)
             for (repetition, number), tasks in by_step.items():
                 step = state.job.steps[number]
                 need = fleet.need_of(step)
                 if any(_covers(need, other) for other in full):
                     continue
-                allowed = self._book.usage.count_allowed(
-                    workspace, fleet.ask_of(step), len(tasks)
-                )
+                allowed = self._starter.count_allowed(state, step, len(tasks))
                 self.held[state.workspace] += len(tasks) - allowed
                 if step.gang and allowed < len(tasks):
                     continue
@@ -310,42 +318,6 @@
                     full.append(need)
         return planned
 
-    def _plan_isolated(
-        self, view: placement.PoolView, state: progress.JobState, now: float
-    ) -> int:
-        """Start a task under which workers crashed, alone on its worker."""
-        task = crashes.find_to_isolate(state, now)
-        if task is None:
-            return 0
-        step, name = state.step_of(task.name), task.name
-        workspace = self._book.find_workspace(state)
-        ask = fleet.ask_of(step)
-        if not self._book.usage.count_allowed(workspace, ask, 1):
-            return 0
-        tickets = self._find_tickets(state, name.repetition, name.step)
-        worker = view.choose(
-            step,
-            task,
-            fleet.need_of(step),
-            _count_used(state, name.repetition, name.step, step),
-            now=now,
-            isolated=True,
-            tickets=tickets,
-        )
-        if worker is None:
-            return 0
-        task.isolated = state.take_run_number()
-        self._place(state, task, worker, task.isolated, tickets, now)
-        return 1
-
-    def _find_tickets(
-        self, state: progress.JobState, repetition: int, number: int
-    ) -> dict[str, str] | None:
-        """Return the workers admitted for a step; ``None`` if all are."""
-        if self._book.queues[state.queue].advice is None:
-            return None
-        return self.tickets.get(state.step_name(repetition, number), {})
-
     def _is_plain(
         self, state: progress.JobState, step: definition.Step
     ) -> bool:
@@ -364,21 +336,25 @@
         need: fleet.Room,
         now: float,
     ) -> int:
-        used = _count_used(state, repetition, number, step)
-        tickets = self._find_tickets(state, repetition, number)
+        used = starters.count_used(state, repetition, number)
+        tickets = self._starter.find_tickets(state, repetition, number)
         if step.gang:
-            return self._plan_gang(
-                view, state, step, tasks, need, used, tickets, now
-            )
+            return self._plan_gang(view, state, tasks, used, tickets, now)
         planned = 0
         for task in tasks:
             worker = view.choose(
-                step, task, need, used, now=now, tickets=tickets
+                step,
+                task,
+                need,
+                used,
+                now=now,
+                state=state,
+                tickets=tickets,
             )
             if worker is None:
                 break
             run_number = state.take_run_number()
-            self._place(state, task, worker, run_number, tickets, now)
+            self._starter.place(state, task, worker, run_number, now)
             used[worker.identity] += 1
             planned += 1
         return planned
@@ -387,50 +363,25 @@
         self,
         view: placement.PoolView,
         state: progress.JobState,
-        step: definition.Step,
         tasks: list[progress.Task],
-        need: fleet.Room,
         used: collections.Counter[str],
         tickets: dict[str, str] | None,
         now: float,
     ) -> int:
         """Place all members of a gang, or none."""
-        if len(tasks) < step.tasks:
+        if len(tasks) < state.step_of(tasks[0].name).tasks:
             # Others still run or are being stopped.
             return 0
-        chosen: list[workers.WorkerState] = []
-        for task in tasks:
-            worker = view.choose(
-                step, task, need, used, now=now, tickets=tickets
-            )
-            if worker is None:
-                break
-            worker.free = worker.free.minus(need)
-            used[worker.identity] += 1
-            chosen.append(worker)
-        for worker in chosen:
-            worker.free = worker.free.plus(need)
+        chosen = placement.choose_for_gang(
+            view, state, tasks, used, now=now, tickets=tickets
+        )
         if len(chosen) < len(tasks):
             return 0
         number = state.take_run_number()
         for task, worker in zip(tasks, chosen, strict=True):
-            self._place(state, task, worker, number, tickets, now)
+            self._starter.place(state, task, worker, number, now)
         return len(tasks)
 
-    def _place(
-        self,
-        state: progress.JobState,
-        task: progress.Task,
-        worker: workers.WorkerState,
-        number: int,
-        tickets: dict[str, str] | None,
-        now: float,
-    ) -> None:
-        """Plan a run with the worker's ticket, where it needs one."""
-        run = self._book.place(state, task, worker, number, now)
-        if tickets is not None:
-            run.ticket = tickets[worker.identity]
-
     def _urgency(
         self, state: progress.JobState, now: float
     ) -> tuple[float, ...]:
@@ -476,24 +427,8 @@
     by_step: dict[tuple[int, int], list[progress.Task]] = {}
     for name in state.waiting:
         task = state.tasks[name]
-        if crashes.awaits_isolation(state.step_of(name), task, now):
+        if crashes.choose_isolation(state, task, now).waits:
             continue
         if task.not_before <= now:
             by_step.setdefault((name.repetition, name.step), []).append(task)
     return by_step
-
-
-def _count_used(
-    state: progress.JobState,
-    repetition: int,
-    number: int,
-    step: definition.Step,
-) -> collections.Counter[str]:
-    used: collections.Counter[str] = collections.Counter()
-    if not (step.most_per_worker or step.lasting):
-        return used
-    for name, task in state.tasks.items():
-        if (name.repetition, name.step) == (repetition, number):
-            for run in task.runs.values():
-                used[run.worker] += 1
-    return used
--- a/src/rackvalve/scheduling/releases.py
+++ b/src/rackvalve/scheduling/releases.py
@@ -34,12 +34,14 @@
     :param number: Number of the run.
     :param age: How long ago it was ordered, in seconds.
     :param crashes: How many crashes now count against the task.
+    :param isolated_crashes: How many of them no other job can have caused.
     """
 
     task: str
     number: int
     age: float
     crashes: int
+    isolated_crashes: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -80,6 +82,7 @@
                 number=placed.run.number,
                 age=now - placed.run.since,
                 crashes=placed.task.crashes,
+                isolated_crashes=placed.task.isolated_crashes,
             )
             for placed in worker.runs.values()
             if placed.run.stage is not progress.Stage.PLANNED
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -119,7 +119,7 @@
         for key, placed in list(worker.runs.items()):
             listed = running.get(key)
             if listed is not None:
-                _update_run(placed, listed, now)
+                _update_run(placed, listed, report.sent, now)
                 if beginnings.note_there(placed):
                     self._book.note_begun(placed.state)
                 if crashes.clear(worker, placed, report.sent):
@@ -339,9 +339,13 @@
 
 
 def _update_run(
-    placed: workers.Placed, row: messages.RunningRow, now: float
+    placed: workers.Placed,
+    row: messages.RunningRow,
+    sent: float,
+    now: float,
 ) -> None:
     run = placed.run
+    run.listed_at = sent
     run.inherited = False
     if row.checkpoint:
         placed.task.checkpoint = row.checkpoint
--- /dev/null
+++ b/src/rackvalve/scheduling/starter.py
@@ -0,0 +1,95 @@
+"""What every start of a task goes through, in whichever order it is chosen."""
+
+from __future__ import annotations
+
+import collections
+
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.scheduling import book as books
+from rackvalve.scheduling import fleet
+from rackvalve.scheduling import workers
+
+
+class Starter:
+    """Places runs over a book, within bounds and with tickets.
+
+    :param book: The book.
+    """
+
+    __slots__ = ("_book", "tickets")
+
+    def __init__(self, book: books.Book) -> None:
+        self._book = book
+        # Admitted workers by step, for queues with an admission service.
+        self.tickets: dict[str, dict[str, str]] = {}
+
+    def count_allowed(
+        self, state: progress.JobState, step: definition.Step, asked: int
+    ) -> int:
+        """Return how many tasks a job's workspace may start now.
+
+        :param state: The job.
+        :param step: The tasks' step.
+        :param asked: How many are to start.
+        """
+        workspace = self._book.find_workspace(state)
+        ask = fleet.ask_of(step)
+        return self._book.usage.count_allowed(workspace, ask, asked)
+
+    def find_tickets(
+        self, state: progress.JobState, repetition: int, number: int
+    ) -> dict[str, str] | None:
+        """Return the workers admitted for a step; ``None`` if all are.
+
+        :param state: The job.
+        :param repetition: Number of the repetition.
+        :param number: Number of the step.
+        """
+        if self._book.queues[state.queue].advice is None:
+            return None
+        return self.tickets.get(state.step_name(repetition, number), {})
+
+    def place(
+        self,
+        state: progress.JobState,
+        task: progress.Task,
+        worker: workers.WorkerState,
+        number: int,
+        now: float,
+    ) -> None:
+        """Plan a run with the worker's ticket, where it needs one.
+
+        :param state: The job.
+        :param task: The task.
+        :param worker: The worker.
+        :param number: Number of the run.
+        :param now: Present time, in seconds.
+        """
+        name = task.name
+        tickets = self.find_tickets(state, name.repetition, name.step)
+        run = self._book.place(state, task, worker, number, now)
+        if tickets is not None:
+            run.ticket = tickets[worker.identity]
+
+
+def count_used(
+    state: progress.JobState,
+    repetition: int,
+    number: int,
+) -> collections.Counter[str]:
+    """Count a step's tasks by worker, where their spread matters.
+
+    :param state: The job.
+    :param repetition: Number of the repetition.
+    :param number: Number of the step.
+    """
+    used: collections.Counter[str] = collections.Counter()
+    step = state.job.steps[number]
+    if not (step.most_per_worker or step.lasting):
+        return used
+    for name, task in state.tasks.items():
+        if (name.repetition, name.step) == (repetition, number):
+            for run in task.runs.values():
+                used[run.worker] += 1
+    return used
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -12,6 +12,7 @@
 from tools.experiments import commits  # noqa: E402
 from tools.experiments import control  # noqa: E402
 from tools.experiments import cores  # noqa: E402
+from tools.experiments import crashes  # noqa: E402
 from tools.experiments import decisions  # noqa: E402
 from tools.experiments import entry  # noqa: E402
 from tools.experiments import faults  # noqa: E402
@@ -36,6 +37,7 @@
     "waves": waves.run,
     "control": control.run,
     "capacity": capacity.run,
+    "crashes": crashes.run,
 }
 
 
