A job that runs the same as one that was given up starts alone at first

Cause: each such job was a stranger again. The owner had found that the same text crashes its workers at once, and let the next job of that text start beside others.

Ruled out: to fail such jobs unseen (each still has a start of its own, and is told of a crash of its own), and to keep the mark beyond the records of the jobs that were given up.

Change: a job of the same queue, text and steps as one that was given up for crashes starts only where the next crash tells, all its tasks on one worker, and is given up by the first crash there. A good end of one of them, or work for longer than the culprit's runs lived, takes the mark away. It is known from the records of the jobs that ended, so the next owner knows it as well. Such jobs are tried after the others that must start alone: waiting, they harm nothing.

Tests: isolation.feature, six scenarios; they need what is new.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -72,3 +72,34 @@
     When 2 workers crash under both
     And a new owner reads their records
     Then the other one is known to have started last before the second crash
+
+  # Each job of a bad release crashed three or four workers before it was given
+  # up, though others that run the same had been found to crash theirs.
+  Scenario Outline: A job that runs the same as one that was given up <how> starts <where>
+    Given 3 workers, and a job that was given up <how>
+    When one that runs <what> is handed in beside others
+    Then it starts <where>
+
+    Examples:
+      | how                       | what             | where                |
+      | for crashes               | the same         | where it is alone    |
+      | for crashes               | something else   | beside others        |
+      | for failures              | the same         | beside others        |
+
+  Scenario: It is given up by its first crash alone
+    Given 3 workers, and a job that was given up for crashes
+    When one that runs the same is handed in beside others
+    And the worker crashes that it runs on
+    Then it is given up, and its reason names one crash
+
+  Scenario: A good end of one that runs the same, or work for longer, takes the suspicion away
+    Given 3 workers, and a job that was given up for crashes
+    When one that runs the same is handed in beside others
+    And it ends well
+    Then the next one that runs the same starts beside others
+
+  Scenario: The next owner knows whom a job resembles
+    Given 3 workers, and a job that was given up for crashes
+    When a new owner reads its record, and then one that runs the same comes
+    Then that one is known to run the same
+    And it is forgotten with the records of the first
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -233,6 +233,7 @@
         "cancel_wanted",
         "opened",
         "suspects",
+        "culprit_lived",
         "reason",
     )
 
@@ -266,6 +267,9 @@
         self.opened: set[tuple[int, int]] = set()
         # Tasks under which workers crashed and that are not cleared.
         self.suspects: set[definition.TaskName] = set()
+        # How long, in seconds, the runs of a job that runs the same lived that
+        # was given up for crashing its workers; 0 while none is known.
+        self.culprit_lived = 0.0
         self.reason = ""
 
     @property
--- a/src/rackvalve/manager/recorder.py
+++ b/src/rackvalve/manager/recorder.py
@@ -127,7 +127,9 @@
 
     def _forget_removed(self) -> None:
         for identity in self._removed:
-            self._book.jobs.pop(identity, None)
+            state = self._book.jobs.pop(identity, None)
+            if state is not None:
+                self._book.crash_history.culprits.forget(state)
             self._ended.discard(identity)
             self._leaving.discard(identity)
         self._removed.clear()
--- a/src/rackvalve/scheduling/book.py
+++ b/src/rackvalve/scheduling/book.py
@@ -15,7 +15,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import beginnings
 from rackvalve.scheduling import closures
-from rackvalve.scheduling import crash_series
+from rackvalve.scheduling import crash_history
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import index
 from rackvalve.scheduling import messages
@@ -66,7 +66,7 @@
         "durations",
         "speeds",
         "usage",
-        "crash_series",
+        "crash_history",
         "_rates",
     )
 
@@ -107,7 +107,7 @@
         self.speeds = speeds.Speeds()
         # What each workspace may have running.
         self.usage = usage.Usage()
-        self.crash_series = crash_series.CrashSeries()
+        self.crash_history = crash_history.CrashHistory()
         # Which jobs were sent within the rates that workspaces have paid for.
         self._rates = rates.Rates()
 
@@ -146,6 +146,7 @@
                 self.find_workspace(state), state.accepted
             )
         self.jobs[state.identity] = state
+        self.crash_history.culprits.take(state, self.open_jobs.values())
         if not state.is_final:
             self.open_jobs[state.identity] = state
         for task in state.tasks.values():
--- /dev/null
+++ b/src/rackvalve/scheduling/crash_history.py
@@ -0,0 +1,16 @@
+"""What an owner remembers of crashes beyond the tasks that ran there."""
+
+from __future__ import annotations
+
+from rackvalve.scheduling import crash_series
+from rackvalve.scheduling import culprits
+
+
+class CrashHistory:
+    """Crashes that were noticed lately, and jobs given up for some of them."""
+
+    __slots__ = ("series", "culprits")
+
+    def __init__(self) -> None:
+        self.series = crash_series.CrashSeries()
+        self.culprits = culprits.Culprits()
--- a/src/rackvalve/scheduling/crashes.py
+++ b/src/rackvalve/scheduling/crashes.py
@@ -28,7 +28,8 @@
 # third crash.
 CRASHES_MOST = 5
 # Crashes in isolation, each soon after the start, after which a job is given
-# up: one may be the VM's own.
+# up: one may be the VM's own.  Of a job that runs the same as one that was
+# given up, the first is enough.
 PROMPT_CRASHES_MOST = 2
 # A run that is not known to have worked for longer than this (seconds) has
 # crashed its worker soon after its start.
@@ -199,7 +200,7 @@
     if task.done:
         return False
     prompt = sum(one.prompt_crashes for one in _list_suspects(state))
-    if prompt >= PROMPT_CRASHES_MOST:
+    if prompt >= (1 if state.culprit_lived else PROMPT_CRASHES_MOST):
         return True
     is_spent = task.crashes >= CRASHES_MOST
     return is_spent and count_isolated_crashes(state) > 0
@@ -233,7 +234,11 @@
     :return: Whether it was a suspect and is none any more.
     """
     task, run, state = placed.task, placed.run, placed.state
-    if not task.crashes or run.confirmed_at is None:
+    if run.confirmed_at is None:
+        return False
+    if asked - run.confirmed_at > _limit(state.culprit_lived, CLEARED_MOST_S):
+        state.culprit_lived = 0.0
+    if not task.crashes:
         return False
     if asked - run.confirmed_at <= _limit(task.lived, CLEARED_MOST_S):
         return False
@@ -260,8 +265,8 @@
     :param task: The task.
     :param now: Present time, in seconds.
     """
-    if task.crashes >= LAST_START_FROM:
-        # Whoever caused them, this start must tell.
+    if state.culprit_lived or task.crashes >= LAST_START_FROM:
+        # Whoever caused the crashes, this start must tell.
         return Isolation.REQUIRED
     if not task.unexplained:
         return Isolation.NONE
@@ -282,7 +287,7 @@
     :param state: Its job.
     :param task: The task.
     """
-    if task.youngest_crashes:
+    if state.culprit_lived or task.youngest_crashes:
         return True
     return bool(task.unexplained and count_isolated_crashes(state))
 
@@ -357,8 +362,8 @@
     """Return whether a run is known to have been at work for long."""
     if placed.run.number == placed.task.isolated and _keeps_worker(placed):
         return False
-    least = _limit(placed.task.lived, SETTLED_MOST_S)
-    return _read_worked(placed.run) > least
+    lived = max(placed.task.lived, placed.state.culprit_lived)
+    return _read_worked(placed.run) > _limit(lived, SETTLED_MOST_S)
 
 
 def _read_worked(run: progress.Run) -> float:
--- a/src/rackvalve/scheduling/endings.py
+++ b/src/rackvalve/scheduling/endings.py
@@ -30,7 +30,7 @@
     fate = releases.judge_fate(worker, proof)
     is_series = False
     if fate is releases.Fate.CRASHED and worker.entry is not None:
-        is_series = book.crash_series.note(worker.entry.pool, now)
+        is_series = book.crash_history.series.note(worker.entry.pool, now)
     crashes.blame_all(ended, fate, now, is_series=is_series)
     for placed in ended:
         # Failures of lasting tasks are not bounded.
@@ -88,5 +88,6 @@
         f"crashes under this job no other job can have caused {isolated}"
     )
     book.finish_job(state, progress.Phase.FAILED, wall, reason)
+    book.crash_history.culprits.take(state, book.open_jobs.values())
     for other in crashes.explain(state, book.open_jobs.values()):
         book.mark(other)
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -25,8 +25,12 @@
 # the same time.
 RESERVED_PART = 0.5
 # A task that is likely to blame is tried before those that have waited for so
-# much longer at most, in seconds.
+# much longer at most, in seconds: once it is found, less counts against them.
 LIKELY_AHEAD_S = 2.0
+# What runs the same as a job that was given up is tried after those that have
+# come so much later at most, in seconds: meanwhile it harms nothing, and each
+# crash takes its worker away.
+ALIKE_BEHIND_S = 10.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -64,10 +68,11 @@
     def urgency(self) -> float:
         """Less for what is tried first.
 
-        What has crashed its workers soonest is most likely to blame, and once
-        it is found nothing counts against those beside it any more.
+        What has crashed its workers soonest is most likely to blame.
         """
         lived = min(task.lived for task in self.tasks)
+        if self.state.culprit_lived:
+            return self.since + lived + ALIKE_BEHIND_S
         ahead = LIKELY_AHEAD_S if self.is_likely else 0.0
         return self.since + lived - ahead
 
@@ -82,7 +87,8 @@
     """
     found: dict[tuple[object, ...], Group] = {}
     for state in states:
-        for name in state.suspects:
+        is_alike = bool(state.culprit_lived)
+        for name in state.waiting if is_alike else state.suspects:
             isolation = _choose_isolation(state, name, now)
             key = (state.identity, name.repetition, name.step, isolation)
             if isolation is crashes.Isolation.NONE or key in found:
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -409,7 +409,7 @@
         return False
     if placed.state.is_final or task.done or placed.run.stop_wanted:
         return False
-    if task.crashes:
+    if task.crashes or placed.state.culprit_lived:
         # Each copy could take one more worker with it.
         return False
     return len(task.runs) == 1
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -186,6 +186,9 @@
         wall: float,
     ) -> None:
         step = state.step_of(task.name)
+        self._book.crash_history.culprits.acquit(
+            state, self._book.open_jobs.values()
+        )
         if placed is not None:
             self._note_success(worker, placed, now)
             task.done = True
--- a/tools/experiments/crashes.py
+++ b/tools/experiments/crashes.py
@@ -98,6 +98,7 @@
     :param lost: Runs of other jobs that ended by crashes.
     :param still: Longest time without a run of a job, or of a lasting task,
         that could be done, in seconds.
+    :param stillest: The task of which that was.
     """
 
     given_up: int
@@ -106,6 +107,7 @@
     late_starts: int
     lost: int
     still: float
+    stillest: str
 
 
 def run(seed):
@@ -116,6 +118,8 @@
     for case in CASES:
         seen = measure(case)
         for field in dataclasses.fields(seen):
+            if field.name == "stillest":
+                continue
             yield figures.Figure(
                 figure=f"crashes.{field.name}.{case.name}",
                 value=getattr(seen, field.name),
@@ -208,27 +212,29 @@
             lives.update({worker} if is_guilty else ())
         elif kind == "start" and crashes[task] >= checks.CRASHES_MOST:
             late[task] += is_guilty
+    still, stillest = _find_longest_still(journal, states, good, ended)
     return Seen(
         given_up=sum(states[job] == "failed" for job in good),
         told=sum(states[job] == "failed" for job in guilty),
         crashes=len(lives),
         late_starts=max(late.values(), default=0),
         lost=lost,
-        still=round(_find_longest_still(journal, states, good, ended), 2),
+        still=round(still, 2),
+        stillest=stillest,
     )
 
 
 def _find_longest_still(journal, states, good, ended):
-    """Return the longest time between the end of a run and the next start."""
-    since, longest = {}, 0.0
+    """Return the longest time from the end of a run to the next start."""
+    since, longest = {}, (0.0, "")
     for at, kind, _, task, _, detail in journal:
         if task.partition(".")[0] not in good:
             continue
         if kind == "start":
-            longest = max(longest, at - since.pop(task, at))
+            longest = max(longest, (at - since.pop(task, at), task))
         elif detail != "done":
             since[task] = at
     for task, at in since.items():
         if states[task.partition(".")[0]] not in sites.FINAL:
-            longest = max(longest, ended - at)
+            longest = max(longest, (ended - at, task))
     return longest
