A gang that has ended well is done also where a member's worker has crashed

What callers saw: a job whose tasks start together was shown as running for good.

Cause: the good end of one member stands for all of the run, but it was noted only for members whose run was still known. The run of those on the crashed worker had been released by proof before the end was told, so they waited to start, which members do only all together, and the others were done.

Change: the end stands for all members of the step, whatever is known of their runs; a later run of a member is stopped.

Tests: late_ends.feature, two rows; the one in which the end is told after the crash failed before.

Our stand-in's members do not wait for each other, which is how it was met at once; on the platform it takes an end that is told more than the 0.7 s until the crash of another member is noticed.

--- a/features/late_ends.feature
+++ b/features/late_ends.feature
@@ -24,3 +24,15 @@
     When the first worker answers again and tells that its run failed
     And it tells so once more to the next owner
     Then 1 failure counts against the task
+
+  # The members whose worker had crashed waited for the others to start with
+  # them, for good: those were done.
+  Scenario Outline: A gang that has ended well on one worker is done when another one crashes <when>
+    Given a gang of 2 tasks at work on 2 workers
+    When one worker crashes and the other tells the good end <when>
+    Then the job is completed, and nothing of it starts again
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
--- a/features/steps/late_end_steps.py
+++ b/features/steps/late_end_steps.py
@@ -67,3 +67,31 @@
 def check_failures(context, count):
     (task,) = context.state.tasks.values()
     assert task.failures == count, task.failures
+
+
+@behave.given("a gang of {count:d} tasks at work on {workers:d} workers")
+def make_gang(context, count, workers):
+    context.bench = benches.Bench([f"w{n}" for n in range(workers)])
+    step = definition.Step(
+        tasks=count, cpu=1, gang=True, most_per_worker=count // workers
+    )
+    context.state = context.bench.add(step)
+    context.orders = context.bench.start_all()
+    assert len(context.orders) == count
+
+
+@behave.when("one worker crashes and the other tells the good end {when}")
+def crash_one(context, when):
+    bench = context.bench
+    first, second = context.orders
+    if when == "before":
+        bench.end(second, messages.Ending.DONE)
+    bench.end_life(first.worker)
+    if when == "after":
+        bench.end(second, messages.Ending.DONE)
+
+
+@behave.then("the job is completed, and nothing of it starts again")
+def check_completed(context):
+    assert context.state.phase is progress.Phase.COMPLETED
+    assert not context.bench.start_all()
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -215,8 +215,15 @@
                 task.name.step == ended.name.step
                 and task.name.repetition == ended.name.repetition
             )
-            if same and number in task.runs:
-                task.done = True
+            if not same:
+                continue
+            # Also where the member's worker is known to have crashed since.
+            task.done = True
+            state.waiting.pop(task.name, None)
+            for run in list(task.runs.values()):
+                if run.number != number:
+                    reason = "an earlier run is done"
+                    self._book.stop(state, task, run, reason)
 
     def _take_cut(
         self,
