Suspects of one crash are placed as before; kept workers are told of

Change: after one crash, suspects are kept apart from each other as they were. Only after several, or where a run was the last to start in a series of crashes, are suspects kept from what has just started and all others from them. A VM is avoided from the second crash on it or another one. A job that waits beside a worker that is reserved or kept is told to have no worker with room, not that nothing holds it, and pool.standing counts such workers. None is reserved that would not have the room.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -57,6 +57,12 @@
     Then nothing else starts on its worker
     And others do once it has worked for 21 s
 
+  # It told that nothing which is known holds the job.
+  Scenario: What waits beside a worker that is kept is told why
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most
+    When it has worked alone for 2 s beside others that wait
+    Then the others are told to have no worker with room, and the worker to be kept
+
   Scenario: Tasks of a job that must start alone start on one worker
     Given a job of 3 tasks under each of which 3 workers have crashed, and 4 workers
     When what waits is started
--- /dev/null
+++ b/features/steps/culprit_steps.py
@@ -0,0 +1,121 @@
+"""Steps about jobs that run the same as one that was given up."""
+
+from __future__ import annotations
+
+import behave
+
+from features import job_bench as benches
+from features.steps import crash_steps
+from features.steps import isolation_steps
+from rackvalve.jobs import definition
+from rackvalve.jobs import progress
+from rackvalve.scheduling import messages
+
+
+def hand_in(bench, number, spec="x", **fields):
+    """Hand a job of one task in."""
+    state = progress.JobState(
+        f"{number:016x}",
+        "queue",
+        definition.Job(
+            spec=spec, steps=(definition.Step(tasks=1, cpu=1, **fields),)
+        ),
+        bench.now,
+    )
+    bench.book.add_job(state, bench.now, bench.now)
+    return state
+
+
+@behave.given("{count:d} workers, and a job that was given up for {what}")
+def make_culprit(context, count, what):
+    context.bench = bench = benches.Bench([f"w{n}" for n in range(count)])
+    context.made = 0
+    context.culprit = state = hand_in(bench, 1)
+    if what == "failures":
+        bench.book.finish_job(
+            state, progress.Phase.FAILED, bench.now, "its task failed"
+        )
+        return
+    isolation_steps.count_crashes(bench, state, 2)
+    while not state.is_final:
+        for order in bench.start_all():
+            bench.now += isolation_steps.PROOF_S
+            isolation_steps.renew(context, order.worker)
+
+
+@behave.when("one that runs {what} is handed in beside others")
+def hand_in_alike(context, what):
+    bench = context.bench
+    spec = "x" if what == "the same" else "y"
+    context.alike = hand_in(bench, 2, spec)
+    others = progress.JobState(
+        f"{9:016x}",
+        "queue",
+        definition.Job(spec="z", steps=(definition.Step(tasks=100, cpu=1),)),
+        bench.now,
+    )
+    bench.book.add_job(others, bench.now, bench.now)
+    context.orders = bench.start_all()
+
+
+def find_neighbours(context, state):
+    (order,) = [
+        order for order in context.orders if order.job == state.identity
+    ]
+    context.order = order
+    return [
+        other
+        for other in context.orders
+        if other.worker == order.worker and other is not order
+    ]
+
+
+@behave.then("it starts {where}")
+def check_where(context, where):
+    neighbours = find_neighbours(context, context.alike)
+    assert bool(neighbours) == (where == "beside others"), neighbours
+
+
+@behave.when("the worker crashes that it runs on")
+def crash_alike(context):
+    find_neighbours(context, context.alike)
+    context.bench.now += isolation_steps.PROOF_S
+    isolation_steps.renew(context, context.order.worker)
+
+
+@behave.then("it is given up, and its reason names one crash")
+def check_given_up_at_once(context):
+    assert context.alike.phase is progress.Phase.FAILED
+    assert context.alike.reason.startswith("1 workers crashed under task")
+
+
+@behave.when("it ends well")
+def end_well(context):
+    find_neighbours(context, context.alike)
+    context.bench.end(context.order, messages.Ending.DONE)
+
+
+@behave.then("the next one that runs the same starts beside others")
+def check_next(context):
+    state = hand_in(context.bench, 3)
+    assert not state.culprit_lived, state.culprit_lived
+
+
+@behave.when(
+    "a new owner reads its record, and then one that runs the same comes"
+)
+def read_culprit(context):
+    context.culprit = crash_steps.hand_over(context.bench, context.culprit)
+    context.alike = hand_in(context.bench, 2)
+
+
+@behave.then("that one is known to run the same")
+def check_alike(context):
+    assert context.alike.culprit_lived > 0
+
+
+@behave.then("it is forgotten with the records of the first")
+def check_forgotten(context):
+    book = context.bench.book
+    book.crash_history.culprits.forget(context.culprit)
+    assert not hand_in(context.bench, 3).culprit_lived
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -13,7 +13,9 @@
 from features.steps import crash_steps
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.manager import timing
 from rackvalve.scheduling import crash_series
+from rackvalve.scheduling import hindrance as hindrances
 from rackvalve.scheduling import messages
 from tools.experiments import crashes as experiment
 from tools import site as sites
@@ -309,6 +311,21 @@
     assert [order.worker for order in bench.start_all()] == ["w0"]
 
 
+@behave.then(
+    "the others are told to have no worker with room, and the worker to be "
+    "kept"
+)
+def check_told(context):
+    bench = context.bench
+    judge = hindrances.Judge(
+        bench.book, bench.planner, bench.now, timing.FRESHNESS_S
+    )
+    found = judge.find(context.others, context.others.waiting, ())
+    assert found.cause is hindrances.Cause.NO_ROOM, found
+    counts = judge.pool(models.POOL).counts
+    assert counts == {hindrances.Availability.KEPT: 1}, counts
+
+
 @behave.given(
     "a job of {tasks:d} tasks under each of which {count:d} workers have "
     "crashed, and {workers:d} workers"
@@ -388,112 +405,3 @@
     assert first.youngest_crashes == 0, first.youngest_crashes
     assert other.youngest_crashes == 1, other.youngest_crashes
     assert first.crashed_lives == other.crashed_lives
-
-
-def hand_in(bench, number, spec="x", **fields):
-    """Hand a job of one task in."""
-    state = progress.JobState(
-        f"{number:016x}",
-        "queue",
-        definition.Job(
-            spec=spec, steps=(definition.Step(tasks=1, cpu=1, **fields),)
-        ),
-        bench.now,
-    )
-    bench.book.add_job(state, bench.now, bench.now)
-    return state
-
-
-@behave.given("{count:d} workers, and a job that was given up for {what}")
-def make_culprit(context, count, what):
-    context.bench = bench = benches.Bench([f"w{n}" for n in range(count)])
-    context.made = 0
-    context.culprit = state = hand_in(bench, 1)
-    if what == "failures":
-        bench.book.finish_job(
-            state, progress.Phase.FAILED, bench.now, "its task failed"
-        )
-        return
-    count_crashes(bench, state, 2)
-    while not state.is_final:
-        for order in bench.start_all():
-            bench.now += PROOF_S
-            renew(context, order.worker)
-
-
-@behave.when("one that runs {what} is handed in beside others")
-def hand_in_alike(context, what):
-    bench = context.bench
-    spec = "x" if what == "the same" else "y"
-    context.alike = hand_in(bench, 2, spec)
-    others = progress.JobState(
-        f"{9:016x}",
-        "queue",
-        definition.Job(spec="z", steps=(definition.Step(tasks=100, cpu=1),)),
-        bench.now,
-    )
-    bench.book.add_job(others, bench.now, bench.now)
-    context.orders = bench.start_all()
-
-
-def find_neighbours(context, state):
-    (order,) = [
-        order for order in context.orders if order.job == state.identity
-    ]
-    context.order = order
-    return [
-        other
-        for other in context.orders
-        if other.worker == order.worker and other is not order
-    ]
-
-
-@behave.then("it starts {where}")
-def check_where(context, where):
-    neighbours = find_neighbours(context, context.alike)
-    assert bool(neighbours) == (where == "beside others"), neighbours
-
-
-@behave.when("the worker crashes that it runs on")
-def crash_alike(context):
-    find_neighbours(context, context.alike)
-    context.bench.now += PROOF_S
-    renew(context, context.order.worker)
-
-
-@behave.then("it is given up, and its reason names one crash")
-def check_given_up_at_once(context):
-    assert context.alike.phase is progress.Phase.FAILED
-    assert context.alike.reason.startswith("1 workers crashed under task")
-
-
-@behave.when("it ends well")
-def end_well(context):
-    find_neighbours(context, context.alike)
-    context.bench.end(context.order, messages.Ending.DONE)
-
-
-@behave.then("the next one that runs the same starts beside others")
-def check_next(context):
-    state = hand_in(context.bench, 3)
-    assert not state.culprit_lived, state.culprit_lived
-
-
-@behave.when(
-    "a new owner reads its record, and then one that runs the same comes"
-)
-def read_culprit(context):
-    context.culprit = crash_steps.hand_over(context.bench, context.culprit)
-    context.alike = hand_in(context.bench, 2)
-
-
-@behave.then("that one is known to run the same")
-def check_alike(context):
-    assert context.alike.culprit_lived > 0
-
-
-@behave.then("it is forgotten with the records of the first")
-def check_forgotten(context):
-    book = context.bench.book
-    book.crash_history.culprits.forget(context.culprit)
-    assert not hand_in(context.bench, 3).culprit_lived
--- a/src/rackvalve/scheduling/crashes.py
+++ b/src/rackvalve/scheduling/crashes.py
@@ -380,20 +380,28 @@
 ) -> int:
     """Count the runs on a worker that a task is better kept apart from.
 
-    A suspect is kept from what has just started and may yet crash its first
-    worker, and all others from suspects.
+    After one crash suspects are kept apart, so that fewer of them are hit by
+    the next one.  After several they are kept from what has just started and
+    may yet crash its first worker, and all others from them.
 
     :param worker: The worker.
     :param state: The task's job.
     :param task: The task.
     """
-    if not task.unexplained:
-        placed = worker.suspects.values()
-        return sum(
-            bool(one.task.unexplained) and not _is_settled(one)
-            for one in placed
-        )
-    return sum(not one.task.crashes for one in list_unsettled(worker, state))
+    if _is_suspected_again(task):
+        unsettled = list_unsettled(worker, state)
+        return sum(not placed.task.crashes for placed in unsettled)
+    if task.unexplained:
+        return len(worker.suspects)
+    return sum(
+        _is_suspected_again(placed.task) and not _is_settled(placed)
+        for placed in worker.suspects.values()
+    )
+
+
+def _is_suspected_again(task: progress.Task) -> bool:
+    """Return whether more than one crash speaks against a task."""
+    return task.unexplained >= ISOLATED_FROM or task.youngest_crashes > 0
 
 
 def isolate(
--- a/src/rackvalve/scheduling/hindrance.py
+++ b/src/rackvalve/scheduling/hindrance.py
@@ -47,6 +47,7 @@
     PASSED_OVER = "slow"
     WAVE = "closed for a wave"
     SURPLUS = "closed as surplus"
+    KEPT = "kept for a task under which workers crashed"
     EVACUATED = "in a hall that is evacuated"
     DRAINING = "draining"
     SILENT = "silent"
@@ -114,6 +115,7 @@
 
     :param known: All its workers.
     :param members: Those that the planner places work on.
+    :param reserved: Identities of those that one job alone may start on.
     :param now: Present time, in seconds.
     :param freshness: Longest time since a worker's last answer, in seconds.
     """
@@ -124,27 +126,39 @@
         self,
         known: Sequence[workers.WorkerState],
         members: Sequence[workers.WorkerState],
+        reserved: Container[str],
         now: float,
         freshness: float,
     ) -> None:
-        self._members = members
+        self._members = [
+            worker
+            for worker in members
+            if worker.identity not in reserved
+            and not crashes.is_isolating(worker)
+        ]
         names = {worker.identity for worker in members}
+        taking = {worker.identity for worker in self._members}
         self.counts: collections.Counter[Availability] = collections.Counter()
         for worker in known:
             kind = availability(worker, now, freshness)
-            if worker.identity in names:
+            if worker.identity in taking:
                 kind = Availability.TAKING
+            elif worker.identity in names:
+                kind = Availability.KEPT
             elif kind is Availability.TAKING:
                 kind = Availability.PASSED_OVER
             self.counts[kind] += 1
         # What fits into none of these fits nowhere: a few rooms stand for
         # hundreds of workers, whose jobs may wait in thousands.
-        self._largest = _find_largest({worker.free for worker in members})
+        self._largest = _find_largest(
+            {worker.free for worker in self._members}
+        )
 
     @property
     def takes_work(self) -> bool:
         """Whether any worker takes work."""
-        return bool(self._members)
+        kinds = (Availability.TAKING, Availability.KEPT)
+        return any(self.counts[kind] for kind in kinds)
 
     def has_room(
         self,
@@ -205,6 +219,7 @@
             found = self._pools[name] = PoolState(
                 self._book.members.find(name),
                 self._planner.list_members(name, self._now),
+                self._planner.list_reserved(name),
                 self._now,
                 self._freshness,
             )
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -306,12 +306,14 @@
         tickets = self._starter.find_tickets(
             group.state, group.repetition, group.number
         )
+        need = fleet.need_of(group.step)
         able = [
             worker
             for worker in view.members
             if worker.identity not in view.reserved
             and not crashes.is_isolating(worker)
             and placement.bears(worker, group.step, tickets)
+            and _count_fitting(worker, group.state, need, 1)
         ]
         # Stays with those that are being emptied for the job already.
         able.sort(
@@ -320,7 +322,6 @@
                 _rate_wait(worker, group.state),
             )
         )
-        need = fleet.need_of(group.step)
         wanted = len(group.tasks) if group.step.gang else 1
         for worker in able[:left]:
             if wanted <= 0:
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -214,7 +214,7 @@
         float(worker.identity in task.avoid),
         float(suspect),
         # The VM itself may be what crashes.
-        float(entry.vm in task.crashed_on),
+        float(len(task.crashed_on) > 1 and entry.vm in task.crashed_on),
         float(away_from_data),
         worker.slowness if worker.slowness > SLOW_FROM else 1.0,
         strangers,
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 import dataclasses
 
 from rackvalve.jobs import definition
@@ -283,6 +284,15 @@
             return quick
         return members
 
+    def list_reserved(self, pool: str) -> Collection[str]:
+        """Return the workers of a pool that one job alone may start on.
+
+        :param pool: The pool.
+        :return: Their identities.
+        """
+        view = self._views.get(pool)
+        return view.reserved.keys() if view is not None else ()
+
     def _view(self, pool: str, now: float) -> placement.PoolView:
         view = self._views.setdefault(pool, placement.PoolView([]))
         view.members = self.list_members(pool, now)
