--- a/src/rackvalve/version.py
+++ b/src/rackvalve/version.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-VERSION = "0.10.0"
+VERSION = "0.11.0"
