Read-through: names of isolation, a culprit is compared with others once

What would stop a newcomer: "alike" stood for two things, tasks of one step that start together and jobs that run the same as a culprit. And each job that came compared all open jobs with the culprits, though only a new culprit can change what is known of the others.

No decision changes: a job that comes is marked itself, and the open ones were marked when the culprit was given up.

--- a/src/rackvalve/scheduling/culprits.py
+++ b/src/rackvalve/scheduling/culprits.py
@@ -14,7 +14,7 @@
 
 
 class Culprits:
-    """The jobs that were given up so, as far as they are still known."""
+    """The jobs that were given up for crashes and whose records are kept."""
 
     __slots__ = ("_lived",)
 
@@ -39,7 +39,7 @@
         known = max(self._lived.get(key, {}).values(), default=0.0)
         if not known:
             return
-        for other in (state, *others):
+        for other in (state,) if lived is None else others:
             if not other.is_final and _describe(other) == key:
                 other.culprit_lived = known
 
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -87,13 +87,14 @@
     """
     found: dict[tuple[object, ...], Group] = {}
     for state in states:
-        is_alike = bool(state.culprit_lived)
-        for name in state.waiting if is_alike else state.suspects:
+        # All tasks of a job that runs the same as a culprit are suspects.
+        names = state.waiting if state.culprit_lived else state.suspects
+        for name in names:
             isolation = _choose_isolation(state, name, now)
             key = (state.identity, name.repetition, name.step, isolation)
             if isolation is crashes.Isolation.NONE or key in found:
                 continue
-            tasks = _list_alike(state, name, isolation, now)
+            tasks = _list_together(state, name, isolation, now)
             if not tasks:
                 continue
             found[key] = Group(
@@ -117,7 +118,7 @@
     return crashes.choose_isolation(state, task, now)
 
 
-def _list_alike(
+def _list_together(
     state: progress.JobState,
     first: definition.TaskName,
     isolation: crashes.Isolation,
@@ -139,7 +140,7 @@
 
 
 class Isolator:
-    """Starts such tasks, and reserves workers of one pool for them.
+    """Starts suspects isolated, and reserves workers of a pool for them.
 
     :param book: The book.
     :param starter: Places runs.
