--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -7,10 +7,12 @@
 # that were given up, a task had started on the worker that crashes each one.
 Feature: A job is given up only for crashes that no other job can have caused
 
+  # Histories that told a caller failed, or started a culprit once too often.
   Scenario: Generated histories that gave up a job that could be done
     When the histories run again that gave up a job beside others that crash their workers
     Then no history starts a task three times more after three crashes, or gives up another job
 
+  # Jobs that could be done were told failed within seconds.
   Scenario: Beside jobs that crash the VMs of a small pool one after the other
     Given a site of 3 managers with 4 VMs for the jobs
     When 12 jobs crash a worker of the pool every 0.5 s beside jobs that last, start together and end
@@ -23,6 +25,7 @@
     When 6 workers crash under both
     Then neither job has ended
 
+  # What counted against neighbours stayed when the culprit was found.
   Scenario: Two crashes where nothing else ran end a job, and nothing counts against others any more
     Given 4 workers and a job of 1 task, beside which another one crashes its worker
     When 2 workers crash under both
@@ -30,6 +33,7 @@
     Then the job of the other one is given up
     And 0 crashes may still be the doing of the first
 
+  # Suspects started beside what had just begun, so that a crash told nothing.
   Scenario Outline: After <crashes> crashes a task beside <neighbour> starts <how>
     Given a task under which <crashes> workers have crashed, and one worker with <neighbour>
     When what waits is started
@@ -51,6 +55,7 @@
     When the tasks end one after the other, and others wait
     Then the task starts alone on its worker, and the other worker stays busy
 
+  # A task that crashes after seconds met others by then, and started once more.
   Scenario: The last start that users bear keeps its worker until the task is cleared
     Given a task under which 4 workers have crashed, at an age of 20 s at the most
     When it has worked alone for 15 s beside others that wait
@@ -63,16 +68,19 @@
     When it has worked alone for 2 s beside others that wait
     Then the others are told to have no worker with room, and the worker to be kept
 
+  # Each task of one job took a worker of its own, and crashed it.
   Scenario: Tasks of a job that must start alone start on one worker
     Given a job of 3 tasks under each of which 3 workers have crashed, and 4 workers
     When what waits is started
     Then its tasks are on one worker, and nothing else is
 
+  # Gangs were given up by five crashes beside others.
   Scenario: Members of a gang under which three workers crashed start where nothing else runs
     Given a gang of 6 tasks under which 3 workers have crashed, and 4 workers with a task each
     When these tasks have ended, and others wait
     Then the gang starts on workers of its own
 
+  # With a new owner the search for the culprit began anew.
   Scenario: What may be to blame is known to the next owner
     Given 4 workers and a job of 1 task, beside which another one crashes its worker
     When 2 workers crash under both
@@ -92,18 +100,21 @@
       | for crashes               | something else   | beside others        |
       | for failures              | the same         | beside others        |
 
+  # Each job of a bad release cost three or four workers.
   Scenario: It is given up by its first crash alone
     Given 3 workers, and a job that was given up for crashes
     When one that runs the same is handed in beside others
     And the worker crashes that it runs on
     Then it is given up, and its reason names one crash
 
+  # A job that works would start alone for as long as the culprit is remembered.
   Scenario: A good end of one that runs the same, or work for longer, takes the suspicion away
     Given 3 workers, and a job that was given up for crashes
     When one that runs the same is handed in beside others
     And it ends well
     Then the next one that runs the same starts beside others
 
+  # The mark ended with its owner.
   Scenario: The next owner knows whom a job resembles
     Given 3 workers, and a job that was given up for crashes
     When a new owner reads its record, and then one that runs the same comes
