No worker is reserved for a task that its workspace may not start

What callers would see: a worker of their pool that takes nothing, for as long as another workspace is at its bound.

Cause: a task that has to start isolated was counted against its workspace's bound where it starts, and not where a worker is reserved for it.

Change: none is reserved while the bound holds the task back, or all members of a gang.

Test: isolation.feature, a task under which three workers crashed and whose workspace is at its bound, beside tasks that keep two workers busy: one worker was reserved before and emptied.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -55,6 +55,13 @@
     When the tasks end one after the other, and others wait
     Then the task starts alone on its worker, and the other worker stays busy
 
+  # A worker stood empty for a task that its workspace's bound held back.
+  Scenario: No worker is reserved for a task that its workspace may not start
+    Given a task under which 3 workers have crashed, and 2 workers that tasks keep busy
+    And its workspace is at its bound
+    When the tasks end one after the other, and others wait, for 20 ends
+    Then no worker is reserved, and both are busy
+
   # A task that crashes after seconds met others by then, and started once more.
   Scenario: The last start that users bear keeps its worker until the task is cleared
     Given a task under which 4 workers have crashed, at an age of 20 s at the most
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -10,11 +10,13 @@
 from features import job_bench as benches
 from features import job_history as histories
 from features import job_models as models
+from features import job_owner as owners
 from features.steps import crash_steps
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.manager import timing
 from rackvalve.scheduling import crash_series
+from rackvalve.scheduling import fleet
 from rackvalve.scheduling import hindrance as hindrances
 from rackvalve.scheduling import messages
 from tools.experiments import crashes as experiment
@@ -264,6 +266,32 @@
     raise AssertionError("the task does not start")
 
 
+@behave.given("its workspace is at its bound")
+def set_bound(context):
+    book = context.bench.book
+    book.set_configuration(owners.make_configuration(1))
+    context.state.workspace = owners.WORKSPACE
+    book.usage.add(owners.WORKSPACE, fleet.Room(cpu=1, memory=0, gpu=0))
+
+
+@behave.when(
+    "the tasks end one after the other, and others wait, for {count:d} ends"
+)
+def end_some(context, count):
+    bench, running = context.bench, list(context.orders)
+    for _ in range(count):
+        bench.end(running.pop(0), messages.Ending.DONE)
+        running += bench.start_all()
+    context.running = running
+
+
+@behave.then("no worker is reserved, and both are busy")
+def check_none_reserved(context):
+    assert not context.bench.planner.list_reserved(models.POOL)
+    busy = collections.Counter(order.worker for order in context.running)
+    assert set(busy.values()) == {models.CAPACITY.cpu}, busy
+
+
 @behave.then(
     "the task starts alone on its worker, and the other worker stays busy"
 )
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -291,6 +291,9 @@
         is_required = group.isolation is crashes.Isolation.REQUIRED
         if not is_required and not group.is_likely:
             return False
+        asked = len(group.tasks) if group.step.gang else 1
+        if self._starter.count_allowed(group.state, group.step, asked) < asked:
+            return False
         # What others of its job show may make it needless.
         is_tried = bool(self._find_hosts(group.state))
         return not is_tried or _is_late(group.since, now)
