Tests: what a writer spawns ends with its scenario

Cause: commits.feature, which runs before it, has a scenario with a store that resets each call. Only the writer's loop was ended there; the greenlet that it had spawned for a commit went on trying for the rest of the run, and its warning came first while the step of keys.feature listened. In the product such greenlets end with the owner's term.

Ruled out: the view, which logged once, and the right thing.

Change: the scenario's writer spawns into a group that is killed after it. No check is changed.

--- a/features/steps/commit_steps.py
+++ b/features/steps/commit_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 import gevent
+from gevent import pool
 
 from features import commit_model as models
 from rackvalve.manager import backlog as backlogs
@@ -204,12 +205,15 @@
     context.store = FakeStore()
     context.deposed = []
     context.written = []
+    # What it spawns ends with its owner; here with the scenario.
+    spawned = pool.Group()
+    context.add_cleanup(spawned.kill)
     context.writer = writers.Writer(
         context.store,
         stores.Condition(key=OWNER, revision=context.store.fence),
         on_deposed=context.deposed.append,
         on_contact=lambda sent: None,
-        spawn=gevent.spawn,
+        spawn=spawned.spawn,
     )
 
 
