Soak: judge configurations, turns of demand, and leases beside other workers

Change: callers ask each manager for queues that were just added, removed, or never existed; four checks say whether a configuration was in force in time, came back older, was invalid, or was not served. New kinds of faults: quick successions of configurations, invalid documents, power lost by all managers and workers just after an acknowledgement. A lease that runs out is excused by faults of managers, the store and that worker alone. In an overloaded pool a job without a run counts only below half of the capacity, as the users' rule says; the small size is judged as before. Result: each check has a scenario in which it reports a case.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -87,3 +87,39 @@
   # In the users' runs tasks were started in halls that were to be evacuated.
   Scenario: A start in an evacuated hall is seen
     Then of starts at 9, 14.9, 15.1 and 20.1 s the soak reports that at 15.1 s, inside a hall to be evacuated from 10 s to 20 s
+
+  # In the users' runs a confirmed configuration was not in force in time, came
+  # back older, an invalid one was taken, or an added queue was not served.
+  Scenario Outline: An answer by another configuration is seen
+    Given configurations that add "extra1" at 10 s and replace it by "extra2" at 20 s
+    And an invalid one at 12 s that names "extra9"
+    When <manager> is answered <status> for "<queue>" at <at> s
+    And <other> is answered <later> for "<second>" at <after> s
+    Then the soak reports of configurations "<promise>"
+
+    Examples:
+      | manager   | status | queue  | at   | other     | later | second | after | promise |
+      | manager 1 | 404    | extra1 | 13.5 | manager 1 | 200   | extra1 | 14    | a confirmed configuration is in force in time |
+      | manager 1 | 404    | extra1 | 12.5 | manager 1 | 200   | extra1 | 14    | nothing |
+      | manager 1 | 200    | extra1 | 23.5 | manager 1 | 404    | extra1 | 24    | a confirmed configuration is in force in time |
+      | manager 1 | 200    | extra2 | 21   | manager 1 | 200    | extra1 | 22    | a manager never goes back to an older configuration |
+      | manager 1 | 200    | extra2 | 21   | manager 2 | 200    | extra1 | 22    | nothing |
+      | manager 1 | 200    | extra9 | 15   | manager 1 | 200    | extra1 | 16    | no invalid configuration is taken |
+      | manager 1 | 503    | extra1 | 15   | manager 1 | 200    | extra1 | 16    | an added queue is served |
+      | manager 1 | 503    | extra2 | 22   | manager 1 | 200    | extra2 | 24    | nothing |
+      | manager 3 | 503    | extra1 | 15   | manager 1 | 200    | extra1 | 16    | nothing |
+
+  # The leases of all workers run out while owners end one after the other for
+  # what one worker answers.
+  Scenario Outline: A lease that runs out beside another worker's fault is seen
+    Given a lasting job of 2 tasks at work at 10 s, of which 1 may be away
+    And a fault of <place> from 15 s to 21 s
+    And its first task is lapsed at 20 s
+    When its second task is lapsed at 20 s
+    Then the soak reports <found> of too much away
+
+    Examples:
+      | place              | found   |
+      | another worker     | a case  |
+      | its own worker     | no case |
+      | a manager          | no case |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,7 @@
 from tools.soak import checks
 from tools.soak import plan
 from tools.soak import runner
+from tools.soak import sizes
 from tools.soak import spans
 from tools.soak import stalls
 
@@ -79,10 +80,14 @@
 @behave.given("a run in which all promises were kept")
 def make_run(context):
     steps = [{"count": 1}, {"count": 1, "after-rev": [0]}]
-    good = callers.Job(identity=JOB, queue="lookup", steps=steps)
+    good = callers.Job(
+        identity=JOB, queue="lookup", pool="lookups", steps=steps
+    )
     good.accepted, good.refused = True, False
     good.states = ["queued", "running", "completed"]
-    bad = callers.Job(identity=REFUSED, queue="lookup", steps=steps)
+    bad = callers.Job(
+        identity=REFUSED, queue="lookup", pool="lookups", steps=steps
+    )
     context.jobs = [good, bad]
     context.journal = []
     for number in range(2):
@@ -140,7 +145,10 @@
 def tell_too_few(context):
     for identity in ("00000000000000dd", "00000000000000ee"):
         job = callers.Job(
-            identity=identity, queue="lookup", steps=[{"count": 1}]
+            identity=identity,
+            queue="lookup",
+            pool="lookups",
+            steps=[{"count": 1}],
         )
         job.accepted, job.refused, job.accepted_at = True, False, 1.0
         job.states = ["queued", "cancelled"]
@@ -218,7 +226,9 @@
 
 @behave.when("a task is started thrice after three crashes")
 def start_crashing(context):
-    job = callers.Job(identity=CRASHING, queue="lookup", steps=[{"count": 1}])
+    job = callers.Job(
+        identity=CRASHING, queue="lookup", pool="lookups", steps=[{"count": 1}]
+    )
     job.accepted, job.crashing, job.states = True, True, ["failed"]
     context.jobs.append(job)
     task = f"{CRASHING}.0.0.0"
@@ -238,7 +248,9 @@
     "a job of one task, accepted at {accepted:g} s and started at {begun:g} s"
 )
 def make_still(context, accepted, begun):
-    job = callers.Job(identity=JOB, queue="lookup", steps=[{"count": 1}])
+    job = callers.Job(
+        identity=JOB, queue="lookup", pool="lookups", steps=[{"count": 1}]
+    )
     job.accepted, job.accepted_at = True, accepted
     context.jobs = [job]
     context.journal = [
@@ -256,7 +268,7 @@
     if load == "full":
         before += [
             [1.5, "start", "w1", f"{REFUSED}.0.0.{number}", 1, ""]
-            for number in range(runner.SLOTS)
+            for number in range(sizes.SMALL.slots)
         ]
     context.journal = before + context.journal
 
@@ -265,7 +277,7 @@
 def check_still(context, found):
     gaps = stalls.find_gaps(context.jobs, context.journal, 100.0)
     broken = stalls.check_stalls(
-        gaps, context.journal, context.spans, runner.SLOTS
+        gaps, context.journal, context.spans, sizes.SMALL.slots
     )
     assert len(list(broken)) == (found == "a case")
 
@@ -287,7 +299,9 @@
 )
 def make_lasting(context, tasks, begun, most):
     step = {"count": tasks, "long-running": True, "may_miss": most}
-    job = callers.Job(identity=JOB, queue="lookup", steps=[step])
+    job = callers.Job(
+        identity=JOB, queue="lookup", pool="lookups", steps=[step]
+    )
     job.accepted, job.accepted_at = True, begun
     context.jobs, context.spans = [job], []
     context.journal = [[0.0, "life", "w1", "m1", 0, "lookups"]]
--- a/standins/site.py
+++ b/standins/site.py
@@ -90,6 +90,8 @@
         # Copies of the list of VMs, each with its time.
         self.lists = collections.deque()
         self.host = HOST
+        # How often workers look at their runs, in seconds.
+        self.tick = options.tick
         self.store = keyvalue.Store()
         self.capacity = capacity
         self.journal = []
@@ -289,6 +291,8 @@
     def _apply_order(self, order):
         if "put" in order:
             self.store.put(order["put"], json.dumps(order["value"]).encode())
+        if "put text" in order:
+            self.store.put(order["put text"], order["text"].encode())
         if "drop" in order:
             self.store.remove(order["drop"])
         if "fault" in order:
@@ -400,6 +404,7 @@
     parser.add_argument("--halls", type=int, default=1)
     parser.add_argument("--racks", type=int, default=1)
     parser.add_argument("--cold", type=float, default=0.0)
+    parser.add_argument("--tick", type=float, default=workers.TICK_S)
     options = parser.parse_args()
     serving.Closing.every = options.closing
     pools = {
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -235,7 +235,7 @@
 
     def _work_forever(self):
         while self.alive:
-            gevent.sleep(TICK_S)
+            gevent.sleep(self.site.tick)
             if self.fault == "dead":
                 continue
             self._expire_lease()
--- a/tools/site.py
+++ b/tools/site.py
@@ -24,6 +24,7 @@
 
     :param managers: Number of managers.
     :param pools: Number of VMs by pool; the pool ``spare`` holds spare VMs.
+    :param queues: Pool by queue.
     :param cores: Processor in the settings of each manager.
     :param make_link: Makes a link to a port and returns the link's port;
         managers then reach the platform, and each worker, through links.
@@ -38,6 +39,7 @@
         self,
         managers=3,
         pools=None,
+        queues=None,
         cores=None,
         make_link=None,
         slow_clocks=False,
@@ -52,6 +54,7 @@
         self.make_link = make_link or (lambda port: port)
         self.slow_clocks = slow_clocks
         self.pools = pools or POOLS
+        self.queues = queues or QUEUES
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rackvalve-site-"))
         self.port = fleets.find_port()
         self.version = 1
@@ -101,8 +104,12 @@
             self.platform.kill()
 
     def configure(self, queues=None):
-        """Write the operator's configuration."""
-        queues = QUEUES if queues is None else queues
+        """Write the operator's configuration.
+
+        :param queues: Pool by queue.
+        :return: The version, once the store has acknowledged it.
+        """
+        queues = self.queues if queues is None else queues
         routes = [
             {
                 "name": name,
@@ -138,6 +145,11 @@
                 for name, keys in self.keys.items()
             ]
         self.order({"put": "op/config", "value": document})
+        return self.version
+
+    def put_invalid_configuration(self, text):
+        """Write a document that no manager may take as the configuration."""
+        self.order({"put text": "op/config", "text": text})
 
     def order(self, order):
         """Send an order to the platform's stand-in."""
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,6 +14,7 @@
 from tools.soak import plan  # noqa: E402
 from tools.soak import regressions  # noqa: E402
 from tools.soak import runner  # noqa: E402
+from tools.soak import sizes  # noqa: E402
 
 # Exit code that a shell reports for a process ended by SIGTERM.
 EXIT_ENDED = 143
@@ -32,7 +33,9 @@
     seconds = options.minutes * 60
     bad = 0
     for seed, managers, shape, only in list_runs(options):
-        result = runner.Runner(seed, seconds, managers, shape, only).run()
+        size = sizes.SIZES[options.size]
+        run = runner.Runner(seed, seconds, managers, shape, only, size)
+        result = run.run()
         bad += bool(result.violations)
         print_result(seed, seconds, result)
     return 1 if bad else 0
@@ -48,6 +51,12 @@
     parser.add_argument(
         "--shape", choices=(plan.STEADY, plan.BURSTS), default=plan.BURSTS
     )
+    parser.add_argument(
+        "--size",
+        choices=tuple(sizes.SIZES),
+        default="small",
+        help="size of the site and of its traffic",
+    )
     parser.add_argument(
         "--only",
         nargs="*",
--- a/tools/soak/availability.py
+++ b/tools/soak/availability.py
@@ -79,14 +79,15 @@
             step.note_work(task, run)
         if kind != "end":
             continue
-        is_ordered = _is_ordered(detail, time, spans)
+        machine = machines.get(worker)
+        is_ordered = _is_ordered(detail, machine, time, spans)
         away = step.list_away(task, time)
         if (
             is_ordered
             and run in step.working[task]
             and len(away) >= _read_bound(step.job, task)
-            and _is_unaffected(machines.get(worker), time, spans)
-            and not _may_be_delayed(detail, machines.get(worker), time, spans)
+            and _is_unaffected(machine, time, spans)
+            and not _may_be_delayed(detail, machine, time, spans)
         ):
             near = fault_spans.name_near(spans, time, time)
             sent = [order[:5] for order in orders if order[0] == time]
@@ -116,10 +117,20 @@
     return job.steps[int(task.split(".")[2])]["may_miss"]
 
 
-def _is_ordered(detail, time, spans):
-    """Return whether the system under test has ordered an end."""
+def _is_ordered(detail, machine, time, spans):
+    """Return whether the system under test has ordered an end.
+
+    A lease that runs out counts as an order, unless a fault of the managers,
+    of the store or of the worker itself is near: what another worker does may
+    not cost this one its lease.
+    """
     if detail == "lapsed":
-        return fault_spans.find_calm(spans, time, time, 0.0) is not None
+        near = [
+            span
+            for span in spans
+            if span.place == machine or not span.kind.startswith("worker ")
+        ]
+        return fault_spans.find_calm(near, time, time, 0.0) is not None
     return detail in ORDERED_ENDS
 
 
@@ -133,10 +144,16 @@
 
 def _may_be_delayed(detail, machine, time, spans):
     """Return whether a fault may have delayed an order to a worker or VM."""
-    place = machine if detail == "stopped" else "store"
     return any(
-        span.place == place
+        _is_on_way(span, detail, machine)
         and span.began < time < span.ended + DELAY_ALLOWANCE_S
         and (" link " in span.kind or span.kind in DELAYING_KINDS)
         for span in spans
     )
+
+
+def _is_on_way(span, detail, machine):
+    """Return whether a fault is at a place that an order has passed."""
+    if detail == "stopped":
+        return span.place == machine
+    return span.place.startswith("store")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,7 +12,7 @@
 from geventhttpclient import client as http_clients
 from geventhttpclient import response as http_response
 
-from tools import site as sites
+from tools.soak import sizes
 
 HOST = "127.0.0.1"
 KEY = "soak-key-north"
@@ -21,7 +21,6 @@
 # A submission sends an invented key first if the number of the caller's calls
 # so far is a multiple of this.
 INVENTED_EVERY = 10
-QUEUES = tuple(sites.QUEUES)
 HEADERS = {
     "Host": "jobs.example",
     "Content-Type": "application/json",
@@ -36,17 +35,8 @@
 # A caller polls or cancels one of its newest jobs: this many.
 RECENT_JOBS = 8
 CANCEL_RATIO = 0.1
-# Queues take turns in a burst of five times their mean rate, with few jobs in
-# between: length of a turn and of the burst at its beginning, in seconds.
-TURN_S = 8.0
-BURST_LENGTH_S = 3.2
+# Bounds of a caller's pause in a burst, in seconds.
 BURST_PAUSE_S = (0.05, 0.3)
-IDLE_PAUSE_S = (0.4, 4.0)
-# Lasting jobs: their number for each queue, their tasks, and how many tasks of
-# a step may be away at once.
-LASTING_JOBS = 3
-LASTING_TASKS = 4
-MAX_MISSING = 1
 # Start time of a lasting task, in milliseconds.
 LASTING_START_MS = 1000
 # Limit of the tasks of a crashing job, and how long after their start they
@@ -55,6 +45,13 @@
 CRASH_MS = 10
 # Interval at which one manager is asked for a count, in seconds.
 COUNT_INTERVAL_S = 0.25
+# Queues that configurations add and remove; no other queue is named so.
+EXTRA_PREFIX = "extra"
+# Interval at which one manager is asked for such a queue, in seconds, and how
+# many of the last ones, and of names that never existed, are asked for.
+PROBE_INTERVAL_S = 0.1
+PROBED_QUEUES = 3
+UNKNOWN_QUEUE = "never"
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +96,29 @@
     waiting: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class QueueAnswer:
+    """An answer that shows whether a manager knows a queue.
+
+    :param manager: Number of the manager.
+    :param queue: Name of the queue.
+    :param began: When it was asked, on the monotonic clock.
+    :param ended: When its answer arrived.
+    :param status: HTTP status; 0 without an answer.
+    """
+
+    manager: int
+    queue: str
+    began: float
+    ended: float
+    status: int
+
+    @property
+    def is_known(self):
+        """Whether the manager serves the queue; ``None`` if not told."""
+        return {200: True, 404: False}.get(self.status)
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One job as its caller saw it."""
@@ -117,17 +137,14 @@
     cancelled_at: float = math.inf
     accepted_at: float = math.inf
     states: list = dataclasses.field(default_factory=list)
+    # Pool of its queue.
+    pool: str = ""
 
     @property
     def lasting(self):
         """Whether its tasks run until it is cancelled."""
         return any(step.get("long-running") for step in self.steps)
 
-    @property
-    def pool(self):
-        """The pool whose workers run its tasks."""
-        return sites.QUEUES[self.queue]
-
     def list_tasks(self):
         """Return the names of all its tasks."""
         return [
@@ -143,14 +160,19 @@
     :param number: Its number, which is part of its jobs' identifiers.
     :param seed: The run's seed.
     :param ports: Ports of the managers.
+    :param size: Size of the traffic.
     """
 
-    def __init__(self, number, seed, ports):
+    def __init__(self, number, seed, ports, size=sizes.SMALL):
         self.number = number
+        self._size = size
+        self._queues = tuple(size.queues)
         self.jobs = []
         self.calls = []
         # Answers about waiting jobs.
         self.count_answers = []
+        # Answers about queues that configurations add and remove.
+        self.queue_answers = []
         self._ports = ports
         self._rng = random.Random(seed * 1000 + number)
         self._clients = {}
@@ -159,27 +181,28 @@
         """Submit and follow jobs until a time on the monotonic clock."""
         began = time.monotonic()
         while (now := time.monotonic()) < until:
-            turn, into = divmod(now - began, TURN_S)
-            is_burst = into < BURST_LENGTH_S
-            queue = QUEUES[int(turn) % len(QUEUES)]
+            turn, into = divmod(now - began, self._size.turn)
+            is_burst = into < self._size.burst
+            queue = self._queues[int(turn) % len(self._queues)]
             if not is_burst:
-                queue = self._rng.choice(QUEUES)
+                queue = self._rng.choice(self._queues)
             job = self._make_job(queue)
             self.jobs.append(job)
             self._submit(job)
             self._poll_or_cancel(self._rng.choice(self.jobs[-RECENT_JOBS:]))
-            pause = BURST_PAUSE_S if is_burst else IDLE_PAUSE_S
-            left = TURN_S - into if not is_burst else BURST_LENGTH_S
+            pause = BURST_PAUSE_S if is_burst else self._size.idle_pause
+            left = self._size.burst if is_burst else self._size.turn - into
             gevent.sleep(min(left, self._rng.uniform(*pause)))
 
     def submit_lasting_jobs(self):
         """Submit lasting jobs for all queues."""
-        for queue in QUEUES * LASTING_JOBS:
+        size = self._size
+        for queue in self._queues * size.lasting_jobs:
             step = {
-                "count": LASTING_TASKS,
-                "cpu": 100,
+                "count": size.lasting_tasks,
+                "cpu": size.lasting_cpu,
                 "long-running": True,
-                "may_miss": MAX_MISSING,
+                "may_miss": size.max_missing,
                 "anti-affinity": self._rng.choice((2, 4)),
             }
             job = self._name_job(queue, [step])
@@ -189,7 +212,7 @@
     def count(self, manager, until):
         """Ask one manager repeatedly how many jobs wait, until a time."""
         while time.monotonic() < until:
-            queue = self._rng.choice(QUEUES)
+            queue = self._rng.choice(self._queues)
             call, body = self._send(manager, "GET", f"/{queue}/")
             if call.status == 200:
                 self.count_answers.append(
@@ -203,13 +226,44 @@
                 )
             gevent.sleep(COUNT_INTERVAL_S)
 
+    def probe(self, manager, changes, until):
+        """Ask one manager repeatedly for changing queues, until a time.
+
+        :param manager: Number of the manager.
+        :param changes: The operator's changes so far, oldest first.
+        :param until: When to end, on the monotonic clock.
+        """
+        while time.monotonic() < until:
+            queue = self._choose_changing(changes)
+            call, _ = self._send(manager, "GET", f"/{queue}/")
+            self.queue_answers.append(
+                QueueAnswer(
+                    manager=manager,
+                    queue=queue,
+                    began=call.began,
+                    ended=call.ended,
+                    status=call.status,
+                )
+            )
+            gevent.sleep(PROBE_INTERVAL_S)
+
+    def _choose_changing(self, changes):
+        """Choose a queue that was just added or removed, or never existed."""
+        recent = {
+            name
+            for change in changes[-PROBED_QUEUES:]
+            for name in change.queues
+            if name.startswith(EXTRA_PREFIX)
+        }
+        return self._rng.choice([*sorted(recent), UNKNOWN_QUEUE])
+
     def submit_crashing_job(self, draw):
         """Submit a job whose tasks crash each worker that starts them.
 
         :param draw: Chooses its queue and how many tasks it has, from 0 to 1.
         :return: The job.
         """
-        queue = QUEUES[int(draw * len(QUEUES))]
+        queue = self._queues[int(draw * len(self._queues))]
         step = {"count": 1 + int(draw * 10) % CRASHING_TASKS, "cpu": 500}
         job = self._name_job(queue, [step])
         job.crashing = True
@@ -246,7 +300,7 @@
         rng = self._rng
         steps = []
         for number in range(rng.choice((1, 1, 2, 3))):
-            step = {"count": rng.randint(1, 4), "cpu": 500}
+            step = {"count": rng.randint(1, 4), "cpu": self._size.task_cpu}
             if number:
                 step["after-rev"] = [number - 1]
             steps.append(step)
@@ -254,7 +308,8 @@
 
     def _name_job(self, queue, steps):
         identity = f"{self.number:04x}{len(self.jobs):012x}"
-        return Job(identity=identity, queue=queue, steps=steps)
+        pool = self._size.queues[queue]
+        return Job(identity=identity, queue=queue, steps=steps, pool=pool)
 
     def _submit(self, job):
         work = self._rng.choice((20, 100, 400, 900, 2500))
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -9,19 +9,13 @@
 
 import gevent
 
-from tools import site as sites
 from tools.soak import callers
 from tools.soak import checks
-from tools.soak import evacuations
 from tools.soak import links
+from tools.soak import operators
 from tools.soak import spans
 
 TERM_TIMEOUT_S = 30.0
-# Duration of an operator's wave, in seconds, and how many VMs may be away.
-WAVE_DURATION_S = 20
-WAVE_MAX_AWAY = 2
-# Shortest interval between the beginnings of two waves, in seconds.
-WAVE_SPACING_S = 12
 # How long the entry of a crashed worker stays, in seconds: until three
 # heartbeats were missed.
 ENTRY_LIFETIME_S = 1.5
@@ -48,6 +42,13 @@
 REJECTIONS = ("503", "429", "reset", "hang")
 REJECTED_RATIO = 1 / 3
 # Faults of the store, named by the last word of their kind.
+# What operators do, which excuses nothing.
+OPERATOR_ACTS = frozenset({"wave", "configurations", "configuration invalid"})
+# Place of the link between the store and a manager, by the manager's number.
+STORE_LINK = "store "
+# Power fails within this time of a configuration's acknowledgement, in
+# seconds.
+MAX_POWER_DELAY_S = 0.4
 STORE_FAULTS = frozenset(
     {"busy", "silent", "slow", "lost", "closing", "stuttering"}
 )
@@ -69,8 +70,7 @@
         self.downtimes = []
         # Which faults were in force, and when.
         self.spans = []
-        # Evacuations that have been withdrawn.
-        self.evacuations = []
+        self.operator = operators.Operator(site)
         self._site = site
         self._store_links = store_links
         self._worker_links = worker_links
@@ -83,11 +83,7 @@
         self._rejected = {}
         # Numbers of managers that are down until their restart.
         self._down = set()
-        self._waves = 0
-        self._next_wave = 0.0
         self._lost_vms = 0
-        # Halls with an evacuation in force.
-        self._evacuated = set()
 
     def apply(self, fault):
         """Apply a fault and return when it has ended."""
@@ -96,16 +92,31 @@
         began = time.monotonic()
         place = self._dispatch(fault)
         # A wave is not a fault, and each of several owners has its own span.
-        if fault.kind != "wave" and not fault.kind.startswith("owners "):
+        if not _is_harmless(fault.kind) and not fault.kind.startswith(
+            "owners "
+        ):
             self._add_span(began, fault.kind, place)
 
     def _add_span(self, began, kind, place=""):
         """Record a fault that ends now."""
         ended = time.monotonic()
         self.spans.append(
-            spans.Span(began=began, ended=ended, kind=kind, place=place)
+            spans.Span(
+                began=began,
+                ended=ended,
+                kind=kind,
+                place=place,
+                manager=self._find_manager(place),
+            )
         )
 
+    def _find_manager(self, place):
+        """Return the number of the manager at a place, if there is one."""
+        if place.startswith(STORE_LINK):
+            return int(place.removeprefix(STORE_LINK))
+        names = [manager["vm"] for manager in self._site.managers]
+        return names.index(place) if place in names else None
+
     def _dispatch(self, fault):
         """Apply a fault.
 
@@ -129,7 +140,7 @@
         elif subject == "owners":
             self._apply_to_owners(how, fault)
         elif subject in ("manager", "owner"):
-            self._apply_manager_fault(subject, how, fault)
+            return self._apply_manager_fault(subject, how, fault)
         elif how in STORE_FAULTS:
             self._apply_store_fault(how, fault.length)
         elif fault.kind == "store forgets":
@@ -137,11 +148,17 @@
         elif subject == "rack":
             return self._take_rack_down(fault)
         elif subject == "hall":
-            return self._evacuate(fault)
+            return self.operator.evacuate(fault)
         elif fault.kind == "configuration":
-            self._put_configuration(fault)
+            self.operator.put_configuration(fault.draw)
+        elif fault.kind == "configurations":
+            self.operator.put_configurations(fault)
+        elif fault.kind == "configuration invalid":
+            self.operator.put_invalid(fault)
+        elif fault.kind == "power lost":
+            self._cut_power(fault)
         else:
-            self._order_wave()
+            self.operator.order_wave()
         return ""
 
     def heal(self):
@@ -165,13 +182,14 @@
     def _apply_manager_fault(self, subject, how, fault):
         if how == "robbed":
             self._site.revoke("owner/scheduling")
-            return
+            return ""
         number = int(fault.draw * len(self._site.managers))
         if subject == "owner":
             owner = self._site.find_owner()
             if owner is not None:
                 number = self._site.managers.index(owner)
         self._apply_to_manager(number, how, fault.length)
+        return self._site.managers[number]["vm"]
 
     def _apply_to_manager(self, number, how, length):
         process = self._site.managers[number]["process"]
@@ -257,7 +275,9 @@
         # Of several faults of one link the newest is in force.
         left = [other for one, other in self._link_faults if one is link]
         link.set_fault(left[-1] if left else links.LinkFault.NONE)
-        return f"m-{link.target}" if subject == "worker" else "store"
+        if subject == "worker":
+            return f"m-{link.target}"
+        return f"{STORE_LINK}{known.index(link)}"
 
     def _apply_store_fault(self, how, length):
         self._store_faults.append(how)
@@ -395,49 +415,25 @@
             number = self._site.managers.index(owner)
             began = time.monotonic()
             self._apply_to_manager(number, how, OWNER_FAULT_S[how])
-            self._add_span(began, f"owner {how}")
-
-    def _evacuate(self, fault):
-        """Evacuate a hall, and withdraw the order after the fault's length."""
-        halls = sorted(set(self._site.list_halls().values()))
-        hall = halls[int(fault.draw * len(halls))]
-        if hall in self._evacuated:
-            return hall
-        self._evacuated.add(hall)
-        key = f"op/evacuate/{hall}"
-        self._site.order({"put": key, "value": {}})
-        began = time.monotonic()
-        gevent.sleep(fault.length)
-        self.evacuations.append(
-            evacuations.Evacuation(
-                hall=hall, began=began, ended=time.monotonic()
+            self._add_span(
+                began, f"owner {how}", self._site.managers[number]["vm"]
             )
-        )
-        self._site.order({"drop": key})
-        self._evacuated.discard(hall)
-        return hall
-
-    def _put_configuration(self, fault):
-        extra = {f"extra{int(fault.draw * 10)}": "rebuilds"}
-        # The second workspace's key changes with each configuration.
-        self._site.keys["south"] = [f"soak-key-south-{self.applied}"]
-        self._site.configure({**sites.QUEUES, **extra})
-
-    def _order_wave(self):
-        """Order maintenance of all VMs unless the last wave is too recent."""
-        now = time.monotonic()
-        if now < self._next_wave:
-            return
-        self._next_wave = now + WAVE_SPACING_S
-        self._waves += 1
-        self._site.order(
-            {
-                "put": f"op/wave/{self._waves}",
-                "value": {
-                    "wave": self._waves,
-                    "machines": self._site.list_machines(state="up"),
-                    "duration-s": WAVE_DURATION_S,
-                    "upper-bound": WAVE_MAX_AWAY,
-                },
-            }
-        )
+
+    def _cut_power(self, fault):
+        """End all managers and workers at once, just after a configuration."""
+        self.operator.put_configuration(fault.draw)
+        gevent.sleep(fault.draw * MAX_POWER_DELAY_S)
+        for machine in self._site.list_machines():
+            self._site.order(
+                {
+                    "crash": machine,
+                    "away": fault.length,
+                    "entry": ENTRY_LIFETIME_S,
+                }
+            )
+        self._kill_all(fault.length)
+
+
+def _is_harmless(kind):
+    """Return whether a kind is an operator's act rather than a fault."""
+    return kind in OPERATOR_ACTS
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -62,6 +62,9 @@
     "hall evacuated": (6, 3.0, 12.0),
     "managers rejected": (6, 4.0, 9.0),
     "rack down": (4, 2.0, 7.0),
+    "configurations": (8, 0.5, 4.0),
+    "configuration invalid": (3, 0.1, 3.0),
+    "power lost": (2, 0.3, 2.0),
 }
 # With one of these, workers that jobs crash also keep their names.
 RESTARTS = frozenset({"worker restarted", "all workers restarted"})
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -13,19 +13,18 @@
 from tools.soak import availability
 from tools.soak import callers
 from tools.soak import checks
+from tools.soak import configurations
 from tools.soak import evacuations
 from tools.soak import fault_injector
 from tools.soak import links
 from tools.soak import plan
+from tools.soak import sizes
 from tools.soak import spans
 from tools.soak import stalls
 
-POOLS = {"lookups": 5, "rebuilds": 5, "spare": 6}
-# Capacity of the platform's VMs, how long a move and a maintenance take, and
-# the lag of the platform's list of VMs, in seconds.
-CPU = 4000
+# How long a move and a maintenance take, and the lag of the platform's list of
+# VMs, in seconds.
 PLATFORM_OPTIONS = (
-    f"--cpu={CPU}",
     "--move=1.5",
     "--upkeep=2",
     "--list-lag=0.8",
@@ -35,11 +34,8 @@
 EVACUATION_OPTIONS = ("--halls=2", "--cold=1.5")
 # Further options where racks go down.
 RACK_OPTIONS = ("--racks=3",)
-CALLERS = 4
 # Timeout for all accepted jobs to end after the last fault, in seconds.
 SETTLE_TIMEOUT_S = 60.0
-# Tasks that fit on a worker: its processor, divided by that of a task.
-SLOTS = CPU // 500
 # Number of loopback addresses from which links connect.
 SOURCES = 250
 # Halls of the managers where they relay requests: all requests of a hall
@@ -80,21 +76,32 @@
     :param managers: Number of managers.
     :param shape: How the faults are spread over the run.
     :param only: Kinds of faults that bursts are drawn from, if not all.
+    :param size: Size of the site and of its traffic.
     """
 
-    def __init__(self, seed, seconds, managers, shape=plan.STEADY, only=()):
+    def __init__(
+        self,
+        seed,
+        seconds,
+        managers,
+        shape=plan.STEADY,
+        only=(),
+        size=sizes.SMALL,
+    ):
         self.seed = seed
+        self.size = size
         self.seconds = seconds
         self.shape = shape
         self.only = only
         self._links = []
         self.site = sites.Site(
             managers,
-            pools=POOLS,
+            pools=size.pools,
+            queues=size.queues,
             make_link=self._make_link,
             slow_clocks=True,
             keys={"north": [callers.KEY], "south": []},
-            platform=_choose_platform(only),
+            platform=_choose_platform(only, size),
             settings=_choose_settings(only),
             halls=1 if plan.RELAYED.isdisjoint(only) else HALLS,
         )
@@ -123,16 +130,19 @@
 
     def _work(self, worker_links):
         ports = [manager["front"] for manager in self.site.managers]
-        crasher = callers.Caller(CALLERS + 2, self.seed, ports)
+        size, count = self.size, self.size.callers
+        crasher = callers.Caller(count + 2, self.seed, ports, size)
         injector = fault_injector.FaultInjector(
             self.site, self._store_links, worker_links, crasher
         )
         active = [
-            callers.Caller(number + 1, self.seed, ports)
-            for number in range(CALLERS)
+            callers.Caller(number + 1, self.seed, ports, size)
+            for number in range(count)
         ]
-        lasting = callers.Caller(CALLERS + 1, self.seed, ports)
-        counting = callers.Caller(CALLERS + 3, self.seed, ports)
+        lasting = callers.Caller(count + 1, self.seed, ports, size)
+        counting = callers.Caller(count + 3, self.seed, ports, size)
+        probing = callers.Caller(count + 4, self.seed, ports, size)
+        injector.operator.put_configuration(0.0)
         lasting.submit_lasting_jobs()
         began = time.monotonic()
         # The start of the managers counts as a fault.
@@ -144,6 +154,15 @@
             gevent.spawn(counting.count, number, began + self.seconds)
             for number in range(len(ports))
         ]
+        working += [
+            gevent.spawn(
+                probing.probe,
+                number,
+                injector.operator.changes,
+                began + self.seconds,
+            )
+            for number in range(len(ports))
+        ]
         injecting = [
             gevent.spawn(_apply_at, injector, fault, began)
             for fault in plan.draw_faults(
@@ -153,7 +172,7 @@
         gevent.joinall(working + injecting, raise_error=True)
         injector.heal()
         lasting.cancel_all(time.monotonic() + SETTLE_TIMEOUT_S)
-        active += [lasting, crasher, counting]
+        active += [lasting, crasher, counting, probing]
         _wait_until_ended(active)
         for caller in active:
             caller.close()
@@ -173,10 +192,24 @@
             jobs, calls, injector.downtimes, rows, seen["orders"]
         )
         violations.extend(checks.check_counts(jobs, count_answers, rows))
+        violations.extend(
+            configurations.check_configurations(
+                injector.operator.changes,
+                [one for caller in active for one in caller.queue_answers],
+                injector.downtimes,
+                injector.spans,
+            )
+        )
         self._write_records(seen, injector.spans)
         gaps = stalls.find_gaps(jobs, rows, ended)
         violations.extend(
-            stalls.check_stalls(gaps, rows, injector.spans, SLOTS)
+            stalls.check_stalls(
+                gaps,
+                rows,
+                injector.spans,
+                self.size.slots,
+                is_overloaded=self.size.is_overloaded,
+            )
         )
         violations.extend(
             availability.check_availability(
@@ -185,7 +218,7 @@
         )
         violations.extend(
             evacuations.check_evacuations(
-                injector.evacuations, self.site.list_halls(), rows
+                injector.operator.evacuations, self.site.list_halls(), rows
             )
         )
         longest, longest_calm = stalls.measure(gaps, injector.spans)
@@ -223,12 +256,13 @@
                 gevent.sleep(POLL_INTERVAL_S)
 
 
-def _choose_platform(only):
+def _choose_platform(only, size):
     """Return options for the platform's command line.
 
     :param only: Kinds of faults that bursts are drawn from, if not all.
+    :param size: Size of the site.
     """
-    words = list(PLATFORM_OPTIONS)
+    words = [*PLATFORM_OPTIONS, f"--cpu={size.cpu}", f"--tick={size.tick}"]
     if not plan.RESTARTS.isdisjoint(only):
         words.append("--keep-names")
     if not plan.EVACUATIONS.isdisjoint(only):
--- a/tools/soak/spans.py
+++ b/tools/soak/spans.py
@@ -16,12 +16,14 @@
     :param ended: When all processes that it hit accepted connections again.
     :param kind: Kind of the fault.
     :param place: The place that was hit, if that is one VM or one link.
+    :param manager: Number of the manager that it hit, if that is one.
     """
 
     began: float
     ended: float
     kind: str
     place: str = ""
+    manager: int | None = None
 
 
 def find_calm(spans, began, ended, length):
--- a/tools/soak/stalls.py
+++ b/tools/soak/stalls.py
@@ -84,19 +84,24 @@
     return Gap(name=name, pool=job.pool, began=began, ended=ended)
 
 
-def check_stalls(gaps, rows, spans, slots):
+def check_stalls(gaps, rows, spans, slots, *, is_overloaded=False):
     """Return gaps in calm times though the pool could have started a run.
 
     :param gaps: From :func:`find_gaps`.
     :param rows: Rows of the workers' journal, oldest first.
     :param spans: Faults with their times.
     :param slots: Number of tasks that fit on a worker.
+    :param is_overloaded: Whether pools are asked for more than they hold; then
+        a gap counts only where less than half of a pool's capacity is in use.
     """
     for gap in gaps:
         calm = fault_spans.find_calm(spans, gap.began, gap.ended, MAX_IDLE_S)
         if calm is None:
             continue
-        reason = _find_reason(rows, gap.pool, calm, calm + MAX_IDLE_S, slots)
+        usage = _measure_usage(rows, gap.pool, calm, calm + MAX_IDLE_S)
+        if is_overloaded and not usage.is_below_half(slots):
+            continue
+        reason = usage.find_reason(slots)
         if reason:
             yield checks.Violation(
                 promise="no job stands still",
@@ -105,8 +110,30 @@
             )
 
 
-def _find_reason(rows, pool, began, ended, slots):
-    """Return evidence that a pool had room for a run, or an empty text."""
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Usage:
+    """What the workers of a pool did in a time.
+
+    :param runs: Runs of each worker at its beginning.
+    :param starts: Runs that were started in it.
+    """
+
+    runs: list[int]
+    starts: int
+
+    def find_reason(self, slots):
+        """Return evidence that there was room for a run, or an empty text."""
+        if not self.starts and all(runs > slots / 2 for runs in self.runs):
+            return ""
+        return f"{self.starts} other starts, runs of workers {self.runs}"
+
+    def is_below_half(self, slots):
+        """Return whether less than half of the capacity was in use."""
+        return sum(self.runs) * 2 < slots * len(self.runs)
+
+
+def _measure_usage(rows, pool, began, ended):
+    """Return what the workers of a pool did in a time."""
     incarnations, used, starts = {}, collections.Counter(), 0
     for time, kind, worker, _, _, detail in rows:
         if time > ended:
@@ -120,15 +147,12 @@
             starts += incarnations.get(worker) == pool
         elif kind in ("start", "end") and time < began:
             used[worker] += 1 if kind == "start" else -1
-    own = [
-        worker
+    runs = [
+        used[worker]
         for worker, incarnation in incarnations.items()
         if incarnation == pool
     ]
-    if not starts and all(used[worker] > slots / 2 for worker in own):
-        return ""
-    runs = [used[worker] for worker in own]
-    return f"{starts} other starts, runs of workers at first {runs}"
+    return Usage(runs=runs, starts=starts)
 
 
 def measure(gaps, spans):
