Tell how far an owner came, how many tasks were away, and how old a view is

Change: owner.ended names the term's length, its reason, and how many workers were established and extended; run.stopping of a lasting task tells how many others of its step are away and how many may be; call.answered tells the age of the view; two gauges tell the configuration's version and age. Result: no decision is changed.

--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -69,6 +69,8 @@
     "process; says to which peers, and with what outcome.",
     "relay.rejected": "A relayed request or its answer was not taken, once "
     "for each reason; says why.",
+    "owner.ended": "An owner ends; how long it owned, and with how many "
+    "workers it had extended the lease.",
     "owner.loaded": "A new owner has read all records.",
     "worker.found": "A worker was seen for the first time.",
     "worker.recorded": "A worker that only records name is asked.",
--- a/src/rackvalve/manager/api/job_api.py
+++ b/src/rackvalve/manager/api/job_api.py
@@ -114,6 +114,7 @@
                 reason=reply.reason,
                 version=self._view.version,
                 silence=round(self._view.silence(began), 3),
+                age=round(self._view.age(began), 3),
                 seconds=round(taken, 4),
             )
 
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -76,7 +76,7 @@
         self.is_loaded = False
         self._greenlets = greenlet_pools.Group()
         self._plan_wanted = event.Event()
-        self._confirmed_at = clocks.read_steady()
+        self._began_at = self._confirmed_at = clocks.read_steady()
         self._cluster = clusters.Cluster(
             configuration,
             inherited_lease=MAX_INHERITED_LEASE_S,
@@ -150,12 +150,27 @@
         :param reason: Why, for logs.
         """
         self.deposed = self.deposed or reason
+        self._log_end()
         self._registry.close()
         self._reporter.close()
         current = gevent.getcurrent()
         others = [green for green in self._greenlets if green is not current]
         gevent.killall(others, block=False)
 
+    def _log_end(self) -> None:
+        """Log how far this owner has come with the workers."""
+        known = self._cluster.workers.values()
+        logs.write_event(
+            "owner.ended",
+            fence=self.fence,
+            reason=self.deposed,
+            seconds=round(clocks.read_steady() - self._began_at, 3),
+            loaded=self.is_loaded,
+            workers=len(known),
+            established=sum(worker.established for worker in known),
+            extended=sum(worker.is_extended for worker in known),
+        )
+
     def depose(self, reason: str) -> None:
         """Note that this owner has lost the ownership.
 
--- a/src/rackvalve/manager/owner/reporter.py
+++ b/src/rackvalve/manager/owner/reporter.py
@@ -10,6 +10,7 @@
 from rackvalve.manager import timing
 from rackvalve.scheduling import blockers
 from rackvalve.scheduling import cluster as clusters
+from rackvalve.scheduling import eviction
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import planner as planners
 from rackvalve.scheduling import releases
@@ -101,6 +102,7 @@
                 run=order.run,
                 worker=order.worker,
                 reason=order.reason,
+                **self._describe_step(order),
             )
         else:
             logs.write_event(
@@ -111,6 +113,23 @@
                 percent=order.percent,
             )
 
+    def _describe_step(self, order: messages.StopRun) -> dict[str, int]:
+        """Return how many other tasks of a lasting step are away."""
+        worker = self._cluster.workers.get(order.worker)
+        placed = (
+            worker.runs.get((order.task, order.run))
+            if worker is not None
+            else None
+        )
+        if placed is None or not placed.step.lasting:
+            return {}
+        return {
+            "away": eviction.count_away(
+                self._cluster, placed.state, placed.task, clocks.read_steady()
+            ),
+            "most_away": placed.step.most_away,
+        }
+
     def _count_start(self, order: messages.StartRun) -> None:
         state = self._cluster.jobs[order.job]
         self._telemetry.runs_ordered.labels(state.queue).inc()
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -160,6 +160,7 @@
         )
         self._hold_timeout = timing.MAX_HOLD_TIMEOUT_S
         if isinstance(outcome, clients.Report):
+            self._worker.is_extended |= until is not None
             delay = clocks.read_steady() - now - wait
             # A run's end during the wait makes the delay seem smaller.
             self._delay = max(delay, self._delay / 2)
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -91,6 +91,7 @@
         )
         self._adviser = self._make_adviser()
         self._view = views.View()
+        self._measure_view()
         self._member = self._make_member()
         self._store_service = relaying.StoreService()
         self._relay_loader = relay_loader.Loader()
@@ -186,6 +187,15 @@
             # The first relayed request does not wait for gRPC's import.
             self._relay_loader.load_in_background()
 
+    def _measure_view(self) -> None:
+        """Have the measures tell which configuration this process holds."""
+        self._telemetry.configuration_version.set_function(
+            lambda: self._view.version
+        )
+        self._telemetry.configuration_age.set_function(
+            lambda: self._view.age(clocks.read_steady())
+        )
+
     def _make_prober(
         self, address: kinds.Address
     ) -> store_probe.StoreProber | None:
--- a/src/rackvalve/manager/view.py
+++ b/src/rackvalve/manager/view.py
@@ -61,6 +61,16 @@
         """
         return now - self._last_contact
 
+    def age(self, now: float) -> float:
+        """Return the time since this view was known to be current, in seconds.
+
+        :param now: Present time, in seconds.
+        :return: The time; -1 if the view was never read.
+        """
+        if self.confirmed_at == float("-inf"):
+            return -1.0
+        return now - self.confirmed_at
+
     def apply_range(self, items: tuple[stores.Item, ...]) -> None:
         """Apply all of the operator's documents.
 
--- a/src/rackvalve/scheduling/eviction.py
+++ b/src/rackvalve/scheduling/eviction.py
@@ -60,17 +60,33 @@
         return False
     # The task may have become ready since its worker's last report, so its own
     # state does not matter.
-    name = placed.task.name
-    away = sum(
+    away = count_away(cluster, placed.state, placed.task, now)
+    # A step without a limit is still moved one task at a time.
+    return away < max(1, placed.step.most_away)
+
+
+def count_away(
+    cluster: clusters.Cluster,
+    state: progress.JobState,
+    task: progress.Task,
+    now: float,
+) -> int:
+    """Count the other tasks of a lasting step that are not ready.
+
+    :param cluster: The owner's view of the cluster.
+    :param state: The job.
+    :param task: The task that is left out.
+    :param now: Present time, in seconds.
+    """
+    name = task.name
+    return sum(
         1
-        for other in placed.state.tasks.values()
+        for other in state.tasks.values()
         if other.name.step == name.step
         and other.name.repetition == name.repetition
-        and other is not placed.task
+        and other is not task
         and not is_ready(cluster, other, now)
     )
-    # A step without a limit is still moved one task at a time.
-    return away < max(1, placed.step.most_away)
 
 
 def estimate_rest(run: progress.Run, now: float) -> float:
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -86,6 +86,7 @@
         "evacuated",
         "maintenance_pending",
         "ordered_away",
+        "is_extended",
         "slowness",
         "slow_until",
         "speed_checked_at",
@@ -148,6 +149,8 @@
         # Whether a move or maintenance of its VM was, or may have been,
         # ordered during this incarnation.
         self.ordered_away = False
+        # Whether this owner is known to have extended its lease.
+        self.is_extended = False
         # Duration of its tasks as a multiple of that on other workers.
         self.slowness = 1.0
         self.slow_until = float("-inf")
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -42,6 +42,10 @@
     "workers stopped answering together, of this owner",
     "rackvalve_evacuation_lasting": "gauge by hall: lasting tasks left in an "
     "evacuated hall, as its owner counts them",
+    "rackvalve_configuration_version": "gauge: version of the configuration "
+    "that this process holds",
+    "rackvalve_configuration_age_seconds": "gauge: time since that "
+    "configuration was known to be the store's newest; -1 before the first",
     "rackvalve_standby_events_total": "counter by prefix: changes of the "
     "owner's records that a standby applied",
     "rackvalve_standby_items": "gauge by prefix: records in a standby's copy",
@@ -86,6 +90,8 @@
         self.standby_bytes = self._gauge("standby_bytes", "prefix")
         self.vms_crashing = self._gauge("vms_crashing", "pool")
         self.jobs_standing = self._gauge("jobs_standing", "reason")
+        self.configuration_version = self._gauge("configuration_version")
+        self.configuration_age = self._gauge("configuration_age_seconds")
 
     def make_app(self) -> Callable[..., Any]:
         """Make the WSGI application that tells the measures."""
