Confirm what a watch has told only once it is applied, as of its sending

Cause, what is left of it since the watches are restarted: an answer counted before it had been handled. The revision moved on and the view was confirmed, and then the change was applied; if that failed, the restarted watch went on behind the change, and each later answer confirmed the old view as current. And an answer confirmed the time at which it was read, however late. Change: the watcher moves its revision and confirms after the change is applied, and reads everything again if that fails; an answer without changes confirms the end of its wait, another one the beginning of its call.

--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -6,10 +6,12 @@
 
 import behave
 import gevent
+from gevent import event
 
 from rackvalve.manager import timing
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import store as stores
+from rackvalve import tasks
 
 PREFIX = "job/"
 KEY = "job/q/1/definition"
@@ -124,3 +126,124 @@
 @behave.then("all items were read {count:d} times at the most")
 def check_readings(context, count):
     assert context.store.range_reads <= count, context.store.range_reads
+
+
+class ChangingStore:
+    """Store whose watches end with a change or after their wait."""
+
+    def __init__(self, *, delay=0.0):
+        self.items = []
+        self.delay = delay
+        # When each answer was sent, on the monotonic clock.
+        self.sent_at = []
+        self._changed = event.Event()
+
+    @property
+    def revision(self):
+        return 10 + len(self.items)
+
+    def write(self):
+        self.items.append(
+            stores.Item(
+                key=KEY, payload=b"", revision=self.revision + 1, created=1
+            )
+        )
+        self._changed.set()
+
+    def read_range(self, prefix):
+        self.sent_at.append(time.monotonic())
+        return stores.Range(items=tuple(self.items), revision=self.revision)
+
+    def watch(self, prefix, after, wait, *, slack):
+        if self.revision <= after:
+            self._changed.clear()
+            self._changed.wait(wait)
+        written = tuple(item for item in self.items if item.revision > after)
+        self.sent_at.append(time.monotonic())
+        revision = self.revision
+        gevent.sleep(self.delay)
+        return stores.Changes(written=written, removed=(), revision=revision)
+
+
+@behave.given(
+    "a store with changes, and a reader that fails on the first {number:d} of "
+    "them"
+)
+def make_failing_reader(context, number):
+    context.store = ChangingStore()
+    context.failures_left = number
+
+
+@behave.given(
+    "a store with changes, whose answers are read {delay:g} seconds late"
+)
+def make_late_reader(context, delay):
+    context.store = ChangingStore(delay=delay)
+    context.failures_left = 0
+
+
+def run_reader(context, seconds, *, is_written):
+    context.applied_at = []
+    context.confirmations = []
+
+    def apply(items):
+        if not items:
+            return
+        if context.failures_left:
+            context.failures_left -= 1
+            raise RuntimeError("this change cannot be applied")
+        context.applied_at.append(time.monotonic())
+
+    def note_confirmed(at):
+        context.confirmations.append((time.monotonic(), at))
+
+    watcher = watchers.Watcher(
+        context.store,
+        PREFIX,
+        pace=timing.OWNER_WATCH,
+        on_range=apply,
+        on_changes=lambda changes: apply(changes.written),
+        on_contact=lambda: None,
+        on_confirmed=note_confirmed,
+    )
+    assert watcher.read()
+    pause = timing.TASK_RESTART_DELAY_S
+    running = tasks.run_forever("a watch", pause, watcher.run)
+    gevent.sleep(0.1)
+    if is_written:
+        context.written_at = time.monotonic()
+        context.store.write()
+    gevent.sleep(seconds)
+    running.kill()
+
+
+@behave.when(
+    "a change is written and the reader runs on for {seconds:g} seconds"
+)
+def run_with_change(context, seconds):
+    run_reader(context, seconds, is_written=True)
+
+
+@behave.when("the reader runs on for {seconds:g} seconds")
+def run_without_change(context, seconds):
+    run_reader(context, seconds, is_written=False)
+
+
+@behave.then("the change is applied, and was confirmed by no answer before")
+def check_applied(context):
+    assert context.applied_at, "the change was lost"
+    too_early = [
+        at
+        for noted, at in context.confirmations
+        if noted < context.applied_at[0] and at > context.written_at
+    ]
+    assert not too_early, too_early
+
+
+@behave.then("no answer has confirmed a later time than that of its sending")
+def check_confirmations(context):
+    assert len(context.confirmations) > 1
+    for (noted, at), sent in zip(
+        context.confirmations, context.store.sent_at, strict=False
+    ):
+        assert at <= sent + 0.05, (noted, at, sent)
--- a/features/watches.feature
+++ b/features/watches.feature
@@ -18,3 +18,21 @@
     Given a store that refuses watches at once
     When an owner follows its jobs for 1 seconds
     Then all items were read 1 times at the most
+
+  # A process went on by the configuration before while its view counted as
+  # current: an error in taking a change lost it, and later answers confirmed
+  # what was held.
+  Scenario Outline: A change that fails to be applied is neither lost nor confirmed
+    Given a store with changes, and a reader that fails on the first <number> of them
+    When a change is written and the reader runs on for <seconds> seconds
+    Then the change is applied, and was confirmed by no answer before
+
+    Examples:
+      | number | seconds |
+      | 1      | 1.5     |
+      | 3      | 2.5     |
+
+  Scenario: An answer that is read late confirms what was true when it was sent
+    Given a store with changes, whose answers are read 0.3 seconds late
+    When the reader runs on for 1 seconds
+    Then no answer has confirmed a later time than that of its sending
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -136,7 +136,8 @@
             documents.OPERATOR_PREFIX,
             on_range=self._view.apply_range,
             on_changes=self._view.apply_changes,
-            on_contact=self._record_operator_contact,
+            on_contact=self._view.note_contact,
+            on_confirmed=self._view.note_confirmed,
         )
         pause = timing.TASK_RESTART_DELAY_S
         tasks.run_forever("operator watch", pause, operator.run)
@@ -173,11 +174,6 @@
         server.start()
         return server
 
-    def _record_operator_contact(self) -> None:
-        """Record an answer to the watch over the operator's documents."""
-        self._view.note_contact()
-        self._view.note_confirmed(clocks.read_steady())
-
     def _count_store_call(self, call: str, outcome: str) -> None:
         self._telemetry.store_calls.labels(call, outcome).inc()
         if self._prober is not None:
--- a/src/rackvalve/manager/watcher.py
+++ b/src/rackvalve/manager/watcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 
 import gevent
 
@@ -21,6 +22,13 @@
 SLACK_DECAY = 0.95
 
 
+T = TypeVar("T")
+
+
+def _ignore_time(at: float) -> None:
+    """Take no note of a time."""
+
+
 class Watcher:
     """Watches one prefix of the store.
 
@@ -29,6 +37,8 @@
     :param on_range: Called with all items, at first and after lost history.
     :param on_changes: Called with each change.
     :param on_contact: Called at each answer of the store.
+    :param on_confirmed: Called after an answer was passed on, with a time in
+        seconds at which nothing newer was in the store.
     :param pace: How long the watches wait.
     """
 
@@ -41,12 +51,14 @@
         on_range: Callable[[tuple[stores.Item, ...]], None],
         on_changes: Callable[[stores.Changes], None],
         on_contact: Callable[[], None],
+        on_confirmed: Callable[[float], None] = _ignore_time,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._on_range = on_range
         self._on_changes = on_changes
         self._on_contact = on_contact
+        self._on_confirmed = on_confirmed
         self._pace = pace
         self._slack = pace.slack
         # The latest time, in seconds, of which everything in the store is
@@ -80,9 +92,8 @@
         :param found: All items as of a revision.
         :param confirmed_at: A time at which they were current, in seconds.
         """
-        self._revision = max(self._revision, found.revision)
-        self._on_range(found.items)
-        self.confirmed_at = confirmed_at
+        self._apply(self._on_range, found.items, found.revision)
+        self._confirm(confirmed_at)
 
     def _read_all(self) -> None:
         began = clocks.read_steady()
@@ -91,9 +102,8 @@
             self._log_failure("range", found.reason)
             return
         self._record_success()
-        self._revision = max(self._revision, found.revision)
-        self._on_range(found.items)
-        self.confirmed_at = began
+        self._apply(self._on_range, found.items, found.revision)
+        self._confirm(began)
 
     def _watch(self) -> None:
         # A connection that is cut silently is noticed only by the timeout.
@@ -119,10 +129,34 @@
             return
         self._slack = max(self._pace.slack, SLACK_DECAY * self._slack)
         self._record_success()
-        self._revision = max(self._revision, changes.revision)
         if changes.written or changes.removed:
-            self._on_changes(changes)
-        self.confirmed_at = began
+            self._apply(self._on_changes, changes, changes.revision)
+            self._confirm(began)
+            return
+        self._revision = max(self._revision, changes.revision)
+        # The store sends an answer without changes at the end of the wait,
+        # and this process may read it much later.
+        now = clocks.read_steady()
+        self._confirm(min(now, began + self._pace.wait))
+
+    def _apply(
+        self, apply: Callable[[T], None], found: T, revision: int
+    ) -> None:
+        """Pass on what the store has answered, up to a revision.
+
+        If that fails, everything is read again: part of it may be missing.
+        """
+        known, self._revision = self._revision, -1
+        apply(found)
+        self._revision = max(known, revision)
+
+    def _confirm(self, at: float) -> None:
+        """Note that all of a time has been passed on, after it was.
+
+        :param at: The time, in seconds.
+        """
+        self.confirmed_at = max(self.confirmed_at, at)
+        self._on_confirmed(self.confirmed_at)
 
     def _log_failure(self, call: str, reason: str) -> None:
         if not self._failing:
