Isolate a worker on whose answers an owner fails, and begin the next term at once

Cause: an unexpected error while one worker's answer was handled ended the owner's term. The owner kept its key until the lease ran out, 1 to 3 s; the next one met the same answer right after loading. Nobody got as far as extending the leases of the other workers, which ran out after 4 s: one worker's fault ended the tasks of all. Change: a failure says which worker it is of. The process begins its next term with one commit in place of the failed one, and isolates the worker: its lease is extended and its reports are not handled, for 2 s, then twice as long with each repetition up to 160 s. An error that no worker explains, or errors with more than five workers, give the ownership back at once, and the process lets others go first for 0.5 to 2 s. Errors in the traffic with an isolated worker end that traffic alone. New module of the ownership's keys and commits.

--- a/features/outages.feature
+++ b/features/outages.feature
@@ -52,3 +52,44 @@
   Scenario: A store that gives longer leases than were asked for is taken as it is
     Given an owner on the largest VM and 1 others in one store
     Then its key is not written anew in the next 1.2 s
+
+  # In the users' runs and in ours on 0.7.0 one worker's answers ended the term of
+  # each owner, a second apart, until the leases of all workers had run out.
+  Scenario: An error with one worker costs no time without an owner
+    Given an owner on the largest VM and 2 others in one store
+    When its owner fails on the answers of worker "w1"
+    Then within 0.5 s the same process owns, under a greater token
+    And it has isolated "w1" for 2 s
+    And no other process has owned
+
+  Scenario: A process whose owner fails for no worker lets another one own at once
+    Given an owner on the largest VM and 2 others in one store
+    When its owner fails on no worker
+    Then within 0.7 s another process owns, under a greater token
+
+  Scenario: An owner that lost its term to another one begins none
+    Given an owner on the largest VM and 2 others in one store
+    When its owner fails on the answers of worker "w1", after another one took the term
+    Then it has begun no term without that of the other one
+
+  Scenario Outline: Repeated errors are kept apart for longer, up to a limit
+    Given a process whose owners fail at these seconds on <workers>
+      | at |
+      | 0  |
+      | 3  |
+      | 8  |
+    Then at <at> s <isolated> are isolated, and the process <does>
+
+    Examples:
+      | workers            | at   | isolated | does             |
+      | worker w1          | 8.1  | w1       | may own          |
+      | worker w1          | 15.9 | w1       | may own          |
+      | worker w1          | 16.1 | none     | may own          |
+      | no worker          | 8.1  | none     | lets others own  |
+      | no worker          | 9.9  | none     | lets others own  |
+      | no worker          | 10.1 | none     | may own          |
+      | a worker each time | 8.1  | w8       | may own          |
+
+  Scenario: Errors with many workers at once are the process's own
+    Given a process whose owners fail on 6 workers within a second
+    Then at 1 s 5 are isolated, and the process lets others own
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,13 @@
     When the soak runs with seed 8200 for 14 seconds, in bursts of these alone
     Then jobs were accepted, faults were applied, and no promise was broken
 
+  # In the users' runs owners ended one after the other by an unexpected error.  An
+  # error while one worker's report was handled ended each owner in turn, and the
+  # leases of all workers ran out: lasting tasks were away at once.
+  Scenario: Reports of one worker on which each owner fails
+    When the soak runs with seed 601 for 20 seconds, in bursts of failing reports
+    Then jobs were accepted, faults were applied, and no promise was broken
+
   Scenario: The same seed draws the same faults, another seed others
     Then seed 7 draws the same 60 seconds of faults twice, and seed 8 others
     And over 50 seeds each kind of fault is drawn
--- a/features/steps/other_incarnation_steps.py
+++ b/features/steps/other_incarnation_steps.py
@@ -20,6 +20,8 @@
 class FakeSite:
     """The part of a site that the stand-in of a worker uses."""
 
+    tick = 0.005
+
     def __init__(self):
         self.host = HOST
         self.reports_start_times = True
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -195,6 +195,7 @@
     def __init__(self, fence):
         self.fence = fence
         self.deposed = ""
+        self.failure = None
         self.is_loaded = True
         self.stopped = ""
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,6 +48,17 @@
     context.result = run.run()
 
 
+@behave.when(
+    "the soak runs with seed {seed:d} for {seconds:d} seconds, in bursts of "
+    "failing reports"
+)
+def run_failing_reports(context, seed, seconds):
+    run = runner.Runner(
+        seed, float(seconds), MANAGERS, plan.BURSTS, tuple(plan.DEFECTS)
+    )
+    context.result = run.run()
+
+
 @behave.then(
     "jobs were accepted, faults were applied, and no promise was broken"
 )
--- a/src/rackvalve/manager/election/election.py
+++ b/src/rackvalve/manager/election/election.py
@@ -22,7 +22,9 @@
 from rackvalve import clocks
 from rackvalve import logs
 from rackvalve.manager.election import candidacy
+from rackvalve.manager.election import failures as failure_histories
 from rackvalve.manager.election import leases
+from rackvalve.manager.election import ownership_keys
 from rackvalve.manager.election import succession
 from rackvalve.manager.owner import protocols
 from rackvalve.manager.peers import membership as memberships
@@ -32,13 +34,9 @@
 from rackvalve import tasks
 from rackvalve import telemetry as telemetries
 
-PREFIX = "owner/"
-# The holder key, which ends with the owner's lease.
-KEY = PREFIX + "scheduling"
-# The term key, whose revision is the fencing token.
-TERM_KEY = PREFIX + "term"
-# The last process that requested a handover from the owner.
-REQUEST_KEY = PREFIX + "request"
+KEY = ownership_keys.HOLDER
+TERM_KEY = ownership_keys.TERM
+REQUEST_KEY = ownership_keys.REQUEST
 # Random delay of candidates, so that they rarely conflict.
 CANDIDACY_SPREAD_S = 0.02
 _TAKEN_BY_ANOTHER = "another process has taken the ownership"
@@ -56,6 +54,7 @@
     :param on_contact: Called at each answer of the store.
     :param membership: The managers that run, kept from the same watch;
         ``None`` if managers do not register.
+    :param failures: Unexpected errors of this process's owners.
     :param standby: Whether registered managers take the ownership in the order
         of :mod:`~rackvalve.manager.election.succession`.
     """
@@ -71,9 +70,12 @@
         telemetry: telemetries.Telemetry,
         on_contact: Callable[[], None],
         membership: memberships.Membership | None = None,
+        failures: failure_histories.FailureHistory | None = None,
         standby: bool = False,
     ) -> None:
         self._store = store
+        self._keys = ownership_keys.OwnershipKeys(store)
+        self._failures = failures or failure_histories.FailureHistory()
         self._name = name
         self._membership = membership
         # The managers that take the ownership in their order, if they do.
@@ -119,7 +121,7 @@
         """
         watcher = watchers.Watcher(
             self._store,
-            PREFIX,
+            ownership_keys.PREFIX,
             on_range=self._apply_range,
             on_changes=self._apply_changes,
             on_contact=self._note_answer,
@@ -134,14 +136,23 @@
         while True:
             self._wait()
             if self._owner is not None:
-                self._retain_ownership()
-            elif not self._is_loaded or not self._may_own() or self._resigned:
+                self._retain_ownership(self._owner)
+            elif not self._may_take_part(clocks.read_steady()):
                 continue
             elif self._holder is None:
                 self._campaign()
             else:
                 self._request_handover()
 
+    def _may_take_part(self, now: float) -> bool:
+        """Return whether this process may own, or ask for the ownership."""
+        return (
+            self._is_loaded
+            and self._may_own()
+            and not self._resigned
+            and not self._failures.is_paused(now)
+        )
+
     def _wait(self) -> None:
         """Wait for a change, or until it is time for the next renewal."""
         began = clocks.read_steady()
@@ -151,8 +162,7 @@
         self._delays.record(now - began - timing.OWNER_RENEWAL_INTERVAL_S, now)
 
     def _adopt_lease(self, lease: leases.Lease) -> None:
-        self._lease = lease.identity
-        self._lease_length = lease.length
+        self._lease, self._lease_length = lease.identity, lease.length
         self._is_key_bound = True
 
     def _note_answer(self) -> None:
@@ -261,12 +271,8 @@
             return
         gevent.sleep(random.uniform(0, CANDIDACY_SPREAD_S))
         known = request.revision if request is not None else 0
-        outcome = self._store.commit(
-            [
-                stores.Condition(key=KEY, revision=item.revision),
-                stores.Condition(key=REQUEST_KEY, revision=known),
-            ],
-            [stores.Put(key=REQUEST_KEY, payload=self._encode_holder())],
+        outcome = self._keys.request(
+            self._encode_holder(), holder=item.revision, known=known
         )
         logs.write_event(
             "ownership.requested",
@@ -292,24 +298,13 @@
         lease = leases.open_lease(self._store, self._delays)
         if lease is None:
             return
-        payload = self._encode_holder()
-        outcome = self._store.commit(
-            [stores.Condition(key=KEY, revision=0)],
-            [
-                stores.Put(key=KEY, payload=payload, lease=lease.identity),
-                stores.Put(key=TERM_KEY, payload=payload),
-            ],
-        )
-        fence = self._find_fence(outcome, payload)
-        if (
-            fence is None
-            and isinstance(outcome, stores.Unknown)
-            and self._successors is not None
-        ):
-            # A commit cut on the store's recovery may take effect after the
-            # read.  Without its key, the next campaign begins at once.
-            self._store.end_lease(lease.identity)
-        if fence is not None and not self._resigned:
+        fence = self._keys.take(self._encode_holder(), lease.identity)
+        if isinstance(fence, stores.Unknown):
+            if self._successors is not None:
+                # A commit cut on the store's recovery may take effect after
+                # the read.  Without its key, the next campaign begins at once.
+                self._store.end_lease(lease.identity)
+        elif fence is not None and not self._resigned:
             self._begin_owning(fence, lease)
 
     def _compute_candidacy_delay(self, now: float) -> float:
@@ -339,22 +334,11 @@
         if self._owner is not None:
             self._owner.start()
 
-    def _find_fence(self, outcome: object, payload: bytes) -> int | None:
-        """Return the fencing token if the term is this process's."""
-        if isinstance(outcome, stores.Committed):
-            return outcome.revision
-        if isinstance(outcome, stores.Unknown):
-            # Should the commit take effect even later, its lease has expired
-            # by then, unless the prober has cut the call.
-            found = self._store.read(TERM_KEY)
-            if isinstance(found, stores.Item) and found.payload == payload:
-                return found.revision
-        return None
-
-    def _retain_ownership(self) -> None:
+    def _retain_ownership(self, owner: protocols.ElectedOwner) -> None:
         """Renew the ownership, hand it over, or stop if it is lost."""
-        owner = self._owner
-        assert owner is not None
+        if owner.failure is not None:
+            self._recover(owner, owner.failure)
+            return
         if self._is_handover_requested(owner):
             self._hand_over("a larger VM has asked for it")
             return
@@ -363,14 +347,40 @@
             return
         reason = self._find_successor(owner) or self._renew(owner)
         if reason:
-            owner.stop(reason)
-            logs.write_warning(
-                "ownership.lost", fence=owner.fence, reason=reason
-            )
-            self._telemetry.ownership.labels("lost").inc()
-            self._owner = None
+            self._end_term(owner, reason)
             self._changed.set()
 
+    def _end_term(self, owner: protocols.ElectedOwner, reason: str) -> None:
+        """Stop the owner; runs on workers go on."""
+        owner.stop(reason)
+        logs.write_warning("ownership.lost", fence=owner.fence, reason=reason)
+        self._telemetry.ownership.labels("lost").inc()
+        self._owner = None
+
+    def _recover(
+        self,
+        owner: protocols.ElectedOwner,
+        failure: failure_histories.Failure,
+    ) -> None:
+        """Begin another term after an unexpected error, or let others own.
+
+        Either happens at once: nobody extends workers' leases in between.
+        """
+        self._end_term(owner, owner.deposed)
+        may_own = self._failures.note_failure(failure, clocks.read_steady())
+        scope = "worker" if may_own else "process"
+        self._telemetry.owner_failures.labels(scope).inc()
+        lease = leases.Lease(identity=self._lease, length=self._lease_length)
+        if may_own and not self._resigned:
+            fence = self._keys.succeed(
+                self._encode_holder(), lease.identity, owner.fence
+            )
+            if isinstance(fence, int):
+                self._begin_owning(fence, lease)
+                return
+        self._store.end_lease(lease.identity)
+        self._changed.set()
+
     def _loads_too_long(
         self, owner: protocols.ElectedOwner, now: float
     ) -> bool:
@@ -455,14 +465,14 @@
         if lease is None:
             return ""
         began = clocks.read_steady()
-        outcome = self._write_key(owner, lease, known)
+        outcome = self._write_holder(owner, lease, known)
         if isinstance(outcome, stores.Conflict):
             if not leases.has_revision(outcome, TERM_KEY, owner.fence):
                 return _TAKEN_BY_ANOTHER
             # An earlier unanswered attempt took effect, or the key is gone.
             self._holder = outcome.items.get(KEY)
             found = self._holder.revision if self._holder is not None else 0
-            outcome = self._write_key(owner, lease, found)
+            outcome = self._write_holder(owner, lease, found)
         if isinstance(outcome, stores.Unknown):
             # The commit may still take effect; the next write resolves that.
             self._is_key_bound = False
@@ -481,20 +491,10 @@
             )
         return ""
 
-    def _write_key(
+    def _write_holder(
         self, owner: protocols.ElectedOwner, lease: leases.Lease, known: int
     ) -> object:
-        """Write the holder key if neither it nor the term key has changed."""
-        return self._store.commit(
-            [
-                stores.Condition(key=KEY, revision=known),
-                stores.Condition(key=TERM_KEY, revision=owner.fence),
-            ],
-            [
-                stores.Put(
-                    key=KEY,
-                    payload=self._encode_holder(),
-                    lease=lease.identity,
-                )
-            ],
+        payload = self._encode_holder()
+        return self._keys.write_holder(
+            payload, lease.identity, fence=owner.fence, known=known
         )
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -17,6 +17,7 @@
 from rackvalve.jobs import records
 from rackvalve import logs
 from rackvalve.manager.election import election
+from rackvalve.manager.election import failures
 from rackvalve.manager.owner import admission
 from rackvalve.manager.owner import intake as intakes
 from rackvalve.manager.owner import loader as loaders
@@ -73,6 +74,7 @@
         self._telemetry = resources.telemetry
         self.fence = fence
         self.deposed = ""
+        self.failure: failures.Failure | None = None
         self.is_loaded = False
         self._greenlets = greenlet_pools.Group()
         self._plan_wanted = event.Event()
@@ -150,27 +152,16 @@
         :param reason: Why, for logs.
         """
         self.deposed = self.deposed or reason
-        self._log_end()
+        owned = clocks.read_steady() - self._began_at
+        self._reporter.log_end(
+            self.fence, self.deposed, owned, is_loaded=self.is_loaded
+        )
         self._registry.close()
         self._reporter.close()
         current = gevent.getcurrent()
         others = [green for green in self._greenlets if green is not current]
         gevent.killall(others, block=False)
 
-    def _log_end(self) -> None:
-        """Log how far this owner has come with the workers."""
-        known = self._cluster.workers.values()
-        logs.write_event(
-            "owner.ended",
-            fence=self.fence,
-            reason=self.deposed,
-            seconds=round(clocks.read_steady() - self._began_at, 3),
-            loaded=self.is_loaded,
-            workers=len(known),
-            established=sum(worker.established for worker in known),
-            extended=sum(worker.is_extended for worker in known),
-        )
-
     def depose(self, reason: str) -> None:
         """Note that this owner has lost the ownership.
 
@@ -182,6 +173,21 @@
             )
         self.deposed = self.deposed or reason
 
+    def fail(self, worker: str = "") -> None:
+        """Note an unexpected error, after which this owner's term ends.
+
+        The traffic with an isolated worker ends alone.
+
+        :param worker: Identity of the worker whose answer was being handled;
+            empty for an error elsewhere.
+        """
+        now = clocks.read_steady()
+        if worker and self._resources.failures.is_isolated(worker, now):
+            return
+        if self.failure is None:
+            self.failure = failures.Failure(worker=worker)
+        self.depose("an unexpected error; see task.failed")
+
     def note_confirmation(self, now: float) -> None:
         """Note that the store confirmed the ownership.
 
@@ -212,7 +218,7 @@
         :param report: Its report.
         :param now: Present time, in seconds.
         """
-        if self.deposed:
+        if self.deposed or self._check_isolation(worker, now):
             return
         first = not worker.established
         self._handler.apply(worker, report, now=now, wall=clocks.read_wall())
@@ -234,6 +240,20 @@
         worker.note_write(self._writer.number)
         self._plan_wanted.set()
 
+    def _check_isolation(
+        self, worker: workers.WorkerState, now: float
+    ) -> bool:
+        """Return whether a worker's reports are not handled for now."""
+        isolated = self._resources.failures.is_isolated(worker.identity, now)
+        if isolated != worker.is_isolated:
+            worker.is_isolated = isolated
+            logs.write_warning(
+                "worker.isolated" if isolated else "worker.readmitted",
+                worker=worker.identity,
+                runs=len(worker.runs),
+            )
+        return isolated
+
     def apply_start_result(
         self,
         placed: workers.PlacedRun,
@@ -317,7 +337,7 @@
             # Another process takes over, from the records in the store.
             name = getattr(function, "__qualname__", repr(function))
             logs.write_failure("task.failed", message=name)
-            self.depose("an unexpected error; see task.failed")
+            self.fail()
 
     def _run(self) -> None:
         self._loader = loaders.Loader(
--- a/src/rackvalve/manager/owner/protocols.py
+++ b/src/rackvalve/manager/owner/protocols.py
@@ -7,6 +7,7 @@
 
 from typing import Protocol
 
+from rackvalve.manager.election import failures
 from rackvalve.scheduling import fencing_tokens
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import workers
@@ -17,11 +18,13 @@
 
     :ivar fence: The owner's fencing token.
     :ivar deposed: Why the owner was deposed or stopped; empty before that.
+    :ivar failure: The unexpected error that ended its term, if one did.
     :ivar is_loaded: Whether the owner has read all records.
     """
 
     fence: int
     deposed: str
+    failure: failures.Failure | None
     is_loaded: bool
 
     def start(self) -> None:
@@ -74,6 +77,12 @@
         :param reason: How this owner learned that.
         """
 
+    def fail(self, worker: str) -> None:
+        """Record an unexpected error while a worker's answer was handled.
+
+        :param worker: Identity of the worker.
+        """
+
     def apply_report(
         self, worker: workers.WorkerState, report: messages.Report, now: float
     ) -> None:
--- a/src/rackvalve/manager/owner/reporter.py
+++ b/src/rackvalve/manager/owner/reporter.py
@@ -78,6 +78,28 @@
         for cause in blockers.Cause:
             self._telemetry.jobs_standing.labels(cause.value).set(0)
 
+    def log_end(
+        self, fence: int, reason: str, seconds: float, *, is_loaded: bool
+    ) -> None:
+        """Log how far this owner has come with the workers.
+
+        :param fence: Its fencing token.
+        :param reason: Why it ends.
+        :param seconds: How long it owned.
+        :param is_loaded: Whether it has read all records.
+        """
+        known = self._cluster.workers.values()
+        logs.write_event(
+            "owner.ended",
+            fence=fence,
+            reason=reason,
+            seconds=round(seconds, 3),
+            loaded=is_loaded,
+            workers=len(known),
+            established=sum(worker.established for worker in known),
+            extended=sum(worker.is_extended for worker in known),
+        )
+
     def log_order(self, order: messages.Order) -> None:
         """Log an order to a worker, and count a start.
 
--- a/src/rackvalve/manager/owner/resources.py
+++ b/src/rackvalve/manager/owner/resources.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from rackvalve.manager.election import failures as failure_histories
 from rackvalve.manager.standby import replica as replicas
 from rackvalve.manager import view as views
 from rackvalve.platform import advisers
@@ -25,6 +26,7 @@
     :param on_contact: Called at each answer of the store.
     :param take_replica: Returns the replica of the owner's records that this
         process kept as a standby; ``None`` if it kept none.
+    :param failures: Unexpected errors of this process's owners.
     """
 
     store: stores.Store
@@ -34,6 +36,9 @@
     telemetry: telemetries.Telemetry
     on_contact: Callable[[], None]
     take_replica: Callable[[], replicas.Replica | None] = lambda: None
+    failures: failure_histories.FailureHistory = dataclasses.field(
+        default_factory=failure_histories.FailureHistory
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -99,10 +99,10 @@
         try:
             function()
         except Exception:
-            # The owner's view may be half changed; another process takes over,
-            # from the records in the store.
+            # The owner's view may be half changed; the next owner begins from
+            # the records in the store.
             logs.write_failure("task.failed", message=self._worker.identity)
-            self._owner.depose("an unexpected error; see task.failed")
+            self._owner.fail(self._worker.identity)
 
     def _hold_forever(self) -> None:
         while True:
@@ -111,6 +111,9 @@
                 self._apply_report(outcome)
                 self._wait_for_record()
                 self._unanswered = 0
+                if self._worker.is_isolated:
+                    # Ends that are not handled come again at once.
+                    gevent.sleep(timing.HOLD_WAIT_S)
             else:
                 if isinstance(outcome, _NoAnswer):
                     now = clocks.read_steady()
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -17,6 +17,7 @@
 from rackvalve.manager.api import job_api
 from rackvalve.manager.api import relaying
 from rackvalve.manager.election import election
+from rackvalve.manager.election import failures
 from rackvalve.manager import features as feature_switches
 from rackvalve.manager.owner import owner as owners
 from rackvalve.manager.owner import resources as owner_resources
@@ -102,6 +103,7 @@
             is_stopping=lambda: self._stopping,
             forwarder=self._make_forwarder(),
         )
+        self._failures = failures.FailureHistory()
         self._election = election.Election(
             self._store,
             self._name,
@@ -111,6 +113,7 @@
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
             membership=self._membership,
+            failures=self._failures,
             standby=self._features.standby,
         )
         self._registration = self._make_registration()
@@ -305,6 +308,7 @@
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
             take_replica=self._take_replica,
+            failures=self._failures,
         )
         durations = owner_resources.Durations(
             keep=self._settings.get("manager", "keep_time", float),
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -87,6 +87,7 @@
         "maintenance_pending",
         "ordered_away",
         "is_extended",
+        "is_isolated",
         "slowness",
         "slow_until",
         "speed_checked_at",
@@ -149,6 +150,8 @@
         # Whether a move or maintenance of its VM was, or may have been,
         # ordered during this incarnation.
         self.ordered_away = False
+        # Whether its reports are not handled after an unexpected error.
+        self.is_isolated = False
         # Whether this owner is known to have extended its lease.
         self.is_extended = False
         # Duration of its tasks as a multiple of that on other workers.
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -15,6 +15,9 @@
     "rackvalve_store_calls_total": "counter by call, outcome: calls to the "
     "platform's store",
     "rackvalve_ownership_changes_total": "counter by change: taken, lost",
+    "rackvalve_owner_failures_total": "counter by scope: unexpected errors "
+    "that ended this process's term: worker, while a worker's answer was "
+    "handled; process, elsewhere",
     "rackvalve_calls_total": "counter by method, status: callers' requests",
     "rackvalve_call_seconds": "histogram by method: time to the answer",
     "rackvalve_counts_told_total": "counter by source: counts of waiting jobs "
@@ -68,6 +71,7 @@
         self._registry = prometheus_client.CollectorRegistry()
         self.store_calls = self._count("store_calls", "call", "outcome")
         self.ownership = self._count("ownership_changes", "change")
+        self.owner_failures = self._count("owner_failures", "scope")
         self.calls = self._count("calls", "method", "status")
         self.call_seconds = self._time("call_seconds", "method")
         self.counts_told = self._count("counts_told", "source")
--- a/tools/site.py
+++ b/tools/site.py
@@ -33,6 +33,8 @@
     :param platform: Further options for the platform's command line.
     :param settings: Makes further settings of a manager from its number.
     :param halls: Number of halls over which the managers are spread.
+    :param make_command: Makes the command that runs a manager from the site's
+        folder and the path of its settings.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         platform=(),
         settings=None,
         halls=1,
+        make_command=None,
     ):
         # All calls send the first key, unless they set the header themselves.
         self.keys = keys
@@ -63,6 +66,7 @@
         self._platform_words = platform
         self._make_settings = settings or (lambda number: {})
         self._halls = halls
+        self._make_command = make_command or _make_command
         self.managers = [self._make_manager(n) for n in range(managers)]
 
     def start(self):
@@ -351,7 +355,7 @@
         )
         process = processes.Process(
             vm,
-            [str(fleets.BIN / "rackvalve-manager"), str(settings)],
+            self._make_command(self.folder, settings),
             str(self.folder / f"{vm}.log"),
         )
         return {
@@ -384,3 +388,7 @@
                 return
             time.sleep(0.05)
         raise TimeoutError(f"{what} did not start; see {self.folder}")
+
+
+def _make_command(folder, settings):
+    return [str(fleets.BIN / "rackvalve-manager"), str(settings)]
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -7,6 +7,7 @@
 import math
 
 from tools.soak import callers
+from tools.soak import defects
 
 # A killed manager's connections may end this much earlier or later than its
 # recorded end, in seconds.
@@ -225,7 +226,7 @@
     if "soak-key-" in output:
         yield Violation(promise="no key is told", detail="soak-key-")
     for line in output.splitlines():
-        if '"event":"task.failed"' in line:
+        if '"event":"task.failed"' in line and defects.MARK not in line:
             yield Violation(
                 promise="no error is unexpected", detail=line[:MAX_ERROR_CHARS]
             )
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -11,6 +11,7 @@
 
 from tools.soak import callers
 from tools.soak import checks
+from tools.soak import defects
 from tools.soak import links
 from tools.soak import operators
 from tools.soak import spans
@@ -322,6 +323,8 @@
         elif how == "unlisted":
             self._site.order({"unlist": machine, "away": fault.length})
             gevent.sleep(fault.length)
+        elif how == "unhandled":
+            self._fail_reports(machine, fault.length)
         elif how == "lost":
             self._lose_vm(machine, fault.length)
         else:
@@ -388,6 +391,15 @@
         self._site.order({"lose": machine, "entry": length})
         gevent.sleep(length)
 
+    def _fail_reports(self, machine, length):
+        """Have each manager fail on the reports of the worker on a VM."""
+        worker = self._site.list_incarnations()[machine]
+        if worker is None:
+            return
+        defects.add_worker(self._site.folder, worker)
+        gevent.sleep(length)
+        defects.remove_worker(self._site.folder, worker)
+
     def _starve(self, process, length):
         """Leave a process a small share of processor time."""
         until = time.monotonic() + length
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -65,6 +65,7 @@
     "configurations": (8, 0.5, 4.0),
     "configuration invalid": (3, 0.1, 3.0),
     "power lost": (2, 0.3, 2.0),
+    "worker unhandled": (4, 6.0, 12.0),
 }
 # With one of these, workers that jobs crash also keep their names.
 RESTARTS = frozenset({"worker restarted", "all workers restarted"})
@@ -74,6 +75,8 @@
 RACKS = frozenset({"rack down"})
 # With one of these, managers relay requests to each other.
 RELAYED = frozenset({"managers rejected"})
+# With one of these, managers have defects that the run switches on.
+DEFECTS = frozenset({"worker unhandled"})
 # Faults after which an owner waits for proof that a run has ended, with faults
 # that make the next owner restart this wait or learn late what is known.  Half
 # of the former are followed by one of the latter.
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -14,6 +14,7 @@
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import configurations
+from tools.soak import defects
 from tools.soak import evacuations
 from tools.soak import fault_injector
 from tools.soak import links
@@ -103,6 +104,9 @@
             keys={"north": [callers.KEY], "south": []},
             platform=_choose_platform(only, size),
             settings=_choose_settings(only),
+            make_command=(
+                None if plan.DEFECTS.isdisjoint(only) else defects.make_command
+            ),
             halls=1 if plan.RELAYED.isdisjoint(only) else HALLS,
         )
         # A site makes these links when it is constructed, and the links to
