One document on which the view fails keeps no other one away

Change: the error is logged with the document's key, like an invalid document, and the others are applied. Result: the scenario of a wave that raises before a configuration passes; it raised before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,12 @@
     When the soak runs with seed 601 for 20 seconds, in bursts of failing reports
     Then jobs were accepted, faults were applied, and no promise was broken
 
+  # The users' queues ask by turns for more than their pools hold, while owners
+  # change one after the other and configurations come in quick succession.
+  Scenario: Turns of demand beside owners in series and quick configurations
+    When the soak runs with seed 801 for 16 seconds on the grown site
+    Then jobs were accepted, faults were applied, and no promise was broken
+
   Scenario: The same seed draws the same faults, another seed others
     Then seed 7 draws the same 60 seconds of faults twice, and seed 8 others
     And over 50 seeds each kind of fault is drawn
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,6 +24,16 @@
     "store stuttering",
     "store closing",
 )
+GROWN_MANAGERS = 8
+OWNERS_AND_CONFIGURATIONS = (
+    "owner killed",
+    "owners stopped",
+    "configurations",
+    "configuration invalid",
+    "worker crashed",
+    "wave",
+    "power lost",
+)
 JOB = "00000000000000aa"
 REFUSED = "00000000000000bb"
 CRASHING = "00000000000000cc"
@@ -59,6 +69,22 @@
     context.result = run.run()
 
 
+@behave.when(
+    "the soak runs with seed {seed:d} for {seconds:d} seconds on the grown "
+    "site"
+)
+def run_grown(context, seed, seconds):
+    run = runner.Runner(
+        seed,
+        float(seconds),
+        GROWN_MANAGERS,
+        plan.BURSTS,
+        OWNERS_AND_CONFIGURATIONS,
+        sizes.GROWN,
+    )
+    context.result = run.run()
+
+
 @behave.then(
     "jobs were accepted, faults were applied, and no promise was broken"
 )
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import json
 import time
+from unittest import mock
 
 import behave
 import gevent
 from gevent import event
 
+from rackvalve import logs
 from rackvalve.manager import timing
+from rackvalve.manager import view as views
 from rackvalve.manager import watcher as watchers
+from rackvalve.platform import documents
 from rackvalve.platform import store as stores
 from rackvalve import tasks
 
@@ -247,3 +252,38 @@
         context.confirmations, context.store.sent_at, strict=False
     ):
         assert at <= sent + 0.05, (noted, at, sent)
+
+
+WAVE_KEY = f"{documents.WAVE_PREFIX}1"
+
+
+@behave.given("a view that fails on the operator's wave")
+def make_failing_view(context):
+    context.view = views.View()
+
+
+@behave.when("it reads the wave and, after it, a configuration")
+def read_documents(context):
+    configuration = json.dumps({"version": 7}).encode()
+    items = (
+        stores.Item(key=WAVE_KEY, payload=b"{}", revision=1, created=1),
+        stores.Item(
+            key=documents.CONFIGURATION_KEY,
+            payload=configuration,
+            revision=2,
+            created=2,
+        ),
+    )
+    with (
+        mock.patch.object(documents, "read_wave", side_effect=ValueError),
+        mock.patch.object(logs, "write_failure") as context.failure,
+    ):
+        context.view.apply_range(items)
+
+
+@behave.then(
+    "it holds the configuration, and an error that names the wave is logged"
+)
+def check_view(context):
+    assert context.view.version == 7
+    context.failure.assert_called_once_with("task.failed", message=WAVE_KEY)
--- a/features/watches.feature
+++ b/features/watches.feature
@@ -36,3 +36,8 @@
     Given a store with changes, whose answers are read 0.3 seconds late
     When the reader runs on for 1 seconds
     Then no answer has confirmed a later time than that of its sending
+
+  Scenario: A document on which the view fails keeps no other one away
+    Given a view that fails on the operator's wave
+    When it reads the wave and, after it, a configuration
+    Then it holds the configuration, and an error that names the wave is logged
--- a/src/rackvalve/manager/view.py
+++ b/src/rackvalve/manager/view.py
@@ -123,6 +123,9 @@
                 revision=item.revision,
                 reason=error.reason,
             )
+        except Exception:
+            # One document must not keep the others from being applied.
+            logs.write_failure("task.failed", message=item.key)
 
     def _apply_configuration(self, item: stores.Item) -> None:
         if item.revision <= self.revision:
