--- a/features/outages.feature
+++ b/features/outages.feature
@@ -59,7 +59,7 @@
     Given an owner on the largest VM and 2 others in one store
     When its owner fails on the answers of worker "w1"
     Then within 0.5 s the same process owns, under a greater token
-    And it has isolated "w1" for 2 s
+    And it has quarantined "w1" for 2 s
     And no other process has owned
 
   Scenario: A process whose owner fails for no worker lets another one own at once
@@ -78,10 +78,10 @@
       | 0  |
       | 3  |
       | 8  |
-    Then at <at> s <isolated> are isolated, and the process <does>
+    Then at <at> s <held> are quarantined, and the process <does>
 
     Examples:
-      | workers            | at   | isolated | does             |
+      | workers            | at   | held     | does             |
       | worker w1          | 8.1  | w1       | may own          |
       | worker w1          | 15.9 | w1       | may own          |
       | worker w1          | 16.1 | none     | may own          |
@@ -92,4 +92,4 @@
 
   Scenario: Errors with many workers at once are the process's own
     Given a process whose owners fail on 6 workers within a second
-    Then at 1 s 5 are isolated, and the process lets others own
+    Then at 1 s 5 are quarantined, and the process lets others own
--- a/features/steps/owner_failure_steps.py
+++ b/features/steps/owner_failure_steps.py
@@ -65,12 +65,12 @@
     assert find_others()[0].owners[-1].fence > context.failed_fence
 
 
-@behave.then('it has isolated "{worker}" for {seconds:g} s')
-def check_isolated(context, worker, seconds):
+@behave.then('it has quarantined "{worker}" for {seconds:g} s')
+def check_quarantined(context, worker, seconds):
     history = context.first.election._failures
     noted = history._by_worker[worker][-1]
-    assert history.is_isolated(worker, noted + seconds - 0.01)
-    assert not history.is_isolated(worker, noted + seconds)
+    assert history.is_quarantined(worker, noted + seconds - 0.01)
+    assert not history.is_quarantined(worker, noted + seconds)
 
 
 @behave.then("it has begun no term without that of the other one")
@@ -111,11 +111,11 @@
         )
 
 
-@behave.then("at {at:g} s {isolated} are isolated, and the process {does}")
-def check_history(context, at, isolated, does):
-    found = context.history.list_isolated(at)
-    if isolated.isdigit():
-        assert len(found) == int(isolated), found
+@behave.then("at {at:g} s {held} are quarantined, and the process {does}")
+def check_history(context, at, held, does):
+    found = context.history.list_quarantined(at)
+    if held.isdigit():
+        assert len(found) == int(held), found
     else:
-        assert found == ([] if isolated == "none" else [isolated]), found
+        assert found == ([] if held == "none" else [held]), found
     assert context.history.is_paused(at) == (does == "lets others own")
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -72,9 +72,10 @@
     "owner.ended": "An owner ends; how long it owned, and with how many "
     "workers it had extended the lease.",
     "owner.loaded": "A new owner has read all records.",
-    "worker.isolated": "An error ended a term while this worker's answer was "
-    "handled: its lease is extended, its reports are not handled for a time.",
-    "worker.readmitted": "An isolated worker's reports are handled again.",
+    "worker.quarantined": "An error ended a term while this worker's answer "
+    "was handled: its lease is extended, its reports are not handled for a "
+    "time.",
+    "worker.readmitted": "A quarantined worker's reports are handled again.",
     "worker.found": "A worker was seen for the first time.",
     "worker.recorded": "A worker that only records name is asked.",
     "worker.established": "A worker has taken the owner's fencing token.",
--- a/src/rackvalve/manager/election/failures.py
+++ b/src/rackvalve/manager/election/failures.py
@@ -3,8 +3,8 @@
 An error while one worker's answer is handled may leave the owner's view half
 changed, so a term ends with it.  The next owner would meet the same answer: if
 each term ends before all leases were extended, the leases of all workers run
-out.  So the worker is isolated: its lease is extended and its reports are not
-handled for a while.  An error that no worker explains counts against the
+out.  So the worker is quarantined: its lease is extended and its reports are
+not handled for a while.  An error that no worker explains counts against the
 process, which lets others own first.
 """
 
@@ -13,10 +13,10 @@
 import collections
 import dataclasses
 
-# How long a worker is isolated, in seconds; each further error of it doubles
-# the time up to the limit.
-ISOLATION_S = 2.0
-MAX_ISOLATION_S = 160.0
+# How long a worker is quarantined, in seconds; each further error of it
+# doubles the time up to the limit.
+QUARANTINE_S = 2.0
+MAX_QUARANTINE_S = 160.0
 # How long a process does not campaign after an error that no worker explains,
 # in seconds; each further one doubles the pause up to the limit.  The limit is
 # within a worker's lease of 4 s.
@@ -24,9 +24,9 @@
 MAX_PAUSE_S = 2.0
 # How long errors are remembered, in seconds.
 RETENTION_S = 300.0
-# Errors with more workers than this within the time of one isolation have a
+# Errors with more workers than this within the time of one quarantine have a
 # cause in this process rather than in a worker.
-MAX_ISOLATED = 5
+MAX_QUARANTINED = 5
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -43,7 +43,7 @@
 class FailureHistory:
     """The recent failures of a process's owners."""
 
-    __slots__ = ("_by_worker", "_unexplained", "_isolated_until")
+    __slots__ = ("_by_worker", "_unexplained", "_quarantined_until")
 
     def __init__(self) -> None:
         # Times of the errors, in seconds, by the worker's identity.
@@ -52,41 +52,44 @@
         )
         # Times of those that no worker explains, in seconds.
         self._unexplained: list[float] = []
-        self._isolated_until: dict[str, float] = {}
+        self._quarantined_until: dict[str, float] = {}
 
     def note_failure(self, failure: Failure, now: float) -> bool:
-        """Note a failure, and isolate the worker that explains it.
+        """Note a failure, and quarantine the worker that explains it.
 
         :param failure: The failure.
         :param now: Present time, in seconds.
         :return: Whether this process may go on owning.
         """
         self._forget_old(now)
-        if not failure.worker or len(self.list_isolated(now)) >= MAX_ISOLATED:
+        if (
+            not failure.worker
+            or len(self.list_quarantined(now)) >= MAX_QUARANTINED
+        ):
             self._unexplained.append(now)
             return False
         times = self._by_worker[failure.worker]
         times.append(now)
-        length = _double(ISOLATION_S, len(times), MAX_ISOLATION_S)
-        self._isolated_until[failure.worker] = now + length
+        length = _double(QUARANTINE_S, len(times), MAX_QUARANTINE_S)
+        self._quarantined_until[failure.worker] = now + length
         return True
 
-    def is_isolated(self, worker: str, now: float) -> bool:
+    def is_quarantined(self, worker: str, now: float) -> bool:
         """Return whether a worker's reports are not handled.
 
         :param worker: Identity of the worker.
         :param now: Present time, in seconds.
         """
-        return now < self._isolated_until.get(worker, float("-inf"))
+        return now < self._quarantined_until.get(worker, float("-inf"))
 
-    def list_isolated(self, now: float) -> list[str]:
-        """Return the identities of the isolated workers.
+    def list_quarantined(self, now: float) -> list[str]:
+        """Return the identities of the quarantined workers.
 
         :param now: Present time, in seconds.
         """
         return [
             worker
-            for worker, until in self._isolated_until.items()
+            for worker, until in self._quarantined_until.items()
             if now < until
         ]
 
@@ -107,7 +110,7 @@
         for worker, times in list(self._by_worker.items()):
             if times[-1] <= since:
                 del self._by_worker[worker]
-                self._isolated_until.pop(worker, None)
+                self._quarantined_until.pop(worker, None)
 
 
 def _double(first: float, number: int, most: float) -> float:
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -176,13 +176,13 @@
     def fail(self, worker: str = "") -> None:
         """Note an unexpected error, after which this owner's term ends.
 
-        The traffic with an isolated worker ends alone.
+        The traffic with a quarantined worker ends alone.
 
         :param worker: Identity of the worker whose answer was being handled;
             empty for an error elsewhere.
         """
         now = clocks.read_steady()
-        if worker and self._resources.failures.is_isolated(worker, now):
+        if worker and self._resources.failures.is_quarantined(worker, now):
             return
         if self.failure is None:
             self.failure = failures.Failure(worker=worker)
@@ -218,7 +218,7 @@
         :param report: Its report.
         :param now: Present time, in seconds.
         """
-        if self.deposed or self._check_isolation(worker, now):
+        if self.deposed or self._check_quarantine(worker, now):
             return
         first = not worker.established
         self._handler.apply(worker, report, now=now, wall=clocks.read_wall())
@@ -240,19 +240,21 @@
         worker.note_write(self._writer.number)
         self._plan_wanted.set()
 
-    def _check_isolation(
+    def _check_quarantine(
         self, worker: workers.WorkerState, now: float
     ) -> bool:
         """Return whether a worker's reports are not handled for now."""
-        isolated = self._resources.failures.is_isolated(worker.identity, now)
-        if isolated != worker.is_isolated:
-            worker.is_isolated = isolated
+        quarantined = self._resources.failures.is_quarantined(
+            worker.identity, now
+        )
+        if quarantined != worker.is_quarantined:
+            worker.is_quarantined = quarantined
             logs.write_warning(
-                "worker.isolated" if isolated else "worker.readmitted",
+                "worker.quarantined" if quarantined else "worker.readmitted",
                 worker=worker.identity,
                 runs=len(worker.runs),
             )
-        return isolated
+        return quarantined
 
     def apply_start_result(
         self,
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -111,7 +111,7 @@
                 self._apply_report(outcome)
                 self._wait_for_record()
                 self._unanswered = 0
-                if self._worker.is_isolated:
+                if self._worker.is_quarantined:
                     # Ends that are not handled come again at once.
                     gevent.sleep(timing.HOLD_WAIT_S)
             else:
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -87,7 +87,7 @@
         "maintenance_pending",
         "ordered_away",
         "is_extended",
-        "is_isolated",
+        "is_quarantined",
         "slowness",
         "slow_until",
         "speed_checked_at",
@@ -151,7 +151,7 @@
         # ordered during this incarnation.
         self.ordered_away = False
         # Whether its reports are not handled after an unexpected error.
-        self.is_isolated = False
+        self.is_quarantined = False
         # Whether this owner is known to have extended its lease.
         self.is_extended = False
         # Duration of its tasks as a multiple of that on other workers.
--- a/tools/emulator/loads.py
+++ b/tools/emulator/loads.py
@@ -51,7 +51,7 @@
     """
 
     turn: float = 4.5
-    high: float = 4.0
+    high: float = 5.0
     low: float = 0.05
     offset: float = 0.0
 
