Take a VM for maintained only once a list has shown it away, or is 2 s newer

Cause: the first list that was read after the order to maintain a VM was taken for a list that shows its return. The platform's list lags; up to 0.8 s in the stand-in it showed the VM as it was before. The wave counted the VM as done and ordered the next one; the VM was then surplus and ordered to move, which was refused ten times a second. Change: a VM is back once a list has shown it as away and a later one as up, or once a list that was read 2 s after the order shows it as up, the lag that the proofs by lists allow for. The soak counts the VMs of each wave that are away.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -54,6 +54,7 @@
       | a job that crashes workers is last seen running | what is accepted ends            |
       | a caller is told that none of 2 jobs waits   | what has not begun is told as waiting |
       | a manager tells of an error that nobody expected | no error is unexpected           |
+      | three VMs of a wave of two are maintained at once | a wave takes no more VMs at once than it bears |
 
   # Of a users' run: accepted jobs had no run for seconds though nothing was
   # harmed and other jobs moved.  Runs were judged by what jobs came to at the
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -136,7 +136,7 @@
     context.calls = [callers.Call(0, 1.0, 1.1, 200)]
     context.told, context.output = [], ""
     context.absences = []
-    context.orders = [[0.0, "/machine-move", "m1", "vm", 1, 0]]
+    context.orders = [[0.0, "/machine-move", "m1", "vm", 1, 0, 0]]
     assert not judge(context)
 
 
@@ -151,6 +151,7 @@
         ),
         *checks.check_counts(context.jobs, context.told, context.journal),
         *checks.check_output(context.output),
+        *checks.check_waves(context.orders, most=2, away=2.0),
     ]
 
 
@@ -252,7 +253,13 @@
 
 @behave.when("a VM is moved with work on it")
 def move_busy(context):
-    context.orders.append([0.0, "/machine-move", "m1", "vm", 1, 2])
+    context.orders.append([0.0, "/machine-move", "m1", "vm", 1, 2, 0])
+
+
+@behave.when("three VMs of a wave of two are maintained at once")
+def maintain_three(context):
+    for at, vm in ((1.0, "m1"), (1.5, "m2"), (2.9, "m3")):
+        context.orders.append([at, "/machine-upkeep", vm, "vm", 1, 0, 7])
 
 
 @behave.when("a job that crashes workers is last seen running")
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -197,3 +197,11 @@
     When a lasting step of 14 small tasks runs there, at most 2 on a worker
     And a wave over all VMs of the pool bears 2 away in 5 seconds
     Then the pool keeps 3 VMs for the waves
+
+  # The platform's list showed a VM as up for 0.8 s after the order to maintain it,
+  # which was taken for its return: four VMs of a wave were away where it bears two,
+  # and the first was ordered to move ten times a second, which was refused.
+  Scenario: A list that lags behind an order does not show that it was carried out
+    Given a pool of 8 VMs without work, all of which a wave of 2 at a time is to maintain
+    When maintenance and moves are decided for 18 seconds, by a list that lags by 0.8 s
+    Then each was maintained or moved, at most 2 were away at once, and none was ordered to move meanwhile
--- a/src/rackvalve/scheduling/maintenance.py
+++ b/src/rackvalve/scheduling/maintenance.py
@@ -17,6 +17,7 @@
 from rackvalve.scheduling import evacuation
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import listings
 from rackvalve.scheduling import wave_order
 from rackvalve.scheduling import workers
 
@@ -73,6 +74,7 @@
         "closed",
         "closed_since",
         "ordered",
+        "shown_away",
         "done",
         "not_before",
         "complete",
@@ -87,6 +89,8 @@
         # VMs whose order may have reached the platform, with the time of its
         # answer; ``None`` until then.
         self.ordered: dict[str, float | None] = {}
+        # VMs that a list has shown as away since their order.
+        self.shown_away: set[str] = set()
         # VMs that were maintained and are back, or that the platform refused
         # for good.
         self.done: set[str] = set()
@@ -172,7 +176,12 @@
                 if time is None or time > read:
                     continue
                 listed = self.vms.get(vm)
-                if listed is None or listed.up:
+                if listed is not None and not listed.up:
+                    state.shown_away.add(vm)
+                elif (
+                    vm in state.shown_away or read > time + listings.LIST_LAG_S
+                ):
+                    # An older list shows the VM as it was before the order.
                     del state.ordered[vm]
                     state.done.add(vm)
                     state.closed.discard(vm)
--- a/standins/site.py
+++ b/standins/site.py
@@ -269,6 +269,7 @@
                 environ["HTTP_LEASE_HOLDER"],
                 int(environ["HTTP_FENCING_TOKEN"]),
                 len(machine.worker.running),
+                order.get("wave", 0),
             ]
         )
         state = "moving" if "pool" in order else "upkeep"
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -255,9 +255,30 @@
 
 def check_orders(orders):
     """Check that a VM is moved or maintained only when nothing runs on it."""
-    for time, path, machine, holder, fence, running in orders:
+    for _, path, machine, holder, fence, running, _ in orders:
         if running:
             yield Violation(
                 promise="VMs leave empty",
                 detail=f"{machine} {path} by {holder} {fence}, {running} run",
             )
+
+
+def check_waves(orders, *, most, away):
+    """Check that no more VMs of a wave are maintained at once than it bears.
+
+    :param orders: Orders to VMs.
+    :param most: How many VMs of a wave may be away.
+    :param away: How long a VM is maintained, in seconds.
+    """
+    began = collections.defaultdict(list)
+    for time, path, machine, _, fence, _, wave in orders:
+        if path != "/machine-upkeep":
+            continue
+        others = [at for at in began[wave] if time - at < away]
+        if len(others) >= most:
+            yield Violation(
+                promise="a wave takes no more VMs at once than it bears",
+                detail=f"{machine} of wave {wave} under {fence} at "
+                f"{time:.3f}, after {others}",
+            )
+        began[wave].append(time)
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -18,16 +18,19 @@
 from tools.soak import evacuations
 from tools.soak import fault_injector
 from tools.soak import links
+from tools.soak import operators
 from tools.soak import plan
 from tools.soak import sizes
 from tools.soak import spans
 from tools.soak import stalls
 
+# How long a VM is maintained, in seconds.
+UPKEEP_S = 2.0
 # How long a move and a maintenance take, and the lag of the platform's list of
 # VMs, in seconds.
 PLATFORM_OPTIONS = (
     "--move=1.5",
-    "--upkeep=2",
+    f"--upkeep={UPKEEP_S}",
     "--list-lag=0.8",
 )
 # Further options where halls are evacuated: workers report that they are cold
@@ -195,6 +198,11 @@
         violations = checks.check_all(
             jobs, calls, injector.downtimes, rows, seen["orders"]
         )
+        violations.extend(
+            checks.check_waves(
+                seen["orders"], most=operators.WAVE_MAX_AWAY, away=UPKEEP_S
+            )
+        )
         violations.extend(checks.check_counts(jobs, count_answers, rows))
         violations.extend(
             configurations.check_configurations(
