--- a/features/outages.feature
+++ b/features/outages.feature
@@ -83,8 +83,8 @@
     Examples:
       | workers            | at   | held     | does             |
       | worker w1          | 8.1  | w1       | may own          |
-      | worker w1          | 15.9 | w1       | may own          |
-      | worker w1          | 16.1 | none     | may own          |
+      | worker w1          | 13.9 | w1       | may own          |
+      | worker w1          | 14.1 | none     | may own          |
       | no worker          | 8.1  | none     | lets others own  |
       | no worker          | 9.9  | none     | lets others own  |
       | no worker          | 10.1 | none     | may own          |
--- a/src/rackvalve/manager/election/failures.py
+++ b/src/rackvalve/manager/election/failures.py
@@ -14,9 +14,10 @@
 import dataclasses
 
 # How long a worker is quarantined, in seconds; each further error of it
-# doubles the time up to the limit.
+# doubles the time up to the limit.  Runs that end there wait for as long, and
+# each error costs a term.
 QUARANTINE_S = 2.0
-MAX_QUARANTINE_S = 160.0
+MAX_QUARANTINE_S = 6.0
 # How long a process does not campaign after an error that no worker explains,
 # in seconds; each further one doubles the pause up to the limit.  The limit is
 # within a worker's lease of 4 s.
