Leave ordered VMs alone for as long as the platform's list may lag

Cause: the next owner held the VMs of the one before for the order pause of 0.5 s while the list lagged by 0.8 s; then it counted one that had just been ordered as in use. With the pause of 3 s of the settings' default it can't happen. Change: the hold lasts for 2 s at least, the lag that proofs by lists allow for.

--- a/features/steps/vm_controller_steps.py
+++ b/features/steps/vm_controller_steps.py
@@ -64,7 +64,7 @@
         raise gevent.GreenletExit
 
 
-def make_controller(context, jumps, answers):
+def make_controller(context, jumps, answers, order_pause=3.0):
     clock = context.clock = {"now": 100.0}
     bench = context.bench = benches.Bench(["w0"])
     writer = FakeWriter(clock, jumps)
@@ -77,7 +77,7 @@
         writer,
         7,
         telemetry=telemetry.Telemetry(),
-        order_pause=3.0,
+        order_pause=order_pause,
         spawn=lambda function: function(),
         on_change=lambda: None,
     )
@@ -104,9 +104,9 @@
         context.payload = context.controller._make_orders_record().payload
 
 
-@behave.when("another owner takes over, with a pause of 3 seconds")
-def take_over(context):
-    make_controller(context, [], [])
+@behave.when("another owner takes over, with a pause of {pause:g} seconds")
+def take_over(context, pause):
+    make_controller(context, [], [], pause)
     item = stores.Item(
         key=vm_controller.ORDERS_KEY,
         payload=context.payload,
@@ -130,9 +130,9 @@
     assert 0.8 <= context.held["w0"] <= 1.0, context.held
 
 
-@behave.then("a VM whose order is on its way for 3 seconds")
-def check_whole_pause(context):
-    assert 2.8 <= context.held["w1"] <= 3.0, context.held
+@behave.then("a VM whose order is on its way for {seconds:d} seconds")
+def check_whole_pause(context, seconds):
+    assert seconds - 0.2 <= context.held["w1"] <= seconds, context.held
 
 
 @behave.given("an interface to VMs whose first 2 answers are lost")
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -146,6 +146,13 @@
     Then it leaves that VM alone for 1 second more
     And a VM whose order is on its way for 3 seconds
 
+  # With a pause of 0.5 s and a list that lagged by 0.8 s the next owner counted a VM
+  # of a wave as in use 0.56 s after it was ordered, and three were away of two.
+  Scenario: A short pause lasts as long as a list may lag
+    Given an owner whose order to a VM was answered 2 seconds ago
+    When another owner takes over, with a pause of 0.5 seconds
+    Then a VM whose order is on its way for 2 seconds
+
   # Where the platform does not check fencing tokens, more tasks of a lasting step
   # were away than it allows.  An owner ordered an empty VM to move and was
   # replaced while the order was under way.  The next owner gave that VM no orders
--- a/src/rackvalve/manager/owner/vm_controller.py
+++ b/src/rackvalve/manager/owner/vm_controller.py
@@ -26,6 +26,7 @@
 from rackvalve.scheduling import closures
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import failure_detector
+from rackvalve.scheduling import listings
 from rackvalve.scheduling import maintenance as maintenances
 from rackvalve.scheduling import sizing as sizings
 from rackvalve.scheduling import workers
@@ -111,16 +112,15 @@
             self._detector.suspicions, telemetry, on_change
         )
         self._sizer = sizings.Sizer(cluster, self._maintenance, self._detector)
-        self._order_pause = order_pause
-        # VMs on hold because of an uncertain order or one of an earlier owner,
-        # and until when.
+        # Until then a list may show a VM as it was before an order.
+        self._order_pause = max(order_pause, listings.LIST_LAG_S)
+        # VMs on hold for an uncertain order or an earlier owner's, until when.
         self._held: dict[str, float] = {}
         # Those of them whose order no list of VMs shows to be carried out.
         self._uncertain: set[str] = set()
         # New pools of the VMs that were recently ordered to move.
         self._moves: dict[str, str] = {}
-        # Recently ordered VMs, with the time of the answer; ``None`` while an
-        # order may be in flight.
+        # Recently ordered VMs, with the answer's time; ``None`` before it.
         self._ordered: dict[str, float | None] = {}
         self._listed_at = float("-inf")
         self._sizes_logged_at = float("-inf")
