Soak: an older version is invalid only for a manager that has held another

Change: such a document excuses answers of a manager that restarted while it was in the store, until the next valid one is in force; everyone else's, and later ones, are reported as before. Result: four scenarios, three of which report a case.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -137,3 +137,18 @@
       | another worker     | a case  |
       | its own worker     | no case |
       | a manager          | no case |
+
+  # A manager that has just started knows of no version before that in the store.
+  Scenario Outline: An older version that is taken is seen, except as the first one
+    Given configurations that add "extra1" at 10 s and replace it by "extra2" at 20 s
+    And one with an older version at 12 s that names "extra9"
+    And manager 1 was down from <began> s to <ended> s
+    When manager <manager> is answered 200 for "extra9" at <at> s
+    Then the soak reports of configurations "<promise>"
+
+    Examples:
+      | began | ended | manager | at   | promise |
+      | 11.5  | 13    | 1       | 15   | nothing |
+      | 11.5  | 13    | 2       | 15   | no invalid configuration is taken |
+      | 11.5  | 13    | 1       | 23.5 | no invalid configuration is taken |
+      | 5     | 6     | 1       | 15   | no invalid configuration is taken |
--- a/features/steps/soak_configuration_steps.py
+++ b/features/steps/soak_configuration_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from tools.soak import callers
+from tools.soak import checks
 from tools.soak import configurations
 from tools.soak import spans
 
@@ -24,15 +25,17 @@
         make_change(3, replaced, {second}),
     ]
     context.queue_answers = []
+    context.downtimes = []
 
 
-def make_change(version, at, queues, *, is_valid=True):
+def make_change(version, at, queues, *, is_valid=True, is_readable=False):
     return configurations.Change(
         version=version,
         sent=at - 0.01,
         acknowledged=at,
         queues=frozenset({STEADY_QUEUE, *queues}),
         is_valid=is_valid,
+        is_readable=is_readable,
     )
 
 
@@ -41,6 +44,26 @@
     context.changes.append(make_change(0, at, {queue}, is_valid=False))
 
 
+@behave.given('one with an older version at {at:g} s that names "{queue}"')
+def add_older(context, at, queue):
+    older = make_change(0, at, {queue}, is_valid=False, is_readable=True)
+    # As the operator's records are, by the time of their sending.
+    context.changes.insert(2, older)
+
+
+@behave.given("manager {manager:d} was down from {began:g} s to {ended:g} s")
+def add_downtime(context, manager, began, ended):
+    context.downtimes.append(
+        checks.Downtime(
+            manager=manager,
+            asked=began,
+            began=began,
+            ended=ended,
+            planned=False,
+        )
+    )
+
+
 @behave.when(
     'manager {manager:d} is answered {status:d} for "{queue}" at {at:g} s'
 )
@@ -61,7 +84,7 @@
         spans.Span(began=0.0, ended=60.0, kind="worker late", place="m1"),
     ]
     broken = configurations.check_configurations(
-        context.changes, context.queue_answers, [], faults
+        context.changes, context.queue_answers, context.downtimes, faults
     )
     expected = [] if promise == "nothing" else [promise]
     assert [one.promise for one in broken] == expected
--- a/tools/soak/configurations.py
+++ b/tools/soak/configurations.py
@@ -38,6 +38,8 @@
     :param acknowledged: When the store had acknowledged it.
     :param queues: Names of its queues.
     :param is_valid: Whether managers are to take it.
+    :param is_readable: Whether it is invalid for its version alone, which a
+        manager that has held no configuration cannot know.
     """
 
     version: int
@@ -45,6 +47,7 @@
     acknowledged: float
     queues: frozenset[str]
     is_valid: bool = True
+    is_readable: bool = False
 
 
 class History:
@@ -101,6 +104,8 @@
     invalid = [one for one in told if one.is_known and one.queue not in valid]
     told = [answer for answer in told if answer not in invalid]
     for answer in invalid:
+        if _is_first(changes, answer, downtimes):
+            continue
         yield checks.Violation(
             promise=NO_INVALID,
             detail=f"manager {answer.manager} served {answer.queue} "
@@ -113,6 +118,26 @@
         yield from _check_served(history, answer, spans)
 
 
+def _is_first(changes, answer, downtimes):
+    """Return whether an older version was the first one a manager read.
+
+    It restarted while the store held that version, and may serve it until the
+    next valid one is in force.
+    """
+    for written, change in enumerate(changes):
+        if not change.is_readable or answer.queue not in change.queues:
+            continue
+        later = [one for one in changes[written:] if one.is_valid]
+        replaced = later[0].acknowledged if later else math.inf
+        return answer.began <= replaced + APPLY_S and any(
+            one.manager == answer.manager
+            and one.began < replaced
+            and one.ended > change.sent
+            for one in downtimes
+        )
+    return False
+
+
 def _check_in_time(history, answer, spans):
     first = history.find_oldest(answer.began)
     last = history.find_newest(answer.ended)
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -23,11 +23,12 @@
     '{{"name": "{queue}", "host": "jobs.example", '
     '"path-prefix": "/{queue}/", "service": "lookups"}}'
 )
+OLDER = "older"
 INVALID_FORMS = {
     "cut off": '{{"version": {version}, "routes": [' + _ROUTE,
     "no version": '{{"routes": [' + _ROUTE + "]}}",
     "no name": '{{"version": {version}, "routes": [' + _ROUTE + ", {{}}]}}",
-    "older": '{{"version": 1, "routes": [' + _ROUTE + "]}}",
+    OLDER: '{{"version": 1, "routes": [' + _ROUTE + "]}}",
 }
 
 
@@ -65,7 +66,9 @@
         version = self._site.configure(queues)
         self._note_change(version, sent, queues)
 
-    def _note_change(self, version, sent, queues, *, is_valid=True):
+    def _note_change(
+        self, version, sent, queues, *, is_valid=True, is_readable=False
+    ):
         self.changes.append(
             configurations.Change(
                 version=version,
@@ -73,6 +76,7 @@
                 acknowledged=time.monotonic(),
                 queues=frozenset(queues),
                 is_valid=is_valid,
+                is_readable=is_readable,
             )
         )
 
@@ -90,13 +94,15 @@
         """Write an invalid document, and a valid configuration after it."""
         self._extras += 1
         extra = f"{callers.EXTRA_PREFIX}{self._extras}"
-        forms = list(INVALID_FORMS)
-        form = INVALID_FORMS[forms[int(fault.draw * len(forms))]]
+        name = list(INVALID_FORMS)[int(fault.draw * len(INVALID_FORMS))]
+        form = INVALID_FORMS[name]
         sent = time.monotonic()
         self._site.put_invalid_configuration(
             form.format(queue=extra, version=self._site.version + 1)
         )
-        self._note_change(0, sent, {extra}, is_valid=False)
+        self._note_change(
+            0, sent, {extra}, is_valid=False, is_readable=name == OLDER
+        )
         gevent.sleep(fault.length)
         self.put_configuration(fault.draw)
 
