--- a/src/rackvalve/scheduling/maintenance.py
+++ b/src/rackvalve/scheduling/maintenance.py
@@ -176,12 +176,13 @@
                 if time is None or time > read:
                     continue
                 listed = self.vms.get(vm)
+                # Until then a list may show the VM as it was before the order.
+                is_shown = (
+                    vm in state.shown_away or read > time + listings.LIST_LAG_S
+                )
                 if listed is not None and not listed.up:
                     state.shown_away.add(vm)
-                elif (
-                    vm in state.shown_away or read > time + listings.LIST_LAG_S
-                ):
-                    # An older list shows the VM as it was before the order.
+                elif is_shown:
                     del state.ordered[vm]
                     state.done.add(vm)
                     state.closed.discard(vm)
@@ -471,6 +472,7 @@
             if not self.vacate(vm, CLOSED, GRACE_S, now):
                 continue
             state.ordered[vm] = None
+            state.shown_away.discard(vm)
             away.add(vm)
             chosen.append(MaintainVm(vm=vm, wave=state.wave.number))
         return chosen
