--- a/tools/soak/configurations.py
+++ b/tools/soak/configurations.py
@@ -149,8 +149,8 @@
 
 
 def _check_order(history, told, downtimes):
-    """Check that each life of a manager goes from older to newer versions."""
-    for _, answers in _group_by_life(told, downtimes).items():
+    """Check that each process of a manager goes from older to newer versions."""
+    for _, answers in _group_by_process(told, downtimes).items():
         answers.sort(key=lambda answer: answer.ended)
         # When each version or a later one was first seen, by the end of the
         # answer that shows it.
@@ -171,15 +171,15 @@
     return max(version for at, version in seen if at <= time)
 
 
-def _group_by_life(told, downtimes):
+def _group_by_process(told, downtimes):
     """Group answers by their manager's process."""
     ends = collections.defaultdict(list)
     for one in downtimes:
         ends[one.manager].append(one.began)
     groups = collections.defaultdict(list)
     for answer in told:
-        lives = sorted(ends[answer.manager])
-        number = bisect.bisect_left(lives, answer.ended)
+        ends_of_manager = sorted(ends[answer.manager])
+        number = bisect.bisect_left(ends_of_manager, answer.ended)
         groups[answer.manager, number].append(answer)
     return groups
 
