--- a/tools/soak/configurations.py
+++ b/tools/soak/configurations.py
@@ -149,7 +149,7 @@
 
 
 def _check_order(history, told, downtimes):
-    """Check that each process of a manager goes from older to newer versions."""
+    """Check that no process of a manager goes back to an older version."""
     for _, answers in _group_by_process(told, downtimes).items():
         answers.sort(key=lambda answer: answer.ended)
         # When each version or a later one was first seen, by the end of the
