Count each VM of a wave that an earlier owner has just ordered as away

Cause: the hold of an ordered VM counted only if the wave's record named its order. An owner that failed before it had ordered a VM again recorded the wave without the orders of the one before. Change: each VM of the wave that is on hold counts as away.

--- a/features/steps/upkeep_steps.py
+++ b/features/steps/upkeep_steps.py
@@ -296,6 +296,11 @@
     context.maintenance.held = frozenset(context.vms[:count])
 
 
+@behave.then("no VM is maintained while these are left alone")
+def check_none_ordered(context):
+    assert not collect_orders(context, 50)
+
+
 @behave.then("only the other VM is maintained")
 def check_held(context):
     found = collect_orders(context, 50)
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -146,6 +146,13 @@
     Then it leaves that VM alone for 1 second more
     And a VM whose order is on its way for 3 seconds
 
+  # An owner that failed before it had ordered a VM had recorded the wave without the
+  # orders of the one before; the next one counted none of these VMs as away.
+  Scenario: VMs that an earlier owner has just ordered count as away
+    Given a pool of 4 VMs and a wave over all of them that bears 2 away
+    When 3 of the VMs were ordered lately by another owner
+    Then no VM is maintained while these are left alone
+
   # With a pause of 0.5 s and a list that lagged by 0.8 s the next owner counted a VM
   # of a wave as in use 0.56 s after it was ordered, and three were away of two.
   Scenario: A short pause lasts as long as a list may lag
--- a/src/rackvalve/scheduling/maintenance.py
+++ b/src/rackvalve/scheduling/maintenance.py
@@ -489,7 +489,11 @@
             if vm in self.vms
             and self.vms[vm].condition is fleet.Condition.MAINTAINED
         }
-        return state.ordered.keys() | listed | (state.closed & self.held)
+        return (
+            state.ordered.keys()
+            | listed
+            | self.held.intersection(state.wave.vms)
+        )
 
     def _update_complete(self, state: WaveState) -> None:
         state.complete = not state.list_remaining() and not state.ordered
