Retry the start of a lasting task instead of stopping it for want of an answer

Cause: a start without an answer was given up after 1.5 s and stopped, whatever its step allows. Change: the start of a lasting task is sent again until it is answered, a report lists the run, or the run is to be stopped; a worker takes a repeated start as the first one. Others are given up as before.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -203,6 +203,18 @@
     When it is started and told to stop a run
     Then its owner stays, the failures are told, and each is tried again
 
+  # Each start of a lasting task was answered late; it was given up after 1.5 s, and
+  # the stop ended the task at work while eight others of its step were away.
+  Scenario Outline: A start without an answer is given up, unless its task lasts
+    Given a session whose worker answers holds, and starts after 2.5 seconds
+    When it is to start a task that <lasts>
+    Then the start <result> within 3.5 seconds
+
+    Examples:
+      | lasts         | result      |
+      | lasts         | is taken    |
+      | does not last | is given up |
+
   # What is half changed is of no use; the next owner goes on from the records.
   Scenario: A report whose handling fails ends the term of its owner, and it says so
     Given a session whose owner fails at each report
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from unittest import mock
 
 import behave
@@ -9,6 +10,7 @@
 
 from features import job_bench as benches
 from features.steps import late_start_steps
+from rackvalve.jobs import definition
 from rackvalve.manager.owner import worker_session as worker_sessions
 from rackvalve.manager import timing
 from rackvalve.platform import connections
@@ -169,3 +171,44 @@
 @behave.then("its owner fails on that worker, and says so")
 def check_given_up(context):
     context.owner.fail.assert_called_once_with("w1")
+
+
+@behave.given(
+    "a session whose worker answers holds, and starts after {late:g} seconds"
+)
+def make_late_starts(context, late):
+    context.answers_from = time.monotonic() + late
+    context.client = mock.Mock()
+    context.client.start.side_effect = lambda **fields: answer_start(context)
+
+
+def answer_start(context):
+    gevent.sleep(0.2)
+    if time.monotonic() < context.answers_from:
+        return connections.NoAnswer(reason="timed out", sent=True)
+    return clients.Done(clock=1.0)
+
+
+@behave.when("it is to start a task that {lasts}")
+def start_task(context, lasts):
+    bench = benches.Bench(["w1"])
+    bench.add(definition.Step(cpu=1, lasting=lasts == "lasts"))
+    bench.plan()
+    (order,) = bench.starts()
+    context.owner = mock.Mock(durable=0)
+    session = worker_sessions.WorkerSession(
+        context.owner, bench.cluster.workers["w1"], context.client
+    )
+    session._clock.note(1.0, time.monotonic())
+    with gevent.Timeout(3.5, False):
+        session.start_run(order)
+
+
+@behave.then("the start {result} within 3.5 seconds")
+def check_start(context, result):
+    expected = {
+        "is taken": messages.StartResult.STARTED,
+        "is given up": messages.StartResult.UNWELL,
+    }
+    (call,) = context.owner.apply_start_result.call_args_list
+    assert call.args[1] is expected[result], call
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -287,7 +287,12 @@
                 return
             if isinstance(outcome, connections.NoAnswer) and outcome.sent:
                 uncertain = True
-            if uncertain and self._has_timed_out(began):
+            # The stop of a lasting run could end it while it is at work and
+            # others of its step are away, so its start is retried.
+            is_given_up = not placed.step.lasting and self._has_timed_out(
+                began
+            )
+            if uncertain and is_given_up:
                 unwell = messages.StartResult.UNWELL
                 self._owner.apply_start_result(placed, unwell, uncertain)
                 return
