--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -145,8 +145,8 @@
 # has them: earlier, the worker would report the same ends again at once.
 RECORD_WAIT_S = 0.2
 # Time after which an unanswered start is given up if the worker answers holds:
-# a stop makes sure that the run never begins, and its task starts elsewhere.  The
-# starts of lasting tasks are retried.
+# a stop makes sure that the run never begins, and its task starts elsewhere.
+# The starts of lasting tasks are retried.
 START_TIMEOUT_S = 1.5
 # Timeout of an order to a worker.
 ORDER_TIMEOUT_S = 0.5
