--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -203,8 +203,7 @@
     When it is started and told to stop a run
     Then its owner stays, the failures are told, and each is tried again
 
-  # Each start of a lasting task was answered late; it was given up after 1.5 s, and
-  # the stop ended the task at work while eight others of its step were away.
+  # Guards against stops that take more of a lasting step away than it allows.
   Scenario Outline: A start without an answer is given up, unless its task lasts
     Given a session whose worker answers holds, and starts after 2.5 seconds
     When it is to start a task that <lasts>
--- a/features/outages.feature
+++ b/features/outages.feature
@@ -53,8 +53,7 @@
     Given an owner on the largest VM and 1 others in one store
     Then its key is not written anew in the next 1.2 s
 
-  # In the users' runs and in ours on 0.7.0 one worker's answers ended the term of
-  # each owner, a second apart, until the leases of all workers had run out.
+  # Guards against leases of all workers that run out by one worker's error.
   Scenario: An error with one worker costs no time without an owner
     Given an owner on the largest VM and 2 others in one store
     When its owner fails on the answers of worker "w1"
@@ -62,16 +61,19 @@
     And it has quarantined "w1" for 2 s
     And no other process has owned
 
+  # Guards against a failed owner that keeps its key until the lease ends.
   Scenario: A process whose owner fails for no worker lets another one own at once
     Given an owner on the largest VM and 2 others in one store
     When its owner fails on no worker
     Then within 0.7 s another process owns, under a greater token
 
+  # Guards against two owners after an error.
   Scenario: An owner that lost its term to another one begins none
     Given an owner on the largest VM and 2 others in one store
     When its owner fails on the answers of worker "w1", after another one took the term
     Then it has begun no term without that of the other one
 
+  # Guards against a term that ends again as soon as its worker is handled.
   Scenario Outline: Repeated errors are kept apart for longer, up to a limit
     Given a process whose owners fail at these seconds on <workers>
       | at |
@@ -90,6 +92,7 @@
       | no worker          | 10.1 | none     | may own          |
       | a worker each time | 8.1  | w8       | may own          |
 
+  # Guards against a process that sets one worker after the other aside.
   Scenario: Errors with many workers at once are the process's own
     Given a process whose owners fail on 6 workers within a second
     Then at 1 s 5 are quarantined, and the process lets others own
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,15 +15,12 @@
     When the soak runs with seed 8200 for 14 seconds, in bursts of these alone
     Then jobs were accepted, faults were applied, and no promise was broken
 
-  # In the users' runs owners ended one after the other by an unexpected error.  An
-  # error while one worker's report was handled ended each owner in turn, and the
-  # leases of all workers ran out: lasting tasks were away at once.
+  # Guards against lasting tasks away since one worker's error ends each owner in turn.
   Scenario: Reports of one worker on which each owner fails
     When the soak runs with seed 601 for 20 seconds, in bursts of failing reports
     Then jobs were accepted, faults were applied, and no promise was broken
 
-  # The users' queues ask by turns for more than their pools hold, while owners
-  # change one after the other and configurations come in quick succession.
+  # Guards against broken promises while pools grow and shrink and owners change.
   Scenario: Turns of demand beside owners in series and quick configurations
     When the soak runs with seed 801 for 16 seconds on the grown site
     Then jobs were accepted, faults were applied, and no promise was broken
@@ -102,8 +99,7 @@
   Scenario: A start in an evacuated hall is seen
     Then of starts at 9, 14.9, 15.1 and 20.1 s the soak reports that at 15.1 s, inside a hall to be evacuated from 10 s to 20 s
 
-  # In the users' runs a confirmed configuration was not in force in time, came
-  # back older, an invalid one was taken, or an added queue was not served.
+  # Guards against a soak that looks at no answer by an older or invalid configuration.
   Scenario Outline: An answer by another configuration is seen
     Given configurations that add "extra1" at 10 s and replace it by "extra2" at 20 s
     And an invalid one at 12 s that names "extra9"
@@ -123,8 +119,7 @@
       | manager 1 | 503    | extra2 | 22   | manager 1 | 200    | extra2 | 24    | nothing |
       | manager 3 | 503    | extra1 | 15   | manager 1 | 200    | extra1 | 16    | nothing |
 
-  # The leases of all workers run out while owners end one after the other for
-  # what one worker answers.
+  # Guards against a soak that excuses a lease by what another worker does.
   Scenario Outline: A lease that runs out beside another worker's fault is seen
     Given a lasting job of 2 tasks at work at 10 s, of which 1 may be away
     And a fault of <place> from 15 s to 21 s
@@ -138,7 +133,7 @@
       | its own worker     | no case |
       | a manager          | no case |
 
-  # A manager that has just started knows of no version before that in the store.
+  # Guards against a report of a version that a started manager cannot judge.
   Scenario Outline: An older version that is taken is seen, except as the first one
     Given configurations that add "extra1" at 10 s and replace it by "extra2" at 20 s
     And one with an older version at 12 s that names "extra9"
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -146,15 +146,13 @@
     Then it leaves that VM alone for 1 second more
     And a VM whose order is on its way for 3 seconds
 
-  # An owner that failed before it had ordered a VM had recorded the wave without the
-  # orders of the one before; the next one counted none of these VMs as away.
+  # Guards against a wave with more VMs away than it bears, after two changes of owner.
   Scenario: VMs that an earlier owner has just ordered count as away
     Given a pool of 4 VMs and a wave over all of them that bears 2 away
     When 3 of the VMs were ordered lately by another owner
     Then no VM is maintained while these are left alone
 
-  # With a pause of 0.5 s and a list that lagged by 0.8 s the next owner counted a VM
-  # of a wave as in use 0.56 s after it was ordered, and three were away of two.
+  # Guards against a wave with more VMs away than it bears, after a change of owner.
   Scenario: A short pause lasts as long as a list may lag
     Given an owner whose order to a VM was answered 2 seconds ago
     When another owner takes over, with a pause of 0.5 seconds
@@ -212,9 +210,7 @@
     And a wave over all VMs of the pool bears 2 away in 5 seconds
     Then the pool keeps 3 VMs for the waves
 
-  # The platform's list showed a VM as up for 0.8 s after the order to maintain it,
-  # which was taken for its return: four VMs of a wave were away where it bears two,
-  # and the first was ordered to move ten times a second, which was refused.
+  # Guards against a wave with more VMs away than it bears, by a list from before.
   Scenario: A list that lags behind an order does not show that it was carried out
     Given a pool of 8 VMs without work, all of which a wave of 2 at a time is to maintain
     When maintenance and moves are decided for 18 seconds, by a list that lags by 0.8 s
--- a/features/watches.feature
+++ b/features/watches.feature
@@ -19,9 +19,7 @@
     When an owner follows its jobs for 1 seconds
     Then all items were read 1 times at the most
 
-  # A process went on by the configuration before while its view counted as
-  # current: an error in taking a change lost it, and later answers confirmed
-  # what was held.
+  # Guards against an older configuration that counts as current for good.
   Scenario Outline: A change that fails to be applied is neither lost nor confirmed
     Given a store with changes, and a reader that fails on the first <number> of them
     When a change is written and the reader runs on for <seconds> seconds
@@ -32,11 +30,13 @@
       | 1      | 1.5     |
       | 3      | 2.5     |
 
+  # Guards against a view that counts as newer than it is.
   Scenario: An answer that is read late confirms what was true when it was sent
     Given a store with changes, whose answers are read 0.3 seconds late
     When the reader runs on for 1 seconds
     Then no answer has confirmed a later time than that of its sending
 
+  # Guards against a configuration that is not applied because of a wave.
   Scenario: A document on which the view fails keeps no other one away
     Given a view that fails on the operator's wave
     When it reads the wave and, after it, a configuration
