Judge a refused call by the token that it carried

Cause: an owner that had raised a worker's token took the second refusal of a call sent before that for another owner's token, and deposed itself. Change: the refusal is compared with the token of its call.

--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -102,7 +102,9 @@
 
     def note_refused(self, worker: workers.WorkerState) -> None:
         """Note that an incarnation has seen a greater token."""
-        self.deposed = not self.tokens.catch_up(worker)
+        self.deposed = not self.tokens.catch_up(
+            worker, self.tokens.find(worker)
+        )
 
     def find_fake(self, identity: str):
         """Return the current incarnation of a worker; ``None`` without one."""
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -35,6 +35,12 @@
       | births |
       | raised |
 
+  # Guards against an owner that deposes itself by a token that it has raised.
+  Scenario: Two calls on their way with a token that was raised meanwhile
+    Given an owner with two calls on their way, and a token that it raises meanwhile
+    When the worker refuses both
+    Then the owner is not deposed, and uses the raised token
+
   Scenario Outline: A refusal for a token that <whose> has shown
     Given an owner and a worker that refuses its token for one that <whose> has shown
     Then by that refusal the owner <does>
--- a/features/steps/restarted_incarnation_steps.py
+++ b/features/steps/restarted_incarnation_steps.py
@@ -7,6 +7,8 @@
 from unittest import mock
 
 import behave
+import gevent
+import gevent.event
 
 from features import job_bench as benches
 from features import job_models as models
@@ -321,6 +323,47 @@
     assert context.owner.depose.called == (does == "is deposed")
 
 
+@behave.given(
+    "an owner with two calls on their way, and a token that it raises "
+    "meanwhile"
+)
+def leave_calls(context):
+    bench = benches.Bench([EARLIER])
+    context.worker = bench.cluster.workers[EARLIER]
+    context.owner = mock.Mock(
+        durable=0, tokens=fencing_tokens.FencingTokens(7)
+    )
+    context.refused = gevent.event.Event()
+
+    def refuse(**fields):
+        context.refused.wait()
+        return clients.Rejected(clock=1.0, reason=clients.Reason.FENCED)
+
+    client = mock.Mock(**{"hold.side_effect": refuse})
+    session = worker_sessions.WorkerSession(
+        context.owner, context.worker, client
+    )
+    context.calls = [
+        gevent.spawn(lambda: session._handle_outcome(session._hold()))
+        for _ in range(2)
+    ]
+    gevent.sleep(0.01)
+    later = bench.cluster.add_incarnation(LATER)
+    context.owner.tokens.raise_for(later, 9)
+
+
+@behave.when("the worker refuses both")
+def refuse_both(context):
+    context.refused.set()
+    gevent.joinall(context.calls, timeout=1.0, raise_error=True)
+
+
+@behave.then("the owner is not deposed, and uses the raised token")
+def check_not_deposed(context):
+    assert not context.owner.depose.called, context.owner.depose.call_args
+    assert context.owner.tokens.find(context.worker) == 9
+
+
 class FakeAdviser:
     """Admits each worker that it is asked about."""
 
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -189,8 +189,23 @@
             outcome, (clients.Report, clients.Done, clients.Rejected)
         ):
             self._clock.note(outcome.clock, clocks.read_steady())
+        if isinstance(outcome, clients.Rejected):
+            self._check_fence(outcome, fence)
         return outcome
 
+    def _check_fence(self, outcome: clients.Rejected, sent: int) -> None:
+        """Depose the owner if another one has sent a greater token.
+
+        :param outcome: The rejection of a call.
+        :param sent: The token of the call.
+        """
+        if outcome.reason is not clients.Reason.FENCED:
+            return
+        if not self._owner.tokens.catch_up(self._worker, sent):
+            self._owner.depose(
+                f"worker {self._worker.identity} has a greater token"
+            )
+
     def _apply_report(self, report: clients.Report) -> None:
         now = clocks.read_steady()
         self._is_answering = True
@@ -228,11 +243,6 @@
             self._switch_incarnation(outcome)
             return
         if isinstance(outcome, clients.Rejected):
-            is_fenced = outcome.reason is clients.Reason.FENCED
-            if is_fenced and not self._owner.tokens.catch_up(self._worker):
-                self._owner.depose(
-                    f"worker {self._worker.identity} has a greater token"
-                )
             return
         if not self._is_lost:
             self._is_lost = True
--- a/src/rackvalve/scheduling/fencing_tokens.py
+++ b/src/rackvalve/scheduling/fencing_tokens.py
@@ -52,18 +52,18 @@
         self._greatest[name] = greatest
         self._tokens[worker.identity] = greatest
 
-    def catch_up(self, worker: workers.WorkerState) -> bool:
+    def catch_up(self, worker: workers.WorkerState, sent: int) -> bool:
         """Raise a token to the greatest that this owner sent to the worker.
 
         :param worker: An incarnation that has rejected a token.
-        :return: Whether the token is greater now; if not, another owner has
-            sent a greater one.
+        :param sent: The token of the rejected call.
+        :return: Whether this owner has sent a greater token; if not, another
+            owner has.
         """
         greatest = self._greatest.get(worker.incarnation.worker, self._fence)
-        if greatest <= self.find(worker):
-            return False
-        self._tokens[worker.identity] = greatest
-        return True
+        if greatest > self.find(worker):
+            self._tokens[worker.identity] = greatest
+        return greatest > sent
 
     def forget(self, identity: str) -> None:
         """Forget an incarnation that has ended.
