Soak: record the stalls of the stand-ins, and count them as faults of the store

Cause: one process stands in for the store and all workers. The users' rules take the store's disturbances out of what is bounded in time. Change: the stand-in records when it did nothing for longer than 0.4 s, and the checks take these times as faults of the store. Result: three scenarios, one of which reports a case just before a stall.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -147,3 +147,16 @@
       | 11.5  | 13    | 2       | 15   | no invalid configuration is taken |
       | 11.5  | 13    | 1       | 23.5 | no invalid configuration is taken |
       | 5     | 6     | 1       | 15   | no invalid configuration is taken |
+
+  # Guards against broken promises that are reported for stalls of the stand-ins.
+  Scenario Outline: While the stand-ins stall, calls of all managers may be refused
+    Given configurations that add "extra1" at 10 s and replace it by "extra2" at 20 s
+    And the stand-ins stalled from 14.8 s to 16 s
+    When manager 1 is answered <status> for "extra1" at <at> s
+    Then the soak reports of configurations "<promise>"
+
+    Examples:
+      | status | at   | promise |
+      | 503    | 15.5 | nothing |
+      | 503    | 19.5 | nothing |
+      | 503    | 14.5 | an added queue is served |
--- a/features/steps/soak_configuration_steps.py
+++ b/features/steps/soak_configuration_steps.py
@@ -26,6 +26,7 @@
     ]
     context.queue_answers = []
     context.downtimes = []
+    context.stalls = []
 
 
 def make_change(version, at, queues, *, is_valid=True, is_readable=False):
@@ -64,6 +65,11 @@
     )
 
 
+@behave.given("the stand-ins stalled from {began:g} s to {ended:g} s")
+def add_stall(context, began, ended):
+    context.stalls.append([began, ended])
+
+
 @behave.when(
     'manager {manager:d} is answered {status:d} for "{queue}" at {at:g} s'
 )
@@ -82,6 +88,7 @@
             began=0.0, ended=60.0, kind="manager frozen", manager=FAULTY
         ),
         spans.Span(began=0.0, ended=60.0, kind="worker late", place="m1"),
+        *spans.list_stalls(context.stalls),
     ]
     broken = configurations.check_configurations(
         context.changes, context.queue_answers, context.downtimes, faults
--- a/standins/site.py
+++ b/standins/site.py
@@ -27,8 +27,11 @@
 # Default time for which a VM is away for a move, its maintenance or a crash,
 # in seconds.
 AWAY_S = 0.3
-# Interval at which a lagging list of VMs is copied, in seconds.
+# Interval at which a lagging list of VMs is copied and the process looks for
+# stalls of its own, in seconds.
 COPY_S = 0.1
+# Delay of the process beyond which its stall is recorded, in seconds.
+STALL_S = 0.4
 # The slowest clock that the platform's pages allow.
 SLOW_RATE = 0.98
 # After a crash by a task: how long the worker's entry stays, and the delay of
@@ -102,6 +105,9 @@
         self.known = []
         self.machines = {}
         self.orders = []
+        # Beginnings and ends of the times in which this process did nothing.
+        self.stalls = []
+        gevent.spawn(self._record_stalls_forever)
         for pool, count in pools.items():
             for _ in range(count):
                 port, shown = ports.pop()
@@ -216,10 +222,19 @@
                     "orders": self.orders,
                     "states": self.states,
                     "known": self.known,
+                    "stalls": self.stalls,
                 },
             )
         return self.store(environ, start_response)
 
+    def _record_stalls_forever(self):
+        while True:
+            due = time.monotonic() + COPY_S
+            gevent.sleep(COPY_S)
+            now = time.monotonic()
+            if now - due > STALL_S:
+                self.stalls.append([due, now])
+
     def _copy_list_forever(self):
         while True:
             now = time.monotonic()
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -192,6 +192,7 @@
             one for caller in active for one in caller.count_answers
         ]
         seen = self.site.journal()
+        injector.spans.extend(spans.list_stalls(seen["stalls"]))
         rows = seen["journal"] + seen["states"]
         rows += [[row[0], "known", *row[1:]] for row in seen["known"]]
         rows.sort(key=lambda row: row[0])
--- a/tools/soak/spans.py
+++ b/tools/soak/spans.py
@@ -26,6 +26,20 @@
     manager: int | None = None
 
 
+def list_stalls(stalls):
+    """Return the stalls of the stand-ins, as faults of the store.
+
+    One process stands in for the store and all workers: while it stalls, none
+    of them answers.
+
+    :param stalls: Beginning and end of each, on the monotonic clock.
+    """
+    return [
+        Span(began=began, ended=ended, kind="store stalled", place="store")
+        for began, ended in stalls
+    ]
+
+
 def find_calm(spans, began, ended, length):
     """Return the beginning of the first calm time, ``None`` without one.
 
