--- a/review/4/case.py
+++ b/review/4/case.py
@@ -58,6 +58,4 @@
 
 
 if __name__ == "__main__":
-    sites.run_case(
-        pathlib.Path(__file__).parent, play, pools={"relays": 8}
-    )
+    sites.run_case(pathlib.Path(__file__).parent, play, pools={"relays": 8})
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -35,17 +35,20 @@
     """One play of the case."""
 
     def __init__(self):
-        self.store = None
+        self._record = None
         self.is_losing = False
 
-    def make_store(self, number, port):
+    def prepare(self, record):
+        """Return the options of the site."""
+        self._record = record
+        return {"make_store": self._make_store}
+
+    def _make_store(self, number, port):
         """Give the first manager its store behind the proxy."""
         if number:
             return port
-        self.store = late_store.LateStore(
-            self.record, port, self._is_lost, LATE_S
-        )
-        return self.store.port
+        store = late_store.LateStore(self._record, port, self._is_lost, LATE_S)
+        return store.port
 
     def _is_lost(self, body):
         return (
@@ -86,7 +89,7 @@
         pathlib.Path(__file__).parent,
         case.play,
         pools={"rebuilds": 4},
-        prepare=case,
+        prepare=case.prepare,
     )
 
 
--- a/review/harness_2/site.py
+++ b/review/harness_2/site.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -94,19 +95,31 @@
     :param record: The case's record.
     :param managers: Number of managers.
     :param pools: Number of VMs by pool.
-    :param options: Further options of the platform's stand-in.
+    :param platform: Words that name the platform's stand-in.
     :param make_store: Returns the port of the store that a manager is given,
         from its number and the store's own port.
+    :param advice: What the queues say of the service that admits workers;
+        ``None`` for queues without it.
+    :param adviser: Port of that service; 0 for none.
     """
 
     def __init__(
-        self, record, managers=3, pools=None, options=(), make_store=None
+        self,
+        record,
+        managers=3,
+        pools=None,
+        platform=("-m", "standins.site"),
+        make_store=None,
+        advice=None,
+        adviser=0,
     ):
         self.record = record
         self.pools = pools or {"lookups": 4}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rackvalve-case-"))
         self.port = find_port()
-        self._options = options
+        self._platform = platform
+        self._advice = advice
+        self.adviser = adviser
         self._make_store = make_store or (lambda number, port: port)
         self._processes = []
         self.managers = [
@@ -121,14 +134,12 @@
             "platform",
             [
                 sys.executable,
-                "-m",
-                "standins.site",
+                *self._platform,
                 f"--port={self.port}",
                 "--worker-ports=" + ",".join(f"{p}:{p}" for p in ports),
                 "--pools="
                 + ",".join(f"{pool}={n}" for pool, n in self.pools.items()),
                 "--no-births",
-                *self._options,
             ],
             {"PYTHONPATH": f"{DEPS}{os.pathsep}{ROOT}"},
         )
@@ -149,12 +160,19 @@
 
     def start_manager(self, manager):
         """Start a manager by the deploy file."""
-        ports = {
-            name: find_port()
-            for name in ("front", "ready", "metrics", "advice")
-        }
+        ports = {name: find_port() for name in ("front", "ready", "metrics")}
         manager.update(ports)
-        store = self._make_store(manager["number"], self.port)
+        manager["store"] = self._make_store(manager["number"], self.port)
+        settings = self.write_settings(manager)
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        manager["process"] = self._spawn(
+            manager["vm"],
+            deploy["roles"]["manager"]["run"].split(" "),
+            {"PYTHONPATH": str(DEPS), "RACKVALVE_CONFIG": str(settings)},
+        )
+
+    def write_settings(self, manager):
+        """Write a manager's settings file, and return its path."""
         settings = self.folder / f"{manager['vm']}.ini"
         settings.write_text(
             "[instance]\n"
@@ -163,13 +181,13 @@
             "processor_share = 0.537\n"
             "processor_speed = 2\n"
             "[manager]\n"
-            f"front_listen = {HOST}:{ports['front']}\n"
-            f"ready_listen = {HOST}:{ports['ready']}\n"
-            f"metrics_listen = {HOST}:{ports['metrics']}\n"
-            f"store = {HOST}:{store}\n"
+            f"front_listen = {HOST}:{manager['front']}\n"
+            f"ready_listen = {HOST}:{manager['ready']}\n"
+            f"metrics_listen = {HOST}:{manager['metrics']}\n"
+            f"store = {HOST}:{manager['store']}\n"
             f"machines = {HOST}:{self.port}\n"
-            f"adviser = {HOST}:{ports['advice']}\n"
-            "store_writes = 400\n"
+            + (f"adviser = {HOST}:{self.adviser}\n" if self.adviser else "")
+            + "store_writes = 400\n"
             "memory = 300MiB\n"
             "descriptors = 4100\n"
             "grace_time = 6s\n"
@@ -184,12 +202,7 @@
             "failure_domains = auto\n"
             "evacuation = auto\n"
         )
-        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        manager["process"] = self._spawn(
-            manager["vm"],
-            deploy["roles"]["manager"]["run"].split(" "),
-            {"PYTHONPATH": str(DEPS), "RACKVALVE_CONFIG": str(settings)},
-        )
+        return settings
 
     def configure(self):
         """Write the operator's configuration, with a queue for each pool."""
@@ -206,6 +219,7 @@
                     "stretch": 2.2,
                     "target-latency-ms": 2500,
                     "timeout-ms": 3000,
+                    **({"advice": self._advice} if self._advice else {}),
                 }
                 for pool in self.pools
                 if pool != "spare"
@@ -222,6 +236,10 @@
         }
         self.order({"put": "op/config", "value": document})
 
+    def hang_up(self, manager):
+        """Tell a manager that its settings file has changed."""
+        manager["process"].send_signal(signal.SIGHUP)
+
     def order(self, order):
         """Send an order to the platform's stand-in."""
         found = call(self.port, "POST", "/-/order", order)
@@ -331,14 +349,12 @@
 
     :param folder: Folder of the case, in which the record is written.
     :param play: Plays the case on a site; returns whether the rule held.
-    :param prepare: Gets the record, and makes each manager's store; ``None``
-        for the platform's own.
+    :param prepare: Returns further options of the site, from the record.
     :param options: Options of the site.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
     if prepare is not None:
-        prepare.record = record
-        options["make_store"] = prepare.make_store
+        options.update(prepare(record))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'on' if has_trouble else 'off'}")
     site = Site(record, **options)
