--- a/review/harness_2/site.py
+++ b/review/harness_2/site.py
@@ -122,6 +122,7 @@
         self.adviser = adviser
         self._make_store = make_store or (lambda number, port: port)
         self._processes = []
+        self._version = 0
         self.managers = [
             {"vm": f"edge-{number + 1}", "number": number}
             for number in range(managers)
@@ -204,10 +205,14 @@
         )
         return settings
 
-    def configure(self):
-        """Write the operator's configuration, with a queue for each pool."""
+    def configure(self, removed=()):
+        """Write the operator's configuration, with a queue for each pool.
+
+        :param removed: Pools that have no queue.
+        """
+        self._version += 2
         document = {
-            "version": 2,
+            "version": self._version,
             "routes": [
                 {
                     "name": f"r-{pool}",
@@ -222,7 +227,7 @@
                     **({"advice": self._advice} if self._advice else {}),
                 }
                 for pool in self.pools
-                if pool != "spare"
+                if pool not in removed
             ],
             "services": [
                 {
