--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,76 +1,97 @@
-"""One of two workers crashes four times and is lost; the other is well."""
+"""A job is cancelled whose write the store makes seconds later."""
 
 from __future__ import annotations
 
 import pathlib
 import time
 
+from harness_2 import late_store
 from harness_2 import site as sites
 
-LASTING = "8c1f60d3e9ab5274"
-LASTING_PATH = f"/relays/{LASTING}"
-LASTING_JOB = {
-    "spec": "lasting work_ms=500",
+IDENTITY = "7a3d91c0be5f2468"
+PATH = f"/rebuilds/{IDENTITY}"
+# The second step begins long after the disruption.
+JOB = {
+    "spec": "work_ms=9000",
     "steps": [
+        {"count": 2, "cpu": 2000, "mem-mb": 1024, "estimate-ms": 9000},
         {
             "count": 2,
-            "cpu": 1000,
+            "cpu": 2000,
             "mem-mb": 1024,
-            "anti-affinity": 1,
-            "long-running": True,
-            "may_miss": 1,
-        }
+            "estimate-ms": 9000,
+            "after-rev": [0],
+        },
     ],
 }
-SHORT = "2b7d94e05cf8a136"
-SHORT_PATH = f"/relays/{SHORT}"
-SHORT_JOB = {
-    "spec": "work_ms=500",
-    "steps": [{"count": 2, "cpu": 500, "mem-mb": 512, "estimate-ms": 500}],
-}
-CRASHES = 4
-GAP_S = 4.0
-AWAY_S = 2.0
-LOST_S = 1000.0
-ENTRY_S = 4.5
-# The short job is submitted this long after the last crash: the worker's
-# entry has gone, and its lease is over.
-CALM_S = 10.0
-WATCH_S = 45.0
-# The rule's bound for a job that has nothing running, in seconds.
-IDLE_S = 3.0
+# The pages let a write without an answer be made 1 to 6 s later, and give
+# cancel_ms 3,000.
+LATE_S = 5.0
+CANCEL_S = 3.0
+WATCH_S = 30.0
+
+
+class Case:
+    """One play of the case."""
+
+    def __init__(self):
+        self._record = None
+        self.is_losing = False
+
+    def prepare(self, record):
+        """Return the options of the site."""
+        self._record = record
+        return {"make_store": self._make_store}
+
+    def _make_store(self, number, port):
+        """Give the first manager its store behind the proxy."""
+        if number:
+            return port
+        store = late_store.LateStore(self._record, port, self._is_lost, LATE_S)
+        return store.port
+
+    def _is_lost(self, body):
+        return (
+            self.is_losing
+            and IDENTITY.encode() in body
+            and b"/definition" in body
+        )
+
+    def play(self, site, has_trouble):
+        """Submit a job, cancel it, and see whether tasks start later."""
+        self.is_losing = has_trouble
+        site.ask(site.managers[0], "POST", PATH, JOB)
+        self.is_losing = False
+        cancelled = site.ask(site.managers[1], "DELETE", PATH)
+        acknowledged = time.monotonic()
+        if cancelled is None or cancelled[0] not in (200, 410):
+            raise sites.NotStartedError("the cancelling was not acknowledged")
+        time.sleep(WATCH_S)
+        site.ask_state(PATH)
+        site.write_runs(IDENTITY)
+        late = [
+            row
+            for row in site.list_runs(IDENTITY)
+            if row[1] == "start" and row[0] > acknowledged + CANCEL_S
+        ]
+        for row in late:
+            site.record.write(
+                f"{row[3]} started {row[0] - acknowledged:.1f} s after the "
+                "cancelling was acknowledged"
+            )
+        return not late
 
 
-def play(site, has_trouble):
-    """Crash one worker, and submit a short job when all is calm."""
-    if not site.submit(LASTING_PATH, LASTING_JOB):
-        raise sites.NotStartedError("the lasting job was not accepted")
-    time.sleep(GAP_S)
-    vm = site.list_vms("relays")[0]["machine"]
-    for number in range(CRASHES if has_trouble else 0):
-        is_last = number == CRASHES - 1
-        text = "crashes for good" if is_last else "crashes"
-        site.record.write(f"disruption: the worker on {vm} {text}")
-        away = LOST_S if is_last else AWAY_S
-        site.order({"crash": vm, "entry": ENTRY_S, "away": away})
-        time.sleep(GAP_S)
-    time.sleep(CALM_S)
-    if not site.submit(SHORT_PATH, SHORT_JOB):
-        raise sites.NotStartedError("the short job was not accepted")
-    accepted = time.monotonic()
-    time.sleep(WATCH_S)
-    state = site.ask_state(SHORT_PATH)
-    site.ask_state(LASTING_PATH)
-    site.write_runs(LASTING)
-    site.write_runs(SHORT)
-    starts = [row[0] for row in site.list_runs(SHORT) if row[1] == "start"]
-    waited = min(starts, default=time.monotonic()) - accepted
-    site.record.write(
-        f"the short job is shown as {state!r} and had nothing running for "
-        f"{waited:.1f} s, beside a worker with 7 of its 8 cores free"
+def main():
+    """Run the case."""
+    case = Case()
+    sites.run_case(
+        pathlib.Path(__file__).parent,
+        case.play,
+        pools={"rebuilds": 4},
+        prepare=case.prepare,
     )
-    return waited <= IDLE_S
 
 
 if __name__ == "__main__":
-    sites.run_case(pathlib.Path(__file__).parent, play, pools={"relays": 2})
+    main()
