--- a/review/part_one/innocent/case.py
+++ b/review/part_one/innocent/case.py
@@ -10,7 +10,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 JOB = "00000000000000a1"
-WATCHED_S = 75.0
+WATCHED_S = 100.0
 CRASH_GAP_S = 2.0
 
 
