Reserve no worker for a task that can't start there

Cause: a start asks for labels, tickets, room and the step's limit for each worker; a reservation didn't ask for the limit. A task of a step with anti-affinity 1 had the only worker reserved that already ran another task of the step. The same difference for lasting runs (their room was counted as if they would end) and for gangs (workers were reserved though not all members fitted). Half of a pool, rounded up, is all of a pool of one.

Ruled out: labels, admission, room, closing, silence, none of which held the short job in the log.

Change: placement.could_start decides for starts and reservations alike; a reservation needs room for all that start together; one worker of a pool is never reserved; the pool's floor has a VM for isolated starts beside one for all others.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -61,6 +61,41 @@
     When the tasks end one after the other, and others wait, for 20 ends
     Then no worker is reserved, and both are busy
 
+  # The last worker of a pool stayed empty for a task that could not start there,
+  # as another task of its step ran on it: no other job started (LOST).
+  Scenario Outline: No worker is reserved for a task that could not start there: <why>
+    Given a task that must start alone and cannot start: <why>
+    When others wait and what waits is planned
+    Then no worker is reserved, and others start
+
+    Examples:
+      | why                                        |
+      | each worker has a task of its step         |
+      | the only worker has a task of its step     |
+      | lasting tasks take the room of each worker |
+      | no worker has its label                    |
+      | no worker is admitted                      |
+      | its gang is larger than the pool           |
+      | its gang needs a worker for each task      |
+
+  # The last worker of a pool was kept from all other jobs.
+  Scenario Outline: The last worker that accepts work is open to all jobs: <why>
+    Given a task under which 3 workers have crashed, and 2 workers that tasks keep busy
+    When the first worker <why>, and others wait
+    Then no worker is reserved, and others start on the second
+
+    Examples:
+      | why                 |
+      | crashes             |
+      | drains              |
+      | is closed           |
+      | is in an empty hall |
+
+  # Suspects in a pool of one busy worker would wait without end.
+  Scenario: A pool has a worker for tasks that must start alone, and one for all others
+    Given a task under which 3 workers have crashed, and 1 workers that tasks keep busy
+    Then the pool needs 2 VMs
+
   # Half of a pool stood empty for tasks that start 0.4 s apart.
   Scenario: No more workers are reserved than tasks can start in isolation in time
     Given 10 jobs under each of which 3 workers have crashed, and 20 busy workers
--- a/src/rackvalve/scheduling/demand.py
+++ b/src/rackvalve/scheduling/demand.py
@@ -7,6 +7,7 @@
 
 from rackvalve.jobs import progress
 from rackvalve.scheduling import cluster as clusters
+from rackvalve.scheduling import crashes
 from rackvalve.scheduling import fleet
 
 # Jobs that arrived within this time count as new, in seconds; the same as the
@@ -77,10 +78,11 @@
 
 
 def measure_spreads(cluster: clusters.Cluster) -> dict[str, int]:
-    """Return how many VMs each pool needs to place all lasting tasks.
+    """Return how many VMs each pool needs to place all tasks.
 
     A step that limits its tasks per worker needs many workers, however few
-    resources its tasks take.
+    resources its tasks take.  So do tasks that start in isolation only, beside
+    the worker that stays open to all jobs.
 
     :param cluster: The owner's view of the cluster.
     :return: Number of VMs by pool.
@@ -95,9 +97,29 @@
                 continue
             needed = math.ceil(step.tasks / step.most_per_worker)
             spreads[queue.pool] = max(spreads.get(queue.pool, 0), needed)
+        isolating = _count_isolating(state)
+        if isolating:
+            # Another worker accepts all other jobs meanwhile.
+            spreads[queue.pool] = max(
+                spreads.get(queue.pool, 0), isolating + 1
+            )
     return spreads
 
 
+def _count_isolating(state: progress.JobState) -> int:
+    """Return how many VMs a job's tasks need that start in isolation only."""
+    needed = 0
+    for name in state.suspects & state.waiting.keys():
+        if state.tasks[name].crashes < crashes.REQUIRE_ISOLATION_FROM:
+            continue
+        step = state.step_of(name)
+        hosts = 1
+        if step.gang and step.most_per_worker:
+            hosts = math.ceil(step.tasks / step.most_per_worker)
+        needed = max(needed, hosts)
+    return needed
+
+
 class _Bounds:
     """What the bounds of workspaces leave for waiting tasks.
 
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -2,11 +2,14 @@
 
 A busy pool has no worker free of other runs that could crash it, so some
 workers are reserved for suspects that wait: they accept no other run until
-their present runs have ended or are settled.
+their present runs have ended or are settled.  A worker is reserved only while
+nothing but these runs keeps the suspects from starting there, and each pool
+keeps a worker that accepts all jobs.
 """
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
@@ -192,6 +195,9 @@
                 view.last_isolated = (group.state, now)
             planned += count
             isolating += newly_used
+            # One worker stays open to all jobs.
+            spared = len(view.members) - 1 - isolating - len(view.reserved)
+            left = min(left, spared)
             if count or left <= 0 or not self._may_reserve(group, now):
                 continue
             if (
@@ -335,34 +341,40 @@
     ) -> None:
         """Reserve the workers on which a group can start soonest.
 
+        None is reserved unless all tasks that start together fit.
+
         :param previous: The workers reserved in the last plan, with the job.
         :param left: How many workers may still be reserved.
         """
+        state, step = group.state, group.step
         tickets = self._starter.find_tickets(
-            group.state, group.repetition, group.number
+            state, group.repetition, group.number
         )
-        need = fleet.get_resource_request(group.step)
+        used = starters.count_used(state, group.repetition, group.number)
         able = [
             worker
             for worker in view.members
             if worker.identity not in view.reserved
             and not crashes.is_isolating(worker)
-            and placement.could_fit(worker, group.step, tickets)
-            and _count_fitting(worker, group.state, need, 1)
+            and placement.could_start(worker, step, used, tickets)
+            and _count_fitting(worker, group, used, 1)
         ]
         # Workers already reserved for the job come first.
         able.sort(
             key=lambda worker: (
-                previous.get(worker.identity) is not group.state,
-                _rank_wait(worker, group.state),
+                previous.get(worker.identity) is not state,
+                _rank_wait(worker, state),
             )
         )
-        wanted = len(group.tasks) if group.step.gang else 1
+        wanted = len(group.tasks) if step.gang else 1
+        chosen = []
         for worker in able[:left]:
             if wanted <= 0:
                 break
-            view.reserved[worker.identity] = group.state
-            wanted -= _count_fitting(worker, group.state, need, wanted)
+            chosen.append(worker.identity)
+            wanted -= _count_fitting(worker, group, used, wanted)
+        if wanted <= 0:
+            view.reserved.update(dict.fromkeys(chosen, state))
 
 
 def _must_wait(
@@ -391,14 +403,20 @@
 
 def _count_fitting(
     worker: workers.WorkerState,
-    state: progress.JobState,
-    need: fleet.Resources,
+    group: SuspectGroup,
+    used: collections.Counter[str],
     most: int,
 ) -> int:
-    """Return how many tasks fit once a worker's unsettled runs have ended."""
+    """Return how many tasks fit once a worker's unsettled runs have ended.
+
+    Lasting runs become settled instead, and keep what they take.
+    """
     free = worker.free
-    for placed in crashes.list_unsettled(worker, state):
-        free = free.plus(placed.need)
+    for placed in crashes.list_unsettled(worker, group.state):
+        if not placed.step.lasting:
+            free = free.plus(placed.need)
+    need = fleet.get_resource_request(group.step)
+    most = min(most, placement.count_places(worker, group.step, used))
     count = 0
     while count < most and free.fits(need):
         free = free.minus(need)
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -122,9 +122,7 @@
                 continue
             if coldness.is_busy_starting(worker, self.cold_interval, now):
                 continue
-            if tickets is not None and worker.identity not in tickets:
-                continue
-            if not _allows(worker, step, used):
+            if not could_start(worker, step, used, tickets):
                 continue
             score = _score(worker, step, task, used, now, state, spread)
             if best is None or score < best_score:
@@ -241,15 +239,17 @@
     return chosen
 
 
-def could_fit(
+def could_start(
     worker: workers.WorkerState,
     step: definition.Step,
+    used: collections.Counter[str],
     tickets: dict[str, str] | None,
 ) -> bool:
-    """Return whether a task could start on a worker if it were empty.
+    """Return whether only other runs may keep a task from a worker.
 
     :param worker: The worker.
     :param step: The task's step.
+    :param used: How many tasks of the step each worker has.
     :param tickets: Admitted workers; ``None`` if all are.
     """
     entry = worker.entry
@@ -257,21 +257,25 @@
         return False
     if tickets is not None and worker.identity not in tickets:
         return False
+    if not count_places(worker, step, used):
+        return False
     return entry.capacity.fits(fleet.get_resource_request(step))
 
 
-def _allows(
+def count_places(
     worker: workers.WorkerState,
     step: definition.Step,
     used: collections.Counter[str],
-) -> bool:
-    entry = worker.entry
-    if entry is None:
-        return False
-    if not entry.labels.issuperset(step.labels):
-        return False
-    most = step.most_per_worker
-    return not most or used[worker.identity] < most
+) -> int:
+    """Return how many more tasks of a step its limit allows on a worker.
+
+    :param worker: The worker.
+    :param step: The step.
+    :param used: How many tasks of the step each worker has.
+    """
+    if not step.most_per_worker:
+        return step.tasks
+    return max(0, step.most_per_worker - used[worker.identity])
 
 
 def _score(
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -120,6 +120,7 @@
         for pool, states in waiting.items():
             view = self._refresh_view(pool, now)
             if not view.members:
+                view.reserved = {}
                 continue
             states.sort(key=lambda state: self._urgency(state, now))
             planned += self._plan_pool(view, states, now)
