Record the cancel of a job that is not stored yet

Cause: a cancel of a job without a definition in the store recorded nothing. A definition written later (a write that the store makes late, a manager that is still trying, a relayed submission, a client that repeats its POST) found nothing to say that its job is cancelled.

Ruled out: the owner, whose intake cancels what is recorded; the read of the definition, which is linearizable.

Change: the cancel of an unknown job is written where there is no definition, a definition where there is no cancel; the store orders the two. The records end with leases, 256 a minute and manager, beyond that 429. A job submitted again under the identifier is stored with its cancel, accepted and shown as cancelled. An owner cancels only jobs of the record's own queue: otherwise the new records would have cancelled jobs of other queues.

Two test doubles took a single condition per commit and take all now.

--- a/features/steps/key_steps.py
+++ b/features/steps/key_steps.py
@@ -73,12 +73,12 @@
         self.written = []
 
     def commit(self, conditions, puts, removals=None, *, timeout=None):
-        (condition,) = conditions
-        if condition.key == documents.CONFIGURATION_KEY:
-            return self.compare(condition)
-        if condition.key in self.items:
+        if conditions[0].key == documents.CONFIGURATION_KEY:
+            return self.compare(*conditions)
+        stored = [one.key for one in conditions if one.key in self.items]
+        if stored:
             return stores.Conflict(
-                items={condition.key: self.find(condition.key)}
+                items={key: self.find(key) for key in stored}
             )
         self.written.extend(put.key for put in puts)
         return stores.Committed(revision=9)
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -4,6 +4,10 @@
 it; its cancellation, written once; and its progress, written by the owner
 alone.  The progress lies under a prefix of its own, so that the owner's watch
 on the other two does not return the owner's own writes.
+
+A definition is written only where there is no cancellation, and the
+cancellation of a job that is not stored only where there is no definition.  So
+a cancelled job is never taken up by a write that takes effect late.
 """
 
 from __future__ import annotations
@@ -60,6 +64,11 @@
     workspace: str = ""
 
 
+class _Cancellation(msgspec.Struct, omit_defaults=True):
+    # Name of the cancelling workspace if the job was not stored.
+    workspace: str = ""
+
+
 class _Task(msgspec.Struct, array_like=True, omit_defaults=True):
     name: str
     done: bool = False
@@ -247,6 +256,15 @@
     )
 
 
+def encode_cancellation(workspace: str = "") -> bytes:
+    """Encode a cancellation.
+
+    :param workspace: Name of the cancelling workspace, for a job that is not
+        stored; empty for none.
+    """
+    return msgspec.json.encode(_Cancellation(workspace=workspace))
+
+
 def decode_progress(
     state: progress.JobState, payload: bytes, now: float
 ) -> None:
@@ -359,7 +377,7 @@
 def parse_workspace(payload: bytes) -> str:
     """Decode only the workspace of a job.
 
-    :param payload: The definition's record.
+    :param payload: The record of its definition or cancellation.
     :return: Name of the workspace; empty for none.
     """
     return _decode(payload, _DefinitionWorkspace).workspace
--- a/src/rackvalve/manager/api/job_api.py
+++ b/src/rackvalve/manager/api/job_api.py
@@ -21,6 +21,7 @@
 from rackvalve.jobs import weights
 from rackvalve import logs
 from rackvalve.manager.api import calls
+from rackvalve.manager.api import cancellation_leases
 from rackvalve.manager.api import counts
 from rackvalve.manager.api import forwarding
 from rackvalve.manager.api import job_capacity
@@ -51,6 +52,7 @@
 # Methods that have a label of their own in the metrics.
 _METHODS = frozenset({"GET", "POST", "DELETE", "HEAD", "PUT", "PATCH"})
 _OTHER_METHOD = "other"
+_DEFAULT_KEEP_S = 120.0
 
 Headers = list[tuple[str, str]]
 StartResponse = Callable[[str, Headers], Any]
@@ -66,6 +68,7 @@
     :param get_job_bytes: Returns how much memory the jobs of any owner may
         take, in bytes.
     :param write_rate: Writes per second that the store takes.
+    :param keep: How long the states of jobs can be asked for, in seconds.
     :param forwarder: Relays requests to peers; ``None`` for none.
     """
 
@@ -80,23 +83,31 @@
             lambda: weights.share_memory(limits.DEFAULT_MEMORY)
         ),
         write_rate: float = math.inf,
+        keep: float = _DEFAULT_KEEP_S,
         forwarder: forwarding.Forwarder | None = None,
     ) -> None:
         self._store = store
         self._view = view
         self._revalidator = revalidation.Revalidator(store, view)
         self._router = routing.Router(view)
+        rate = submission_rate.SubmissionRate(
+            write_rate * submission_rate.WRITES_SHARE
+        )
         self._submitter = submission.Submitter(
             store,
             view,
             telemetry,
             job_capacity.JobCapacity(get_job_bytes),
-            submission_rate.SubmissionRate(
-                write_rate * submission_rate.WRITES_SHARE
-            ),
+            rate,
             is_stopping=is_stopping,
         )
-        self._states = job_states.JobStates(store)
+        self._states = job_states.JobStates(
+            store,
+            cancellation_leases.CancellationLeases(
+                store, keep + timing.KEEP_MARGIN_S
+            ),
+            rate,
+        )
         self._counter = counts.Counter(store)
         self._telemetry = telemetry
         self._is_stopping = is_stopping
--- a/src/rackvalve/manager/api/job_states.py
+++ b/src/rackvalve/manager/api/job_states.py
@@ -11,7 +11,9 @@
 from rackvalve.jobs import records
 from rackvalve import logs
 from rackvalve.manager.api import calls
+from rackvalve.manager.api import cancellation_leases
 from rackvalve.manager.api import replies
+from rackvalve.manager.api import submission_rate
 from rackvalve.manager import timing
 from rackvalve.platform import callers
 from rackvalve.platform import store as stores
@@ -29,12 +31,21 @@
     """Reads jobs' states from the store, and records cancellations there.
 
     :param store: The store.
+    :param leases: Leases of the cancellations of jobs that are not stored.
+    :param rate: Limits the writes for jobs that are not stored.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "_leases", "_rate")
 
-    def __init__(self, store: stores.Store) -> None:
+    def __init__(
+        self,
+        store: stores.Store,
+        leases: cancellation_leases.CancellationLeases,
+        rate: submission_rate.SubmissionRate,
+    ) -> None:
         self._store = store
+        self._leases = leases
+        self._rate = rate
 
     def answer(
         self, request: calls.Request
@@ -44,6 +55,8 @@
         :param request: The request.
         """
         phase = self._read_phase(request)
+        if isinstance(phase, stores.Missing):
+            return _deny()
         if not isinstance(phase, progress.Phase):
             return phase
         return replies.Reply(
@@ -53,7 +66,7 @@
 
     def _read_phase(
         self, request: calls.Request
-    ) -> progress.Phase | replies.Reply | replies.Unserved:
+    ) -> progress.Phase | stores.Missing | replies.Reply | replies.Unserved:
         """Read a job's phase; return an error reply if that fails."""
         found = self._read(request, records.Part.PROGRESS)
         if isinstance(found, stores.Item):
@@ -68,9 +81,7 @@
                 return replies.forbid()
             return progress.Phase.QUEUED
         if isinstance(found, stores.Missing):
-            return replies.Reply(
-                status=http.HTTPStatus.GONE, reason="no such job"
-            )
+            return found
         return replies.Unserved(
             reason=f"the store does not answer: {found.reason}"
         )
@@ -100,6 +111,8 @@
         :param request: The request.
         """
         phase = self._read_phase(request)
+        if isinstance(phase, stores.Missing):
+            return self._cancel_missing(request)
         if not isinstance(phase, progress.Phase):
             return phase
         if phase in progress.FINAL:
@@ -109,27 +122,146 @@
     def _record_cancel(
         self, request: calls.Request
     ) -> replies.Reply | replies.Unserved:
-        key = records.format_key(
-            request.queue.name, request.identity, records.Part.CANCEL
-        )
+        """Record the cancellation of a job that is stored."""
+        key = _format_key(request, records.Part.CANCEL)
         reason = ""
         while not request.wait.is_over(began := clocks.read_steady()):
             outcome = self._store.commit(
                 [stores.Condition(key=key, revision=0)],
-                [stores.Put(key=key, payload=b"{}")],
+                [stores.Put(key=key, payload=records.encode_cancellation())],
                 timeout=request.wait.choose_timeout(began),
             )
             if isinstance(outcome, (stores.Committed, stores.Conflict)):
-                logs.write_event(
-                    "job.cancel_recorded",
-                    job=request.identity,
-                    outcome=type(outcome).__name__,
-                )
+                _log_recorded(request, outcome, is_stored=True)
                 return replies.Reply(status=http.HTTPStatus.OK)
             request.wait.note_failure(began)
             reason = getattr(outcome, "reason", "lease over")
             gevent.sleep(timing.STORE_RETRY_DELAY_S)
-        return replies.Unserved(
-            reason=f"the cancellation was not recorded: {reason}",
-            uncertain=True,
+        return _give_up(reason)
+
+    def _cancel_missing(
+        self, request: calls.Request
+    ) -> replies.Reply | replies.Unserved:
+        """Record the cancellation of a job that is not stored.
+
+        Its submission may be on its way at another manager, or in a write that
+        the store makes later; the record keeps it from being stored.
+        """
+        refusal = self._limit_missing(clocks.read_steady())
+        if refusal is not None:
+            return refusal
+        definition_key = _format_key(request, records.Part.DEFINITION)
+        key = _format_key(request, records.Part.CANCEL)
+        # Revision of an earlier cancellation, whose lease may end sooner.
+        earlier = 0
+        reason = ""
+        while not request.wait.is_over(began := clocks.read_steady()):
+            outcome = self._write_leased(
+                request,
+                [
+                    stores.Condition(key=definition_key, revision=0),
+                    stores.Condition(key=key, revision=earlier),
+                ],
+                began,
+            )
+            if isinstance(outcome, stores.Committed):
+                _log_recorded(request, outcome, is_stored=False)
+                return _deny()
+            if isinstance(outcome, stores.Conflict):
+                request.wait.note_answer()
+                stored = outcome.items.get(definition_key)
+                if stored is not None:
+                    return self._cancel_stored(request, stored)
+                found = outcome.items.get(key)
+                earlier = found.revision if found is not None else 0
+                continue
+            request.wait.note_failure(began)
+            reason = getattr(outcome, "reason", "lease over")
+            gevent.sleep(timing.STORE_RETRY_DELAY_S)
+        return _give_up(reason)
+
+    def _limit_missing(self, now: float) -> replies.Reply | None:
+        """Return the refusal of a cancellation that would be one too many.
+
+        Half of the rate of writes is left to submissions.
+        """
+        if not self._rate.take(now, is_ahead=True):
+            return replies.Reply(
+                status=http.HTTPStatus.TOO_MANY_REQUESTS,
+                reason="more is written for jobs here than the store takes",
+            )
+        if not self._leases.take(now):
+            return replies.Reply(
+                status=http.HTTPStatus.TOO_MANY_REQUESTS,
+                reason="too many unknown jobs were cancelled here lately",
+                retry_after=self._leases.find_wait(now),
+            )
+        return None
+
+    def _cancel_stored(
+        self, request: calls.Request, stored: stores.Item
+    ) -> replies.Reply | replies.Unserved:
+        """Cancel a job whose definition has just been stored."""
+        if not request.may_see(records.parse_workspace(stored.payload)):
+            return replies.forbid()
+        return self._record_cancel(request)
+
+    def _write_leased(
+        self,
+        request: calls.Request,
+        conditions: list[stores.Condition],
+        now: float,
+    ) -> (
+        stores.Committed
+        | stores.Conflict
+        | stores.LeaseOver
+        | stores.Unavailable
+        | stores.Unknown
+    ):
+        """Write a cancellation that ends with a lease of this process."""
+        lease = self._leases.find_lease()
+        if isinstance(lease, stores.Unavailable):
+            return lease
+        outcome = self._store.commit(
+            conditions,
+            [
+                stores.Put(
+                    key=_format_key(request, records.Part.CANCEL),
+                    payload=records.encode_cancellation(request.workspace),
+                    lease=lease.identity,
+                )
+            ],
+            timeout=request.wait.choose_timeout(now),
         )
+        if isinstance(outcome, stores.LeaseOver):
+            self._leases.forget(lease)
+        return outcome
+
+
+def _format_key(request: calls.Request, part: records.Part) -> str:
+    return records.format_key(request.queue.name, request.identity, part)
+
+
+def _log_recorded(
+    request: calls.Request,
+    outcome: stores.Committed | stores.Conflict,
+    *,
+    is_stored: bool,
+) -> None:
+    logs.write_event(
+        "job.cancel_recorded",
+        job=request.identity,
+        outcome=type(outcome).__name__,
+        stored=is_stored,
+    )
+
+
+def _deny() -> replies.Reply:
+    return replies.Reply(status=http.HTTPStatus.GONE, reason="no such job")
+
+
+def _give_up(reason: str) -> replies.Unserved:
+    return replies.Unserved(
+        reason=f"the cancellation was not recorded: {reason}",
+        uncertain=True,
+    )
--- a/src/rackvalve/manager/api/submission.py
+++ b/src/rackvalve/manager/api/submission.py
@@ -119,24 +119,50 @@
         )
         if refusal is not None:
             return self._refuse_new(request, key, refusal)
+        return self._write_definition(request, key, payload)
+
+    def _write_definition(
+        self, request: calls.Request, key: str, payload: bytes
+    ) -> replies.Reply | replies.Unserved:
+        """Write a job's definition where neither it nor its cancel is stored.
+
+        A job that was cancelled before is stored with its cancellation, which
+        then lasts as long as the job's other records.
+        """
+        cancel_key = records.format_key(
+            request.queue.name, request.identity, records.Part.CANCEL
+        )
+        cancelled = 0
         uncertain = False
         reason = ""
         while not request.wait.is_over(began := clocks.read_steady()):
+            puts = [stores.Put(key=key, payload=payload)]
+            if cancelled:
+                cancel = records.encode_cancellation()
+                puts.append(stores.Put(key=cancel_key, payload=cancel))
             outcome = self._store.commit(
-                [stores.Condition(key=key, revision=0)],
-                [stores.Put(key=key, payload=payload)],
+                [
+                    stores.Condition(key=key, revision=0),
+                    stores.Condition(key=cancel_key, revision=cancelled),
+                ],
+                puts,
                 timeout=request.wait.choose_timeout(began),
             )
             if isinstance(outcome, stores.Committed):
                 return self._confirm_accepted(request, outcome.revision)
             if isinstance(outcome, stores.Conflict):
                 found = outcome.items.get(key)
-                if found is None:
-                    request.wait.note_answer()
-                    continue
-                if not request.may_see(records.parse_workspace(found.payload)):
-                    return replies.forbid()
-                return self._confirm_accepted(request, found.revision)
+                cancel_item = outcome.items.get(cancel_key)
+                for item in (found, cancel_item):
+                    if item is not None and not request.may_see(
+                        records.parse_workspace(item.payload)
+                    ):
+                        return replies.forbid()
+                if found is not None:
+                    return self._confirm_accepted(request, found.revision)
+                cancelled = cancel_item.revision if cancel_item else 0
+                request.wait.note_answer()
+                continue
             if isinstance(outcome, stores.Unknown):
                 uncertain = True
             request.wait.note_failure(began)
--- a/src/rackvalve/manager/owner/intake.py
+++ b/src/rackvalve/manager/owner/intake.py
@@ -74,9 +74,9 @@
         states = [state for state in found if state is not None]
         for state in sorted(states, key=lambda state: state.accepted):
             self._add(state)
-        for (_, identity), parts in by_job.items():
+        for (queue, identity), parts in by_job.items():
             if records.Part.CANCEL in parts:
-                self._cancel(identity)
+                self._cancel(queue, identity)
 
     def _decode(
         self, queue: str, identity: str, parts: Parts
@@ -109,10 +109,13 @@
             lasting=any(step.lasting for step in state.job.steps),
         )
 
-    def _cancel(self, identity: str) -> None:
+    def _cancel(self, queue: str, identity: str) -> None:
         state = self._cluster.jobs.get(identity)
         if state is None or state.is_final:
             return
+        if state.queue != queue:
+            # A job of this identifier was cancelled that is not stored.
+            return
         self._cluster.cancel_job(identity, clocks.read_wall())
         logs.write_event(
             "job.cancelled",
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -115,6 +115,7 @@
             is_stopping=lambda: self._stopping,
             get_job_bytes=self._get_job_bytes,
             write_rate=settings.get("manager", "store_writes", float),
+            keep=settings.get("manager", "keep_time", float),
             forwarder=self._make_forwarder(),
         )
         self._failures = failures.FailureHistory()
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -311,3 +311,8 @@
 # How long a process caches a number that it counted itself: while nobody
 # publishes, a burst of requests costs one read of a queue's records.
 COUNT_CACHE_S = 0.5
+# Cancellations of jobs that the store does not have are recorded too, since a
+# submission may still be on its way.  Those of one period share a lease, and
+# callers with invented identifiers leave at most this many in each.
+CANCELLATION_LEASE_PERIOD_S = 60.0
+MAX_CANCELLATIONS_PER_LEASE = 256
