Start all members of a gang from one checkpoint

Cause: each task kept its own checkpoint, and each start brought that of its own task, so the members of a run could not work together.

Change: once all members are placed, they are given the known checkpoint with the most progress. The run keeps it, and it is in the record before the first start; the progress is recorded too, so that the next owner chooses the same. Members of a gang that has not come together are stopped when one of them is over, instead of waiting 3 s until one ends alone.

--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -90,6 +90,7 @@
         "pace",
         "paced_at",
         "ticket",
+        "checkpoint",
     )
 
     def __init__(
@@ -129,6 +130,8 @@
         # When the pace was last changed.
         self.paced_at = 0.0
         self.ticket = ""
+        # The checkpoint that it starts from; empty to start afresh.
+        self.checkpoint = ""
 
 
 class Task:
@@ -144,6 +147,7 @@
         "done",
         "failures",
         "checkpoint",
+        "saved_percent",
         "runs",
         "avoid",
         "not_before",
@@ -166,6 +170,8 @@
         self.done = False
         self.failures = 0
         self.checkpoint = ""
+        # Progress of the checkpoint at the least, in percent.
+        self.saved_percent = 0.0
         self.runs: dict[int, Run] = {}
         # Workers on which the task failed.
         self.avoid: frozenset[str] = _EMPTY
@@ -204,6 +210,20 @@
         """How many crashes this task may have caused."""
         return self.crashes - self.explained
 
+    def note_checkpoint(self, text: str, percent: float) -> None:
+        """Note a checkpoint that a worker reports.
+
+        A run goes on from the checkpoint that it starts from, so that none of
+        its own has less progress.
+
+        :param text: The checkpoint; empty for none.
+        :param percent: Progress of the run that saved it, in percent.
+        """
+        if not text or text == self.checkpoint:
+            return
+        self.checkpoint = text
+        self.saved_percent = max(self.saved_percent, percent)
+
     def forget_crashes(self) -> None:
         """Reset all that was recorded of crashes."""
         self.crashes = 0
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -126,6 +126,8 @@
     workspace: str = ""
     # By name of the task.
     suspects: dict[str, _Suspect] = {}
+    # Progress of checkpoints, in percent, by name of the task.
+    saved: dict[str, float] = {}
 
 
 class _Phase(msgspec.Struct):
@@ -252,6 +254,11 @@
             locations=_encode_locations(state),
             workspace=state.workspace,
             suspects=_encode_suspects(state),
+            saved={
+                str(task.name): round(task.saved_percent, 3)
+                for task in state.tasks.values()
+                if task.checkpoint and not task.done
+            },
         )
     )
 
@@ -288,6 +295,7 @@
         task.done = row.done
         task.failures = row.failures
         task.checkpoint = row.checkpoint
+        task.saved_percent = record.saved.get(row.name, 0.0)
         task.crashes = row.crashes
         task.isolated_crashes = row.isolated_crashes
         task.time_to_crash = row.lived
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -348,7 +348,7 @@
             run=placed.run.number,
             spec=placed.state.job.spec,
             lease_until=until,
-            checkpoint=placed.task.checkpoint,
+            checkpoint=placed.run.checkpoint,
             ticket=placed.run.ticket,
         )
 
--- a/src/rackvalve/scheduling/cluster.py
+++ b/src/rackvalve/scheduling/cluster.py
@@ -17,6 +17,7 @@
 from rackvalve.scheduling import crash_history
 from rackvalve.scheduling import domains
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import gangs
 from rackvalve.scheduling import index
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import policy as policies
@@ -254,6 +255,7 @@
             now,
             location=worker.location,
         )
+        run.checkpoint = task.checkpoint
         task.runs[number] = run
         state.waiting.pop(task.name, None)
         worker.add(workers.PlacedRun(state, task, run))
@@ -267,10 +269,15 @@
     ) -> None:
         """Remove a run that is over and queue its task again.
 
+        If the members of its gang have not all been seen, the others are
+        stopped: they would wait for a run that never comes.
+
         :param placed: The run.
         :param now: Present time, in seconds.
         :param delay: Delay before the task's next run, in seconds.
         """
+        if placed.step.gang and not placed.task.done:
+            self._stop_unassembled(placed)
         worker = self.workers.get(placed.run.worker)
         if worker is not None:
             worker.drop(placed)
@@ -280,6 +287,14 @@
         placed.state.requeue(placed.task, now + delay)
         self.mark_changed(placed.state)
 
+    def _stop_unassembled(self, placed: workers.PlacedRun) -> None:
+        """Stop the other runs of a gang that has not come together."""
+        if gangs.is_assembled(placed):
+            # Their workers end them, now that one member is missing.
+            return
+        for task, run in gangs.list_others(placed):
+            self.stop(placed.state, task, run, "its gang is not complete")
+
     def stop(
         self,
         state: progress.JobState,
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -20,6 +20,7 @@
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import gangs
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import starter as starters
 from rackvalve.scheduling import workers
@@ -267,6 +268,7 @@
         if len(chosen) < step.tasks:
             return 0, 0
         number = state.take_run_number()
+        gangs.share_checkpoint(group.tasks)
         for task, worker in zip(group.tasks, chosen, strict=True):
             self._place(state, task, worker, number, now)
         return len(chosen), len({worker.identity for worker in chosen})
--- a/src/rackvalve/scheduling/job_starts.py
+++ b/src/rackvalve/scheduling/job_starts.py
@@ -12,6 +12,7 @@
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import gangs
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import workers
 
@@ -83,10 +84,4 @@
     """
     if not placed.step.gang:
         return True
-    name, number = placed.task.name, placed.run.number
-    return all(
-        number in task.runs and task.runs[number].begun
-        for task in placed.state.tasks.values()
-        if (task.name.repetition, task.name.step)
-        == (name.repetition, name.step)
-    )
+    return gangs.is_assembled(placed)
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -24,6 +24,7 @@
 from rackvalve.scheduling import evacuation
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import gangs
 from rackvalve.scheduling import isolation
 from rackvalve.scheduling import objectives
 from rackvalve.scheduling import placement
@@ -438,6 +439,7 @@
         if len(chosen) < len(tasks):
             return 0
         number = state.take_run_number()
+        gangs.share_checkpoint(tasks)
         for task, worker in zip(tasks, chosen, strict=True):
             self._starter.place(state, task, worker, number, now)
         return len(tasks)
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -160,8 +160,8 @@
             located = self._find_task(row.task)
             assert located is not None
             state, task = located
-        if row.checkpoint and placed is not None:
-            task.checkpoint = row.checkpoint
+        if placed is not None:
+            task.note_checkpoint(row.checkpoint, placed.run.percent)
         step = state.step_of(task.name)
         if job_starts.note_run_ended(state, step, row.ending):
             self._cluster.note_begun(state)
@@ -370,8 +370,7 @@
     run = placed.run
     run.listed_at = sent
     run.inherited = False
-    if row.checkpoint:
-        placed.task.checkpoint = row.checkpoint
+    placed.task.note_checkpoint(row.checkpoint, row.percent)
     if run.stage is progress.Stage.ORDERED:
         run.stage = progress.Stage.CONFIRMED
     if run.confirmed_at is None:
