Play gangs with checkpoints in the soak

Change: the stand-in's gangs work from when all members are there with one checkpoint, end together, and alone after 3 s; tasks may save checkpoints. A caller submits gangs beside the others; two checks judge by what workers saw: members of a run bring one checkpoint, and none ends alone in a calm time.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -51,6 +51,8 @@
       | a job that crashes workers is last seen running | what is accepted ends            |
       | a caller is told that none of 2 jobs waits   | what has not begun is told as waiting |
       | a manager tells of an error that nobody expected | no error is unexpected           |
+      | members of a gang start from two checkpoints | a gang starts from one checkpoint   |
+      | a member of a gang ends alone in a calm time | no member of a gang ends alone in a calm time |
       | three VMs of a wave of two are maintained at once | a wave takes no more VMs at once than it bears |
 
   # Of a users' run: accepted jobs had no run for seconds though nothing was
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from tools.soak import availability
 from tools.soak import callers
 from tools.soak import checks
+from tools.soak import gangs
 from tools.soak import plan
 from tools.soak import runner
 from tools.soak import sizes
@@ -152,6 +153,7 @@
         *checks.check_counts(context.jobs, context.told, context.journal),
         *checks.check_output(context.output),
         *checks.check_waves(context.orders, most=2, away=2.0),
+        *gangs.check_gangs(context.jobs, context.journal, []),
     ]
 
 
@@ -159,6 +161,19 @@
     return [0.0, "start", "w2", task, run, ""]
 
 
+@behave.when("members of a gang start from two checkpoints")
+def start_apart(context):
+    for index, text in enumerate(("", "saved")):
+        row = [0.0, "brought", "w1", f"{JOB}.0.0.{index}", 1, text]
+        context.journal.append(row)
+
+
+@behave.when("a member of a gang ends alone in a calm time")
+def end_alone(context):
+    row = [9.0, "end", "w1", f"{JOB}.0.0.0", 1, "alone"]
+    context.journal.append(row)
+
+
 @behave.when("a task is started beside its other run")
 def start_beside(context):
     context.journal.insert(1, start(f"{JOB}.0.0.0"))
--- a/standins/site.py
+++ b/standins/site.py
@@ -19,6 +19,7 @@
 
 import gevent  # noqa: E402
 
+from standins import gangs  # noqa: E402
 from standins import keyvalue  # noqa: E402
 from standins import serving  # noqa: E402
 from standins import worker as workers  # noqa: E402
@@ -104,6 +105,7 @@
         # Acknowledged ends of runs.
         self.known = []
         self.machines = {}
+        self.gangs = gangs.Gangs()
         self.orders = []
         # Beginnings and ends of the times in which this process did nothing.
         self.stalls = []
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,8 +2,10 @@
 
 A task's spec sets its behaviour: ``work_ms=200`` is its duration, ``fail``
 makes each run fail, ``lasting`` makes it be at work after that time until it
-is stopped, ``crash_ms=10`` crashes the worker that long after its start.  The
-site's journal records what each worker did and what ended each run.
+is stopped, ``crash_ms=10`` crashes the worker that long after its start,
+``gang=3`` makes it work only beside two others of its run, ``saves`` makes it
+save checkpoints.  The site's journal records what each worker did, what ended
+each run, and the checkpoint that each member of a gang was started with.
 
 A restarted worker keeps its name, has no state of its former incarnation, and
 reports a new start time in ``born``; its clock starts again from zero.
@@ -24,6 +26,7 @@
 import gevent
 from gevent import event
 
+from standins import gangs
 from standins import serving
 
 TICK_S = 0.005
@@ -31,6 +34,8 @@
 SILENCE_S = 3600.0
 MAX_HOLD_S = 10.0
 STOP_S = 0.05
+# Work after which a task saves a checkpoint, in seconds.
+SAVE_S = 0.5
 
 
 class Worker:
@@ -104,9 +109,11 @@
         :param cause: The cause, for the journal.
         """
         self.alive = False
-        for task, run in list(self.running):
+        ended, self.running = self.running, {}
+        for (task, run), state in ended.items():
             self.site.note("end", self, task, run, cause)
-        self.running.clear()
+            if state["gang"]:
+                self.site.gangs.leave((task, run), cause)
 
     def close_connections(self):
         """Close all connections, as the end of a process does."""
@@ -171,8 +178,16 @@
         words = dict(
             word.partition("=")[::2] for word in order["spec"].split()
         )
-        self.running[key] = {
-            "began": self.clock(),
+        brought = order.get("last-checkpoint", "")
+        state = self.running[key] = {
+            "joined": self.clock(),
+            # When its work began; ``None`` while its gang is incomplete.
+            "began": None if "gang" in words else self.clock(),
+            "gang": int(words.get("gang", "0")),
+            "saves": "saves" in words,
+            "brought": brought,
+            "saved": brought,
+            "before": self.site.gangs.saved.get(brought, 0.0),
             "work": int(words.get("work_ms", "50")) / 1000,
             "fail": "fail" in words,
             "lasting": "lasting" in words,
@@ -180,6 +195,9 @@
             "is_noted": False,
             "stopped": 0.0,
         }
+        if state["gang"]:
+            self.site.note("brought", self, *key, brought)
+            self.site.gangs.join(self, key, state)
         return "200 OK", self._make_clock_body()
 
     def _stop(self, order):
@@ -204,7 +222,7 @@
                 break
             self.run_ended.wait(left)
         running = [
-            [task, run, "", self._compute_percent(state), 0]
+            [task, run, state["saved"], self._compute_percent(state), 0]
             for (task, run), state in self.running.items()
         ]
         return "200 OK", {
@@ -215,10 +233,23 @@
         }
 
     def _compute_percent(self, state):
-        done = (self.clock() - state["began"]) / max(state["work"], 0.001)
+        done = self._measure_work(state) / max(state["work"], 0.001)
         most = 99 if state["lasting"] and done < 1 else 100
         return min(most, int(100 * done))
 
+    def _measure_work(self, state):
+        """Return how much of a run's work is done, in seconds."""
+        if state["began"] is None:
+            return state["before"]
+        return state["before"] + self.clock() - state["began"]
+
+    def _save(self, state, least=SAVE_S):
+        """Save a checkpoint if there is enough work since the last one."""
+        work = self._measure_work(state)
+        known = self.site.gangs.saved.get(state["saved"], 0.0)
+        if state["saves"] and work > known and work - known >= least:
+            state["saved"] = self.site.gangs.save(work)
+
     def _extend_lease(self, until):
         self.lease = max(self.lease, min(until, self.clock() + MAX_HOLD_S))
 
@@ -231,7 +262,7 @@
     def _expire_lease(self):
         if self.clock() >= self.lease:
             for key in list(self.running):
-                self._finish(key, "lapsed")
+                self.finish(key, "lapsed")
 
     def _work_forever(self):
         while self.alive:
@@ -241,26 +272,44 @@
             self._expire_lease()
             now = self.clock()
             for key, state in list(self.running.items()):
-                if 0 <= state["crash"] <= now - state["began"]:
+                if key not in self.running:
+                    # Its gang has ended with another member here.
+                    continue
+                if 0 <= state["crash"] <= now - state["joined"]:
                     self.site.crash_by_task(self.machine)
                     return
+                self._save(state)
                 if state["stopped"]:
                     if now >= state["stopped"]:
-                        self._finish(key, "stopped")
-                elif now - state["began"] < state["work"]:
+                        self.finish(key, "stopped")
+                elif state["began"] is None:
+                    if now - state["joined"] >= gangs.WAIT_S:
+                        self.finish(key, "alone")
+                elif self._measure_work(state) < state["work"]:
                     continue
                 elif not state["lasting"]:
-                    self._finish(key, "failed" if state["fail"] else "done")
+                    self.finish(key, "failed" if state["fail"] else "done")
                 elif not state["is_noted"]:
                     state["is_noted"] = True
                     self.site.note("at work", self, *key, "")
 
-    def _finish(self, key, how):
+    def finish(self, key, how):
+        """End a run, and with it the other members of its gang.
+
+        :param key: Task and number of the run.
+        :param how: How it ends.
+        """
+        state = self.running.pop(key, None)
+        if state is None:
+            return
         task, run = key
-        del self.running[key]
+        self._save(state, least=0.0)
+        saved = "" if how == "done" else state["saved"]
         self.site.note("end", self, task, run, how)
         self.closed_runs[task] = max(run, self.closed_runs.get(task, 0))
         self.end_number += 1
-        self.ended.append([self.end_number, task, run, how, ""])
+        self.ended.append([self.end_number, task, run, how, saved])
         previous, self.run_ended = self.run_ended, event.Event()
         previous.set()
+        if state["gang"]:
+            self.site.gangs.leave(key, how)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -43,6 +43,11 @@
 # crash their workers, in milliseconds.
 CRASHING_TASKS = 3
 CRASH_MS = 10
+# Tasks of a gang, their work in milliseconds, and the bounds of the pause
+# between two gangs in seconds.
+GANG_TASKS = 3
+GANG_WORK_MS = 2500
+GANG_PAUSE_S = (1.0, 3.0)
 # Interval at which one manager is asked for a count, in seconds.
 COUNT_INTERVAL_S = 0.25
 # Queues that configurations add and remove; no other queue is named so.
@@ -145,6 +150,11 @@
         """Whether its tasks run until it is cancelled."""
         return any(step.get("long-running") for step in self.steps)
 
+    @property
+    def is_gang(self):
+        """Whether its tasks work only together."""
+        return any(step.get("gang") for step in self.steps)
+
     def list_tasks(self):
         """Return the names of all its tasks."""
         return [
@@ -209,6 +219,22 @@
             self.jobs.append(job)
             self._submit(job)
 
+    def submit_gangs(self, until):
+        """Submit gangs that save checkpoints, until a time."""
+        while time.monotonic() < until:
+            step = {
+                "count": GANG_TASKS,
+                "cpu": self._size.task_cpu,
+                "gang": True,
+                "checkpoints": True,
+                # On workers of their own, so that a crash hits one member.
+                "anti-affinity": 1,
+            }
+            job = self._name_job(self._rng.choice(self._queues), [step])
+            self.jobs.append(job)
+            self._submit(job)
+            gevent.sleep(self._rng.uniform(*GANG_PAUSE_S))
+
     def count(self, manager, until):
         """Ask one manager repeatedly how many jobs wait, until a time."""
         while time.monotonic() < until:
@@ -318,6 +344,8 @@
             spec = f"lasting work_ms={LASTING_START_MS}"
         if job.crashing:
             spec = f"crash_ms={CRASH_MS}"
+        if job.is_gang:
+            spec = f"gang={GANG_TASKS} saves work_ms={GANG_WORK_MS}"
         body = {"spec": spec, "steps": job.steps}
         if len(self.calls) % INVENTED_EVERY == 0:
             self._call("POST", job, body, invented=True)
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -18,6 +18,7 @@
 from tools.soak import defects
 from tools.soak import evacuations
 from tools.soak import fault_injector
+from tools.soak import gangs
 from tools.soak import links
 from tools.soak import operators
 from tools.soak import plan
@@ -155,6 +156,7 @@
         lasting = callers.Caller(count + 1, self.seed, ports, size)
         counting = callers.Caller(count + 3, self.seed, ports, size)
         probing = callers.Caller(count + 4, self.seed, ports, size)
+        ganging = callers.Caller(count + 5, self.seed, ports, size)
         injector.operator.put_configuration(0.0)
         lasting.submit_lasting_jobs()
         began = time.monotonic()
@@ -163,6 +165,9 @@
         working = [
             gevent.spawn(caller.run, began + self.seconds) for caller in active
         ]
+        working.append(
+            gevent.spawn(ganging.submit_gangs, began + self.seconds)
+        )
         working += [
             gevent.spawn(counting.count, number, began + self.seconds)
             for number in range(len(ports))
@@ -185,7 +190,7 @@
         gevent.joinall(working + injecting, raise_error=True)
         injector.heal()
         lasting.cancel_all(time.monotonic() + SETTLE_TIMEOUT_S)
-        active += [lasting, crasher, counting, probing]
+        active += [lasting, crasher, counting, probing, ganging]
         _wait_until_ended(active)
         for caller in active:
             caller.close()
@@ -211,6 +216,7 @@
             )
         )
         violations.extend(checks.check_counts(jobs, count_answers, rows))
+        violations.extend(gangs.check_gangs(jobs, rows, injector.spans))
         violations.extend(
             configurations.check_configurations(
                 injector.operator.changes,
