Decode all that arrives from outside in one way

Operators saw owners end in turn, and no job start, while one odd entry stood among those of the workers.

Cause: the decoder raises RecursionError for a document that is nested too deep; codec.decode knew that, most other decoders caught DecodeError alone. Whole numbers of any length were accepted, and raise OverflowError as soon as they are divided. An unexpected error with one entry ended the watch over all.

--- a/src/rackvalve/cli/client.py
+++ b/src/rackvalve/cli/client.py
@@ -7,7 +7,9 @@
 
 import geventhttpclient
 from geventhttpclient import response as http_response
-import msgspec
+
+from rackvalve import codec
+from rackvalve import errors
 
 TIMEOUT_S = 15.0
 STATUS_OK = 200
@@ -71,11 +73,11 @@
                 method, path, body=body, headers=all_headers
             )
             text = bytes(response.read())
-            value = msgspec.json.decode(text)
+            value = codec.decode_as(text, Any)
         except (
             OSError,
             http_response.HTTPParseError,
-            msgspec.DecodeError,
+            errors.DocumentInvalidError,
         ) as error:
             return Reply(status=0, value={"detail": repr(error)})
         return Reply(status=response.status_code, value=value)
--- a/src/rackvalve/codec.py
+++ b/src/rackvalve/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -10,6 +11,20 @@
 from rackvalve import errors
 
 T = TypeVar("T")
+# Largest number that all writers of JSON can express exactly (RFC 8259).
+MAX_INTEGER = 2**53
+# Type of the whole numbers in documents: greater ones cannot be computed with,
+# as they have no float.
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+# Errors of the decoder, which leaves some of its own limits to the
+# interpreter.
+_MALFORMED = (
+    msgspec.DecodeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+    MemoryError,
+)
 
 
 def decode(decoder: msgspec.json.Decoder[T], payload: bytes) -> T:
@@ -22,7 +37,21 @@
     """
     try:
         return decoder.decode(payload)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+    except _MALFORMED as error:
+        raise errors.DocumentInvalidError(str(error)) from error
+
+
+def decode_as(payload: bytes | str | msgspec.Raw, kind: type[T]) -> T:
+    """Decode a payload that arrives from outside this process.
+
+    :param payload: JSON.
+    :param kind: The type wanted.
+    :return: The value.
+    :raises DocumentInvalidError: The payload is no JSON of that shape.
+    """
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except _MALFORMED as error:
         raise errors.DocumentInvalidError(str(error)) from error
 
 
--- a/src/rackvalve/explain/events.py
+++ b/src/rackvalve/explain/events.py
@@ -6,7 +6,9 @@
 import dataclasses
 from typing import Any
 
-import msgspec
+
+from rackvalve import codec
+from rackvalve import errors
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -67,12 +69,14 @@
 def _read_line(line: str) -> Event | None:
     _, brace, rest = line.partition("{")
     try:
-        fields = msgspec.json.decode(brace + rest, type=dict[str, Any])
-    except msgspec.DecodeError:
+        fields = codec.decode_as(brace + rest, dict[str, Any])
+    except errors.DocumentInvalidError:
         return None
     time, name = fields.get("time"), fields.get("event")
     if not isinstance(time, (int, float)) or not isinstance(name, str):
         return None
+    if not abs(time) <= codec.MAX_INTEGER:
+        return None
     return Event(
         time=float(time),
         name=name,
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -15,17 +15,15 @@
 import dataclasses
 import enum
 import itertools
-from typing import TypeVar
-
 import msgspec
 
+from rackvalve import codec
 from rackvalve import errors
 from rackvalve.jobs import definition
 from rackvalve.jobs import incarnations
 from rackvalve.jobs import progress
 from rackvalve.jobs import weights
 
-T = TypeVar("T")
 
 PREFIX = "job/"
 PROGRESS_PREFIX = "progress/"
@@ -72,21 +70,21 @@
 class _Task(msgspec.Struct, array_like=True, omit_defaults=True):
     name: str
     done: bool = False
-    failures: int = 0
+    failures: codec.Integer = 0
     checkpoint: str = ""
     # Number and worker of each run that may be running.
-    runs: list[tuple[int, str]] = []
+    runs: list[tuple[codec.Integer, str]] = []
     # Crashes that count against the task, those of them in isolation, the
     # longest time to crash in seconds, and the number of the isolated run.
-    crashes: int = 0
-    isolated_crashes: int = 0
+    crashes: codec.Integer = 0
+    isolated_crashes: codec.Integer = 0
     lived: float = 0.0
-    isolated: int = 0
+    isolated: codec.Integer = 0
     # Numbers of runs whose workers may still report how they ended.
-    untold: list[int] = []
+    untold: list[codec.Integer] = []
     # For each of the runs the start time of its worker's incarnation; 0 if not
     # known.  Earlier releases ignore it and use the names alone.
-    births: list[int] = []
+    births: list[codec.Integer] = []
 
 
 class _Suspect(msgspec.Struct, omit_defaults=True):
@@ -95,26 +93,26 @@
     # Crashes at which the task's run was the last to have started on the
     # worker, those of the isolated run soon after its start, and those that
     # another job was found to have caused.
-    youngest_crashes: int = 0
-    prompt_crashes: int = 0
-    explained: int = 0
+    youngest_crashes: codec.Integer = 0
+    prompt_crashes: codec.Integer = 0
+    explained: codec.Integer = 0
     # Incarnations of workers that ended in crashes not explained, and the VMs
     # on which workers crashed.
     crashed_lives: list[str] = []
     crashed_on: list[str] = []
     # Runs that were settled on the isolated run's worker when it started.
-    settled_beside: list[tuple[str, int]] = []
+    settled_beside: list[tuple[str, codec.Integer]] = []
 
 
 class _Location(msgspec.Struct, array_like=True):
     host: str
-    port: int
+    port: codec.Integer
     vm: str
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
     phase: progress.Phase
-    next_run: int = 1
+    next_run: codec.Integer = 1
     finished: float = 0.0
     reason: str = ""
     tasks: list[_Task] = []
@@ -199,7 +197,7 @@
     :raises DocumentInvalidError: The record does not decode, or is beyond the
         bounds of what is accepted: its tasks could exhaust the memory.
     """
-    record = _decode(payload, _Definition)
+    record = codec.decode_as(payload, _Definition)
     definition.validate(record.job)
     return progress.JobState(
         identity,
@@ -282,7 +280,7 @@
     :param now: Present time, in seconds.
     :raises DocumentInvalidError: The record does not decode.
     """
-    record = _decode(payload, _Progress)
+    record = codec.decode_as(payload, _Progress)
     state.phase = record.phase
     state.next_run = record.next_run
     state.finished = record.finished
@@ -378,7 +376,7 @@
     :param payload: The progress record.
     :raises DocumentInvalidError: The record does not decode.
     """
-    record = _decode(payload, _Phase)
+    record = codec.decode_as(payload, _Phase)
     return Summary(phase=record.phase, workspace=record.workspace)
 
 
@@ -388,11 +386,4 @@
     :param payload: The record of its definition or cancellation.
     :return: Name of the workspace; empty for none.
     """
-    return _decode(payload, _DefinitionWorkspace).workspace
-
-
-def _decode(payload: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(payload, type=kind)
-    except msgspec.DecodeError as error:
-        raise errors.DocumentInvalidError(str(error)) from error
+    return codec.decode_as(payload, _DefinitionWorkspace).workspace
--- a/src/rackvalve/keyvalue/http.py
+++ b/src/rackvalve/keyvalue/http.py
@@ -8,8 +8,8 @@
 
 import geventhttpclient
 from geventhttpclient import response as http_response
-import msgspec
 
+from rackvalve import codec
 from rackvalve import errors
 from rackvalve.keyvalue import packing
 from rackvalve.keyvalue import port
@@ -149,8 +149,8 @@
         # The service returns an error only for a call without any effect.
         return port.Failed(reason=f"status {status}", applied=False)
     try:
-        return status, msgspec.json.decode(text, type=_Answer)
-    except msgspec.DecodeError as error:
+        return status, codec.decode_as(text, _Answer)
+    except errors.DocumentInvalidError as error:
         return port.Failed(reason=repr(error), applied=method != "GET")
 
 
--- a/src/rackvalve/manager/api/counts.py
+++ b/src/rackvalve/manager/api/counts.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from rackvalve import clocks
+from rackvalve import codec
 from rackvalve import errors
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
@@ -26,13 +27,13 @@
 
 class _Record(msgspec.Struct):
     # Jobs that have not begun, by queue; a queue without any is left out.
-    waiting: dict[str, int]
+    waiting: dict[str, codec.Integer]
     # When the counts were true, in seconds since 1970.
     counted: float
     # Memory that all jobs take, by queue, and that they may take, in bytes;
     # earlier releases publish neither.
-    held: dict[str, int] = {}
-    capacity: int = 0
+    held: dict[str, codec.Integer] = {}
+    capacity: codec.Integer = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -171,8 +172,8 @@
 def _decode(payload: bytes) -> _Record | None:
     """Decode the published record; return ``None`` if it is invalid."""
     try:
-        return msgspec.json.decode(payload, type=_Record)
-    except msgspec.DecodeError:
+        return codec.decode_as(payload, _Record)
+    except errors.DocumentInvalidError:
         return None
 
 
--- a/src/rackvalve/manager/election/candidacy.py
+++ b/src/rackvalve/manager/election/candidacy.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve import logs
 from rackvalve.manager import timing
 
@@ -56,10 +58,10 @@
     :return: The holder; ``None`` for the value of another release.
     """
     try:
-        return msgspec.json.decode(payload, type=Holder)
-    except msgspec.DecodeError as error:
+        return codec.decode_as(payload, Holder)
+    except errors.DocumentInvalidError as error:
         logs.write_warning(
-            "document.rejected", key="owner/", reason=str(error)
+            "document.rejected", key="owner/", reason=error.reason
         )
         return None
 
--- a/src/rackvalve/manager/memory_record.py
+++ b/src/rackvalve/manager/memory_record.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from rackvalve import clocks
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve.manager import timing
 from rackvalve.platform import store as stores
 
@@ -31,7 +33,7 @@
         1970.
     """
 
-    memory: int
+    memory: codec.Integer
     confirmed: float
 
 
@@ -110,6 +112,6 @@
 def _decode(payload: bytes) -> Record | None:
     """Decode the record; ``None`` for what another program has written."""
     try:
-        return msgspec.json.decode(payload, type=Record)
-    except msgspec.DecodeError:
+        return codec.decode_as(payload, Record)
+    except errors.DocumentInvalidError:
         return None
--- a/src/rackvalve/manager/owner/intake.py
+++ b/src/rackvalve/manager/owner/intake.py
@@ -94,6 +94,10 @@
                 "document.rejected", key=defined.key, reason=error.reason
             )
             return None
+        except Exception:
+            # One job must not keep the others from being taken.
+            logs.write_failure("task.failed", message=defined.key)
+            return None
         return state
 
     def _add(self, state: progress.JobState) -> None:
--- a/src/rackvalve/manager/owner/vm_controller.py
+++ b/src/rackvalve/manager/owner/vm_controller.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from rackvalve import clocks
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve import logs
 from rackvalve.manager.owner import backlog as backlogs
 from rackvalve.manager.owner import domain_monitor
@@ -138,12 +140,10 @@
                 if item.key == ORDERS_KEY:
                     self._hold_inherited(item.payload)
                 elif item.key == MOVES_KEY:
-                    moves = msgspec.json.decode(
-                        item.payload, type=dict[str, str]
-                    )
+                    moves = codec.decode_as(item.payload, dict[str, str])
                 else:
                     self._restore_wave(item)
-            except ValueError as error:
+            except (errors.DocumentInvalidError, ValueError) as error:
                 # Skip a foreign record, as it would stop each owner in turn.
                 logs.write_warning(
                     "document.rejected", key=item.key, reason=repr(error)
@@ -163,10 +163,10 @@
         """Restore a wave that an earlier owner has begun.
 
         :param item: The wave's record.
-        :raises ValueError: If the item is no record of a wave.
+        :raises DocumentInvalidError, ValueError: It is no record of a wave.
         """
         number = int(item.key.removeprefix(PREFIX))
-        record = msgspec.json.decode(item.payload, type=_Record)
+        record = codec.decode_as(item.payload, _Record)
         elapsed = record.count_elapsed(clocks.read_wall())
         self._maintenance.restore(
             number,
@@ -202,7 +202,7 @@
         which was before this owner took over.
         """
         now = clocks.read_steady()
-        ages = msgspec.json.decode(payload, type=dict[str, float])
+        ages = codec.decode_as(payload, dict[str, float])
         # This owner's own record includes them.
         self._ordered = {vm: now - age for vm, age in ages.items()}
         self._held = {
--- a/src/rackvalve/manager/owner/worker_registry.py
+++ b/src/rackvalve/manager/owner/worker_registry.py
@@ -268,6 +268,17 @@
         return session
 
     def _apply_entry(self, item: stores.Item) -> None:
+        """Apply one entry; an unexpected error costs no other one."""
+        try:
+            self._read_entry(item)
+        except Exception:
+            if self._rejected.get(item.key) != item.revision:
+                self._rejected[item.key] = item.revision
+                logs.write_failure("task.failed", message=item.key)
+            name = documents.parse_worker_key(item.key)
+            self._cluster.remove_entry(name, clocks.read_steady())
+
+    def _read_entry(self, item: stores.Item) -> None:
         try:
             entry = documents.read_worker(
                 item.key,
--- a/src/rackvalve/manager/peers/membership.py
+++ b/src/rackvalve/manager/peers/membership.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve import logs
 from rackvalve.platform import store as stores
 
@@ -131,9 +133,9 @@
         if known is not None and known.revision >= item.revision:
             return
         try:
-            member = msgspec.json.decode(item.payload, type=Member)
-        except msgspec.DecodeError as error:
-            self._log_unreadable(item, str(error))
+            member = codec.decode_as(item.payload, Member)
+        except errors.DocumentInvalidError as error:
+            self._log_unreadable(item, error.reason)
             return
         if item.key != make_key(member.process):
             self._log_unreadable(
--- a/src/rackvalve/platform/_store_wire.py
+++ b/src/rackvalve/platform/_store_wire.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from rackvalve import codec
+
 _CALL_NAMES = (
     ("/kv-key", "read"),
     ("/kv-range", "range"),
@@ -23,26 +25,26 @@
 
 class WireItem(msgspec.Struct):
     key: str
-    rev: int
+    rev: codec.Integer
     # In base64 on the wire.
     value: bytes = b""
-    made: int = 0
+    made: codec.Integer = 0
     gone: bool = False
 
 
 class WirePage(msgspec.Struct):
     items: list[WireItem]
-    at: int
+    at: codec.Integer
     more: bool = False
 
 
 class WireEvents(msgspec.Struct):
     events: list[WireItem]
-    at: int
+    at: codec.Integer
 
 
 class WireCommitted(msgspec.Struct):
-    rev: int
+    rev: codec.Integer
 
 
 class WireConflict(msgspec.Struct):
@@ -50,8 +52,8 @@
 
 
 class WireLease(msgspec.Struct):
-    lease: int
-    ttl_ms: int
+    lease: codec.Integer
+    ttl_ms: codec.Integer
 
 
 def encode_commit(
--- a/src/rackvalve/platform/advisers.py
+++ b/src/rackvalve/platform/advisers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve.jobs import incarnations
 from rackvalve.platform import connections
 
@@ -81,8 +83,8 @@
         if raw.status != STATUS_OK:
             return Unavailable(reason=f"status {raw.status}")
         try:
-            wire = msgspec.json.decode(raw.body, type=_WireAnswer)
-        except msgspec.DecodeError as error:
+            wire = codec.decode_as(raw.body, _WireAnswer)
+        except errors.DocumentInvalidError as error:
             return Unavailable(reason=repr(error))
         tickets = {
             by_name[worker]: ticket
--- a/src/rackvalve/platform/callers.py
+++ b/src/rackvalve/platform/callers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from rackvalve import codec
 from rackvalve import errors
 from rackvalve.jobs import definition
 
@@ -31,10 +32,10 @@
 
 
 class _WireStep(msgspec.Struct, rename="kebab"):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: codec.Integer = 1
+    cpu: codec.Integer = 0
+    mem_mb: codec.Integer = 0
+    gpu: codec.Integer = 0
     estimate_ms: float = 0.0
     # Numbers of the steps that have to be done before this one.
     after_rev: Annotated[
@@ -47,13 +48,13 @@
         str | Annotated[list[str], msgspec.Meta(max_length=MAX_LABELS)]
     ) = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: codec.Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     target_ms: float = msgspec.field(default=0.0, name="target_ms")
     fills: bool = False
-    may_miss: int = msgspec.field(default=0, name="may_miss")
+    may_miss: codec.Integer = msgspec.field(default=0, name="may_miss")
 
 
 class _WireJob(msgspec.Struct, rename="kebab"):
@@ -63,7 +64,7 @@
     steps: msgspec.Raw
     first_run_ms: float = 0.0
     interval_ms: float = 0.0
-    repetitions: int = 0
+    repetitions: codec.Integer = 0
 
 
 # Steps that are counted and not decoded.
@@ -78,9 +79,9 @@
     :param body: Body of the request.
     :raises DocumentInvalidError: A field is invalid; the message names it.
     """
-    wire = _decode(body, _WireJob)
-    _decode(wire.steps, _CountedSteps)
-    steps = _decode(wire.steps, list[_WireStep])
+    wire = codec.decode_as(body, _WireJob)
+    codec.decode_as(wire.steps, _CountedSteps)
+    steps = codec.decode_as(wire.steps, list[_WireStep])
     if len(wire.spec.encode()) > SPEC_BYTES:
         raise errors.DocumentInvalidError(
             f"spec is longer than {SPEC_BYTES} bytes; make it shorter"
@@ -97,13 +98,6 @@
     return job
 
 
-def _decode(document: bytes | msgspec.Raw, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(document, type=kind)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise errors.DocumentInvalidError(str(error)) from error
-
-
 def encode_state(state: State) -> bytes:
     """Encode a job's state.
 
--- a/src/rackvalve/platform/documents.py
+++ b/src/rackvalve/platform/documents.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from rackvalve import codec
 from rackvalve import errors
 from rackvalve.jobs import incarnations
 from rackvalve.platform import start_times
@@ -23,7 +24,6 @@
 from rackvalve.workspaces import credentials
 from rackvalve.workspaces import directory as directories
 
-T = TypeVar("T")
 N = TypeVar("N", int, float)
 
 CONFIGURATION_KEY = "op/config"
@@ -55,8 +55,8 @@
     host: str = ""
     path_prefix: str = "/"
     service: str = ""
-    priority: int = 0
-    max_attempts: int = 1
+    priority: codec.Integer = 0
+    max_attempts: codec.Integer = 1
     stretch: float = 1.0
     target_latency_ms: float = 0.0
     timeout_ms: float = 0.0
@@ -73,17 +73,17 @@
 
 
 class _WireLimits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
+    max_header_bytes: codec.Integer = 16384
+    max_body_bytes: codec.Integer = 262144
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
 
 class _WireBound(msgspec.Struct, rename="kebab"):
     # 0 means no limit.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: codec.Integer = 0
+    mem_mb: codec.Integer = 0
+    gpu: codec.Integer = 0
 
 
 class _WireTenant(msgspec.Struct, rename="kebab"):
@@ -98,7 +98,7 @@
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: codec.Integer
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -107,9 +107,9 @@
 
 
 class _WireCapacity(msgspec.Struct, rename="kebab"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: codec.Integer = 0
+    mem_mb: codec.Integer = 0
+    gpu: codec.Integer = 0
 
 
 class _WireServer(msgspec.Struct, rename="kebab"):
@@ -129,11 +129,11 @@
 
 
 class _WireWave(msgspec.Struct, rename="kebab"):
-    wave: int
+    wave: codec.Integer
     machines: list[str] = []
     duration_s: float = 0.0
     # Number of VMs that may be away at once.
-    upper_bound: int = 1
+    upper_bound: codec.Integer = 1
 
 
 def read_configuration(payload: bytes) -> queues.Configuration:
@@ -142,7 +142,7 @@
     :param payload: The stored value.
     :raises DocumentInvalidError: The value does not decode.
     """
-    wire = _decode(payload, _WireConfiguration)
+    wire = codec.decode_as(payload, _WireConfiguration)
     return queues.Configuration(
         version=wire.version,
         queues=tuple(
@@ -171,7 +171,7 @@
         counts as warm otherwise, whatever its entry says.
     :raises DocumentInvalidError: The entry does not decode or is unusable.
     """
-    wire = _decode(payload, _WireServer)
+    wire = codec.decode_as(payload, _WireServer)
     _check_server(parse_worker_key(key), wire)
     host, port = _read_address(wire.addr)
     rack = wire.labels[RACK_LABEL] if len(wire.labels) > RACK_LABEL else ""
@@ -216,8 +216,8 @@
 def _parse_number(wire: msgspec.Raw) -> float | None:
     """Decode a number from 0; ``None`` for any other value."""
     try:
-        number = msgspec.json.decode(wire, type=float)
-    except msgspec.DecodeError:
+        number = codec.decode_as(wire, float)
+    except errors.DocumentInvalidError:
         return None
     return number if 0 <= number < math.inf else None
 
@@ -283,7 +283,7 @@
     :param payload: The stored value.
     :raises DocumentInvalidError: The value does not decode.
     """
-    wire = _decode(payload, _WireWave)
+    wire = codec.decode_as(payload, _WireWave)
     return fleet.Wave(
         number=wire.wave,
         vms=tuple(wire.machines),
@@ -383,10 +383,3 @@
         admission=admission,
         needs_key=needs_key,
     )
-
-
-def _decode(payload: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(payload, type=kind)
-    except msgspec.DecodeError as error:
-        raise errors.DocumentInvalidError(str(error)) from error
--- a/src/rackvalve/platform/machines.py
+++ b/src/rackvalve/platform/machines.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve.platform import connections
 from rackvalve.platform import documents
 from rackvalve.scheduling import fleet
@@ -165,8 +167,8 @@
         if raw.status != STATUS_REJECTED:
             return Unavailable(reason=f"status {raw.status}")
         try:
-            wire = msgspec.json.decode(raw.body, type=_WireReason)
-        except msgspec.DecodeError as error:
+            wire = codec.decode_as(raw.body, _WireReason)
+        except errors.DocumentInvalidError as error:
             return Unavailable(reason=repr(error))
         return Rejected(reason=wire.reason)
 
@@ -179,8 +181,8 @@
     if raw.status != STATUS_OK:
         return Unavailable(reason=f"status {raw.status}")
     try:
-        return msgspec.json.decode(raw.body, type=_WireList)
-    except msgspec.DecodeError as error:
+        return codec.decode_as(raw.body, _WireList)
+    except errors.DocumentInvalidError as error:
         return Unavailable(reason=repr(error))
 
 
--- a/src/rackvalve/platform/reports.py
+++ b/src/rackvalve/platform/reports.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rackvalve import codec
 from rackvalve.platform import start_times
 from rackvalve.scheduling import messages
 
@@ -48,11 +49,11 @@
     """Decode a report.
 
     :param body: The answer to a hold.
-    :raises msgspec.DecodeError: The body does not decode.
+    :raises DocumentInvalidError: The body does not decode.
     :raises IndexError: A row is too short.
     :raises ValueError: A field of a row is no number.
     """
-    wire = msgspec.json.decode(body, type=_WireReport)
+    wire = codec.decode_as(body, _WireReport)
     running = tuple(
         messages.RunningRow(
             task=str(row[0]),
--- a/src/rackvalve/platform/start_times.py
+++ b/src/rackvalve/platform/start_times.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
+
 # Start times from here on are invalid, in milliseconds since 1970: the year
 # 5138.
 MAX_START_TIME_MS = 100_000_000_000_000
@@ -18,7 +21,7 @@
     :return: Milliseconds since 1970; ``None`` for an absent or invalid value.
     """
     try:
-        born = msgspec.json.decode(wire, type=int)
-    except msgspec.DecodeError:
+        born = codec.decode_as(wire, int)
+    except errors.DocumentInvalidError:
         return None
     return born if 0 < born < MAX_START_TIME_MS else None
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve.platform import _store_wire
 from rackvalve.platform import connections
 
@@ -484,8 +486,8 @@
 
 def _decode(body: bytes, kind: type[T]) -> T | Unavailable:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return codec.decode_as(body, kind)
+    except errors.DocumentInvalidError as error:
         return Unavailable(reason=repr(error))
 
 
--- a/src/rackvalve/platform/workers.py
+++ b/src/rackvalve/platform/workers.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from rackvalve import codec
+from rackvalve import errors
 from rackvalve.jobs import incarnations
 from rackvalve.platform import connections
 from rackvalve.platform import reports
@@ -100,7 +102,7 @@
 
 # Errors that decoding a malformed answer raises.
 _UNREADABLE = (
-    msgspec.DecodeError,
+    errors.DocumentInvalidError,
     ValueError,
     TypeError,
     IndexError,
@@ -477,7 +479,7 @@
     if raw.status not in (STATUS_OK, STATUS_REJECTED):
         return Malformed(status=raw.status)
     try:
-        wire = msgspec.json.decode(raw.body, type=_WireAnswer)
+        wire = codec.decode_as(raw.body, _WireAnswer)
         if wire.running is not msgspec.UNSET:
             raise _OtherCallError("answer to a hold instead of an order")
         clock = wire.clock / 1000
