Let isolated starts size their pools and hold up no wave

Cause: the VM that a pool needs for starts in isolation was part of the floor that waves look at as well. A suspect that can't start at all (its label is nowhere) would have kept a wave from closing any VM of a pool of two.

Ruled out: dropping the floor, as a suspect of a pool of one busy VM would wait without end.

Change: demand.measure_isolation is a count of its own, which the sizes of pools use alone.

--- a/features/steps/reservation_steps.py
+++ b/features/steps/reservation_steps.py
@@ -123,5 +123,5 @@
 
 @behave.then("the pool needs {count:d} VMs")
 def check_need(context, count):
-    found = demand.measure_spreads(context.bench.cluster)
+    found = demand.measure_isolation(context.bench.cluster)
     assert found == {models.POOL: count}, found
--- a/src/rackvalve/scheduling/demand.py
+++ b/src/rackvalve/scheduling/demand.py
@@ -78,11 +78,10 @@
 
 
 def measure_spreads(cluster: clusters.Cluster) -> dict[str, int]:
-    """Return how many VMs each pool needs to place all tasks.
+    """Return how many VMs each pool needs to place all lasting tasks.
 
     A step that limits its tasks per worker needs many workers, however few
-    resources its tasks take.  So do tasks that start in isolation only, beside
-    the worker that stays open to all jobs.
+    resources its tasks take.
 
     :param cluster: The owner's view of the cluster.
     :return: Number of VMs by pool.
@@ -97,15 +96,26 @@
                 continue
             needed = math.ceil(step.tasks / step.most_per_worker)
             spreads[queue.pool] = max(spreads.get(queue.pool, 0), needed)
-        isolating = _count_isolating(state)
-        if isolating:
-            # Another worker accepts all other jobs meanwhile.
-            spreads[queue.pool] = max(
-                spreads.get(queue.pool, 0), isolating + 1
-            )
     return spreads
 
 
+def measure_isolation(cluster: clusters.Cluster) -> dict[str, int]:
+    """Return how many VMs each pool needs for tasks that must start alone.
+
+    One more accepts all other jobs meanwhile.
+
+    :param cluster: The owner's view of the cluster.
+    :return: Number of VMs by pool; pools without such tasks are left out.
+    """
+    needed: dict[str, int] = {}
+    for state in cluster.open_jobs.values():
+        queue = cluster.queues.get(state.queue)
+        isolating = _count_isolating(state) if queue is not None else 0
+        if queue is not None and isolating:
+            needed[queue.pool] = max(needed.get(queue.pool, 0), isolating + 1)
+    return needed
+
+
 def _count_isolating(state: progress.JobState) -> int:
     """Return how many VMs a job's tasks need that start in isolation only."""
     needed = 0
--- a/src/rackvalve/scheduling/sizing.py
+++ b/src/rackvalve/scheduling/sizing.py
@@ -217,6 +217,7 @@
         """Update the present and the wanted size of each pool."""
         measured = demands.measure(self._cluster, now)
         spreads = demands.measure_spreads(self._cluster)
+        isolation = demands.measure_isolation(self._cluster)
         evacuated = evacuation.measure_pools(self._cluster)
         for name, pool in self._cluster.configuration.pools.items():
             if pool.spare:
@@ -229,7 +230,7 @@
             if size.spread:
                 size.rotating = self._maintenance.count_rotating(name, now)
             size.have = len(self._list_serving(name, size))
-            size.wanted = _count_wanted(size, now)
+            size.wanted = max(_count_wanted(size, now), isolation.get(name, 0))
             if name in evacuated:
                 needed = evacuated[name] + RESERVE_VMS
                 size.wanted = max(size.wanted, needed)
