Count as room elsewhere only where a task can start

Room beside a slow worker was judged by resources alone; room outside an evacuated hall without admission, and a gang that could not start whole took part of it.

Change: both ask placement.could_start, and the first one whether the worker is open; a gang takes room for all its members or none. Where no admission is known, a worker counts as admitted, as before.

--- a/src/rackvalve/scheduling/evacuation.py
+++ b/src/rackvalve/scheduling/evacuation.py
@@ -20,12 +20,14 @@
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import eviction
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import placement
 from rackvalve.scheduling import starter as starters
 from rackvalve.scheduling import workers
 from rackvalve.workspaces import account as accounts
 
 # Job, repetition and step.
 StepKey = tuple[str, int, int]
+FindTickets = Callable[[progress.JobState, int, int], dict[str, str] | None]
 
 
 class Room:
@@ -35,12 +37,19 @@
     all but one would wait.
 
     :param members: The workers, all of them outside evacuated halls.
+    :param find_tickets: Returns the workers admitted for a job's step of a
+        repetition; ``None`` if all are.
     """
 
-    __slots__ = ("_members", "_free", "_used")
+    __slots__ = ("_members", "_find_tickets", "_free", "_used")
 
-    def __init__(self, members: Sequence[workers.WorkerState]) -> None:
+    def __init__(
+        self,
+        members: Sequence[workers.WorkerState],
+        find_tickets: FindTickets,
+    ) -> None:
         self._members = members
+        self._find_tickets = find_tickets
         self._free = {worker.identity: worker.free for worker in members}
         self._used: dict[StepKey, collections.Counter[str]] = {}
 
@@ -65,13 +74,13 @@
                 state, name.repetition, name.step
             )
         used = self._used[key]
+        # Where no admission is known, each worker may be admitted.
+        tickets = self._find_tickets(state, name.repetition, name.step) or None
         fitting = [
             worker.identity
             for worker in self._members
-            if worker.entry is not None
-            and self._free[worker.identity].fits(need)
-            and worker.entry.labels.issuperset(step.labels)
-            and not 0 < step.most_per_worker <= used[worker.identity]
+            if self._free[worker.identity].fits(need)
+            and placement.could_start(worker, step, used, tickets)
             # It starts on a worker without other runs.
             and not (task.crashes and worker.runs)
         ]
@@ -85,6 +94,19 @@
         used[best] += 1
         return True
 
+    def take_together(
+        self, state: progress.JobState, tasks: Sequence[progress.Task]
+    ) -> None:
+        """Take the capacity for all members of a gang, or none.
+
+        :param state: The tasks' job.
+        :param tasks: The members.
+        """
+        free = dict(self._free)
+        used = {key: counts.copy() for key, counts in self._used.items()}
+        if not all(self.take(state, task) for task in tasks):
+            self._free, self._used = free, used
+
 
 class Evacuator:
     """Decides which lasting tasks leave evacuated halls now.
@@ -94,19 +116,29 @@
         placed, for a present time in seconds.
     :param list_reserved: Returns the identities of a pool's workers that are
         reserved for single jobs.
+    :param find_tickets: Returns the workers admitted for a job's step of a
+        repetition; ``None`` if all are.
     """
 
-    __slots__ = ("_cluster", "_list_members", "_list_reserved", "_rooms")
+    __slots__ = (
+        "_cluster",
+        "_list_members",
+        "_list_reserved",
+        "_find_tickets",
+        "_rooms",
+    )
 
     def __init__(
         self,
         cluster: clusters.Cluster,
         list_members: Callable[[str, float], list[workers.WorkerState]],
         list_reserved: Callable[[str], Collection[str]],
+        find_tickets: FindTickets,
     ) -> None:
         self._cluster = cluster
         self._list_members = list_members
         self._list_reserved = list_reserved
+        self._find_tickets = find_tickets
         # Capacity by pool, in this round.
         self._rooms: dict[str, Room] = {}
 
@@ -140,6 +172,7 @@
                 queue.pool,
                 self._list_members(queue.pool, now),
                 self._list_reserved(queue.pool),
+                self._find_tickets,
             )
         if room.is_empty or not may_leave(self._cluster, placed, now):
             return False
@@ -151,6 +184,7 @@
     pool: str,
     members: Sequence[workers.WorkerState],
     reserved: Collection[str],
+    find_tickets: FindTickets,
 ) -> Room:
     """Measure the capacity that a pool has for tasks of evacuated halls.
 
@@ -158,6 +192,8 @@
     :param pool: The pool.
     :param members: The workers on which runs may be placed.
     :param reserved: Identities of those that are reserved for single jobs.
+    :param find_tickets: Returns the workers admitted for a job's step of a
+        repetition; ``None`` if all are.
     """
     room = Room(
         [
@@ -166,19 +202,37 @@
             if not worker.evacuated
             and worker.identity not in reserved
             and not crashes.is_isolating(worker)
-        ]
+        ],
+        find_tickets,
     )
     if room.is_empty:
         return room
     for state in cluster.open_jobs.values():
         queue = cluster.queues.get(state.queue)
         if queue is not None and queue.pool == pool:
-            for task in _list_starting(state):
-                if not _is_held(cluster, state, task):
-                    room.take(state, task)
+            _take_starting(cluster, room, state)
     return room
 
 
+def _take_starting(
+    cluster: clusters.Cluster, room: Room, state: progress.JobState
+) -> None:
+    """Take the capacity for the lasting tasks of a job that start soon."""
+    gangs: dict[tuple[int, int], list[progress.Task]] = {}
+    for task in _list_starting(state):
+        if _is_held(cluster, state, task):
+            continue
+        name = task.name
+        if state.step_of(name).gang:
+            key = (name.repetition, name.step)
+            gangs.setdefault(key, []).append(task)
+        else:
+            room.take(state, task)
+    for tasks in gangs.values():
+        if len(tasks) == state.step_of(tasks[0].name).tasks:
+            room.take_together(state, tasks)
+
+
 def _is_held(
     cluster: clusters.Cluster, state: progress.JobState, task: progress.Task
 ) -> bool:
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -143,6 +143,29 @@
                 break
         return best
 
+    def has_room(
+        self,
+        placed: workers.PlacedRun,
+        used: collections.Counter[str],
+        *,
+        is_isolated: bool,
+        tickets: dict[str, str] | None,
+    ) -> bool:
+        """Return whether a run's task could start on another worker now.
+
+        :param placed: The run.
+        :param used: How many tasks of its step each worker has.
+        :param is_isolated: Whether the task starts in isolation only.
+        :param tickets: Admitted workers; ``None`` if all are.
+        """
+        return any(
+            worker.free.fits(placed.need)
+            and worker.identity != placed.run.worker
+            and self._is_open(worker, placed.state, is_isolated)
+            and could_start(worker, placed.step, used, tickets)
+            for worker in self.members
+        )
+
     def _interleave(
         self, spread: domains.TaskSpread
     ) -> list[workers.WorkerState]:
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -91,7 +91,10 @@
         self._starter = starters.Starter(cluster)
         self._isolator = isolation.Isolator(cluster, self._starter)
         self._evacuator = evacuation.Evacuator(
-            cluster, self.list_members, self.list_reserved
+            cluster,
+            self.list_members,
+            self.list_reserved,
+            self._starter.find_tickets,
         )
         # Admitted workers by step, for queues with an admission service.
         self.tickets = self._starter.tickets
@@ -230,11 +233,8 @@
         entry = self._cluster.workers[placed.run.worker].entry
         if entry is None:
             return False
-        return any(
-            other.free.fits(placed.need)
-            for other in self._refresh_view(entry.pool, now).members
-            if other.identity != placed.run.worker
-        )
+        view = self._refresh_view(entry.pool, now)
+        return self._starter.has_room_elsewhere(view, placed, now)
 
     def _check_run(
         self,
--- a/src/rackvalve/scheduling/starter.py
+++ b/src/rackvalve/scheduling/starter.py
@@ -7,8 +7,10 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.scheduling import cluster as clusters
+from rackvalve.scheduling import crashes
 from rackvalve.scheduling import domains
 from rackvalve.scheduling import fleet
+from rackvalve.scheduling import placement
 from rackvalve.scheduling import workers
 
 
@@ -66,6 +68,32 @@
             self._cluster.locations, state, repetition, number
         )
 
+    def has_room_elsewhere(
+        self,
+        view: placement.PoolView,
+        placed: workers.PlacedRun,
+        now: float,
+    ) -> bool:
+        """Return whether a run's task could start on another worker now.
+
+        Where no admission is known, each worker may be admitted.
+
+        :param view: The workers of the run's pool.
+        :param placed: The run.
+        :param now: Present time, in seconds.
+        """
+        state, name = placed.state, placed.task.name
+        if state.queue not in self._cluster.queues:
+            return False
+        isolation = crashes.choose_isolation(state, placed.task, now)
+        return view.has_room(
+            placed,
+            count_used(state, name.repetition, name.step),
+            is_isolated=isolation.waits,
+            tickets=self.find_tickets(state, name.repetition, name.step)
+            or None,
+        )
+
     def place(
         self,
         state: progress.JobState,
