--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -27,6 +27,18 @@
       | none     | the beginning  |
       | two      | a checkpoint   |
 
+  # Such a number has no place in a record, and the next owner could not read it.
+  Scenario Outline: Progress of <percent> is not recorded as it is told
+    Given a gang of 3 that is being started on 3 workers
+    When a member tells a checkpoint at <percent> %
+    Then the next owner can read the record
+
+    Examples:
+      | percent |
+      | nan     |
+      | inf     |
+      | -inf    |
+
   Scenario: A checkpoint of an earlier run does not win over a later one
     Given a gang of 3 at work on 3 workers, with checkpoints at 40, 60 and 50 %
     When its run ends by the crash of the first one's worker
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -301,3 +301,16 @@
 def check_orders(context):
     for order in context.orders:
         assert context.bench.placed(order).run.checkpoint == ""
+
+
+@behave.when("a member tells a checkpoint at {percent} %")
+def tell_odd_progress(context, percent):
+    order = context.orders[1]
+    report(context.bench, order.worker, [(order, "saved-odd", percent)])
+
+
+@behave.then("the next owner can read the record")
+def check_readable(context):
+    take_over(context)
+    checkpoints = {task.checkpoint for task in context.state.tasks.values()}
+    assert "saved-odd" in checkpoints, checkpoints
--- a/src/rackvalve/codec.py
+++ b/src/rackvalve/codec.py
@@ -23,7 +23,6 @@
     ValueError,
     OverflowError,
     RecursionError,
-    MemoryError,
 )
 
 
--- a/src/rackvalve/explain/events.py
+++ b/src/rackvalve/explain/events.py
@@ -6,7 +6,6 @@
 import dataclasses
 from typing import Any
 
-
 from rackvalve import codec
 from rackvalve import errors
 
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -222,7 +222,8 @@
         if not text or text == self.checkpoint:
             return
         self.checkpoint = text
-        self.saved_percent = max(self.saved_percent, percent)
+        # Workers may tell any number, also one that is not finite.
+        self.saved_percent = max(self.saved_percent, min(100.0, percent))
 
     def forget_crashes(self) -> None:
         """Reset all that was recorded of crashes."""
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -15,6 +15,7 @@
 import dataclasses
 import enum
 import itertools
+
 import msgspec
 
 from rackvalve import codec
@@ -24,7 +25,6 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import weights
 
-
 PREFIX = "job/"
 PROGRESS_PREFIX = "progress/"
 
--- a/src/rackvalve/manager/api/submission_rate.py
+++ b/src/rackvalve/manager/api/submission_rate.py
@@ -1,4 +1,4 @@
-"""Limits how often one manager writes submitted jobs to the store."""
+"""Limits how often one manager writes to the store for its callers."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 
 class SubmissionRate:
-    """A token bucket of submissions.
+    """A token bucket of submissions, and of cancels of unknown jobs.
 
-    :param rate: Submissions per second.
+    :param rate: Writes per second.
     """
 
     __slots__ = ("_rate", "_left", "_counted_at")
--- a/src/rackvalve/manager/owner/worker_registry.py
+++ b/src/rackvalve/manager/owner/worker_registry.py
@@ -270,7 +270,7 @@
     def _apply_entry(self, item: stores.Item) -> None:
         """Apply one entry; an unexpected error costs no other one."""
         try:
-            self._read_entry(item)
+            self._set_entry(item)
         except Exception:
             if self._rejected.get(item.key) != item.revision:
                 self._rejected[item.key] = item.revision
@@ -278,7 +278,7 @@
             name = documents.parse_worker_key(item.key)
             self._cluster.remove_entry(name, clocks.read_steady())
 
-    def _read_entry(self, item: stores.Item) -> None:
+    def _set_entry(self, item: stores.Item) -> None:
         try:
             entry = documents.read_worker(
                 item.key,
--- a/src/rackvalve/platform/callers.py
+++ b/src/rackvalve/platform/callers.py
@@ -4,7 +4,6 @@
 
 import enum
 from typing import Annotated
-from typing import TypeVar
 
 import msgspec
 
@@ -18,8 +17,6 @@
 # Most labels of one step; a worker has a kind, a rack and a few more.
 MAX_LABELS = 64
 
-T = TypeVar("T")
-
 
 class State(enum.Enum):
     """State of a job as callers see it; the values are the platform's."""
