--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -47,7 +47,7 @@
 # between two gangs in seconds.
 GANG_TASKS = 3
 GANG_WORK_MS = 2500
-GANG_PAUSE_S = (1.0, 3.0)
+GANG_PAUSE_S = (3.0, 6.0)
 # Interval at which one manager is asked for a count, in seconds.
 COUNT_INTERVAL_S = 0.25
 # Queues that configurations add and remove; no other queue is named so.
