Bound whole numbers of documents by 64 bits

Cause: 2**53 would have refused leases and revisions of stores that number them with 64 bits, as many do; the users' page gives no bound.

Change: codec.MAX_INTEGER is 2**63 - 1, which has a float as well.

--- a/src/rackvalve/codec.py
+++ b/src/rackvalve/codec.py
@@ -11,10 +11,9 @@
 from rackvalve import errors
 
 T = TypeVar("T")
-# Largest number that all writers of JSON can express exactly (RFC 8259).
-MAX_INTEGER = 2**53
-# Type of the whole numbers in documents: greater ones cannot be computed with,
-# as they have no float.
+# Whole numbers of documents are of 64 bits, as a store's revisions and leases.
+MAX_INTEGER = 2**63 - 1
+# Greater ones may have no float, so that the first division would fail.
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 # Errors of the decoder, which leaves some of its own limits to the
 # interpreter.
