Give the site of a test the gangs of the stand-in for workers

They are not run by the features that were run with the change.

Change: that site has them; no check is touched.

Measured (aarch64): restarts.feature passes.

--- a/features/steps/other_incarnation_steps.py
+++ b/features/steps/other_incarnation_steps.py
@@ -6,6 +6,7 @@
 
 from rackvalve.jobs import incarnations
 from rackvalve.platform import workers as clients
+from standins import gangs
 from standins import serving
 from standins import worker as standins
 from tools import fleet as fleets
@@ -26,6 +27,7 @@
         self.host = HOST
         self.reports_start_times = True
         self.started = []
+        self.gangs = gangs.Gangs()
 
     def note(self, kind, worker, task, run, detail):
         if kind == "start":
