--- a/src/rackvalve/manager/owner/vm_controller.py
+++ b/src/rackvalve/manager/owner/vm_controller.py
@@ -19,6 +19,7 @@
 from rackvalve import logs
 from rackvalve.manager.owner import backlog as backlogs
 from rackvalve.manager.owner import domain_monitor
+from rackvalve.manager.owner import wave_record
 from rackvalve.manager.owner import writer as writers
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
@@ -48,27 +49,6 @@
 Outcome = clients.Ordered | clients.Rejected | clients.Unavailable
 
 
-class _Record(msgspec.Struct):
-    ordered: list[str] = []
-    done: list[str] = []
-    # Time since the wave's start when this was written, in seconds, and when
-    # that was, in seconds since 1970.  Without them each owner gave the wave
-    # its whole time again (8 of 147 VMs late).
-    elapsed: float = 0.0
-    written: float = 0.0
-
-    def count_elapsed(self, wall: float) -> float:
-        """Return the time since the wave's start, in seconds.
-
-        If the time of day has jumped ahead, the wave only ends earlier.
-
-        :param wall: Present time, in seconds since 1970.
-        """
-        if not self.written:
-            return 0.0
-        return self.elapsed + max(0.0, wall - self.written)
-
-
 class VmController:
     """Sends orders to VMs for one owner.
 
@@ -126,7 +106,7 @@
         self._ordered: dict[str, float | None] = {}
         self._listed_at = float("-inf")
         self._sizes_logged_at = float("-inf")
-        self._recorded_waves: dict[int, _Record] = {}
+        self._recorded_waves: dict[int, wave_record.WaveRecord] = {}
 
     def load(self, items: tuple[stores.Item, ...]) -> None:
         """Restore the state from the records of earlier owners.
@@ -166,7 +146,7 @@
         :raises DocumentInvalidError, ValueError: It is no record of a wave.
         """
         number = int(item.key.removeprefix(PREFIX))
-        record = codec.decode_as(item.payload, _Record)
+        record = codec.decode_as(item.payload, wave_record.WaveRecord)
         elapsed = record.count_elapsed(clocks.read_wall())
         self._maintenance.restore(
             number,
@@ -459,14 +439,14 @@
             self._publish_status(number, state)
 
     def _record_wave(self, number: int, state: maintenances.WaveState) -> None:
-        record = _Record(
+        record = wave_record.WaveRecord(
             ordered=sorted(state.ordered), done=sorted(state.done)
         )
         if self._recorded_waves.get(number) != record:
             self._recorded_waves[number] = record
             self._writer.enqueue(
                 f"{PREFIX}{number}",
-                functools.partial(_make_wave_record, record, state.began),
+                functools.partial(_encode_wave, record, state.began),
             )
 
     def _publish_status(
@@ -491,10 +471,10 @@
     )
 
 
-def _make_wave_record(record: _Record, began: float) -> backlogs.Record:
-    timed = msgspec.structs.replace(
-        record,
-        elapsed=clocks.read_steady() - began,
-        written=clocks.read_wall(),
+def _encode_wave(
+    record: wave_record.WaveRecord, began: float
+) -> backlogs.Record:
+    payload = record.encode(
+        began, now=clocks.read_steady(), wall=clocks.read_wall()
     )
-    return backlogs.Record(payload=msgspec.json.encode(timed))
+    return backlogs.Record(payload=payload)
