Share a pool's last worker with others once an isolated run works

Callers' jobs could wait up to 60 s beside a worker with free cores (LOST), in a pool that had lost its other workers or had only one.

Cause: a run after the fourth crash keeps its worker until its task is cleared. At most half of a pool is isolating when such a run starts; nothing ended the keeping when the rest of the pool was lost, closed or drained afterwards.

Ruled out: starting the run only where another worker is open, as the suspect of a pool of one worker would wait without end.

Change: exclusivity.find_shared names the workers that are kept beyond what a pool may keep; placement, blockers and room outside evacuated halls ask it. A run that has worked for less than the time of a prompt crash, 0.3 s, keeps its worker. The sizes of pools count such runs, so that a spare VM comes. A crash beside others does not count in isolation.

Four new rows in isolation.feature.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -105,14 +105,36 @@
   # A task that crashes after some seconds had other runs beside it by then, so
   # that the crash did not count in isolation and the task started once more.
   Scenario: The last start that users bear keeps its worker until the task is cleared
-    Given a task under which 4 workers have crashed, at an age of 20 s at the most
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most, beside 1 full workers
     When it has worked alone for 15 s beside others that wait
     Then nothing else starts on its worker
     And others do once it has worked for 21 s
 
+  # A worker was kept for up to 60 s from all jobs of a pool that had lost the
+  # others: no other job started beside the one task (LOST).
+  Scenario Outline: A run keeps no other job from the last worker that accepts work: <why>
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most, beside 1 full workers
+    When the only worker that accepts other jobs <why>
+    And it has worked alone for 1 s beside others that wait
+    Then others start beside it
+    And a crash of its worker then doesn't count in isolation
+
+    Examples:
+      | why                 |
+      | crashes             |
+      | drains              |
+      | is closed           |
+
+  Scenario: A pool of one worker is not kept for a run, but for the time of a prompt crash
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most, beside 0 full workers
+    When it has worked alone for 0.2 s beside others that wait
+    Then nothing else starts on its worker
+    And the pool needs a VM more than the 1 that it keeps
+    And others do once it has worked for 0.5 s
+
   # The reason given was that nothing which is known holds the job.
   Scenario: What waits beside a worker that is kept is told why
-    Given a task under which 4 workers have crashed, at an age of 20 s at the most
+    Given a task under which 4 workers have crashed, at an age of 20 s at the most, beside 1 full workers
     When it has worked alone for 2 s beside others that wait
     Then the others are told to have no worker with room, and the worker to be kept
 
--- a/src/rackvalve/scheduling/blockers.py
+++ b/src/rackvalve/scheduling/blockers.py
@@ -17,6 +17,7 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import crashes
+from rackvalve.scheduling import exclusivity
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import maintenance
 from rackvalve.scheduling import planner as planners
@@ -136,12 +137,7 @@
         now: float,
         freshness: float,
     ) -> None:
-        self._members = [
-            worker
-            for worker in members
-            if worker.identity not in reserved
-            and not crashes.is_isolating(worker)
-        ]
+        self._members = exclusivity.list_open(members, reserved)
         # Whether some of the workers start few tasks per second.
         self.has_cold = any(worker.is_cold(now) for worker in self._members)
         names = {worker.identity for worker in members}
--- a/src/rackvalve/scheduling/crashes.py
+++ b/src/rackvalve/scheduling/crashes.py
@@ -376,10 +376,17 @@
 
     :param worker: The worker.
     """
-    return any(
-        placed.run.number == placed.task.isolated_run and _keeps_worker(placed)
-        for placed in worker.suspects.values()
-    )
+    return any(map(_is_isolated, worker.suspects.values()))
+
+
+def find_isolated_work(worker: workers.WorkerState) -> float:
+    """Return how long all runs that isolate a worker are known to have worked.
+
+    :param worker: The worker, which is isolating.
+    :return: Duration of the shortest one, in seconds.
+    """
+    isolated = filter(_is_isolated, worker.suspects.values())
+    return min(_read_work_time(placed.run) for placed in isolated)
 
 
 def list_unsettled(
@@ -397,9 +404,11 @@
     ]
 
 
-def _keeps_worker(placed: workers.PlacedRun) -> bool:
-    """Return whether an isolated run still has its worker to itself."""
+def _is_isolated(placed: workers.PlacedRun) -> bool:
+    """Return whether a run was isolated and still has its worker to itself."""
     task = placed.task
+    if placed.run.number != task.isolated_run:
+        return False
     if task.unexplained and task.crashes >= LAST_START_FROM:
         # The run keeps it until the task is cleared.
         return True
@@ -408,7 +417,7 @@
 
 def _is_settled(placed: workers.PlacedRun) -> bool:
     """Return whether a run has worked too long to be a likely cause."""
-    if placed.run.number == placed.task.isolated_run and _keeps_worker(placed):
+    if _is_isolated(placed):
         return False
     time_to_crash = max(
         placed.task.time_to_crash, placed.state.known_time_to_crash
--- a/src/rackvalve/scheduling/demand.py
+++ b/src/rackvalve/scheduling/demand.py
@@ -117,10 +117,19 @@
 
 
 def _count_isolating(state: progress.JobState) -> int:
-    """Return how many VMs a job's tasks need that start in isolation only."""
+    """Return how many VMs a job's tasks need that run in isolation only."""
     needed = 0
-    for name in state.suspects & state.waiting.keys():
-        if state.tasks[name].crashes < crashes.REQUIRE_ISOLATION_FROM:
+    for name in state.suspects:
+        task = state.tasks[name]
+        if name in state.waiting:
+            is_isolated = task.crashes >= crashes.REQUIRE_ISOLATION_FROM
+        else:
+            # Such a run keeps its worker until the task is cleared.
+            is_isolated = (
+                task.isolated_run in task.runs
+                and task.crashes >= crashes.LAST_START_FROM
+            )
+        if not is_isolated:
             continue
         step = state.step_of(name)
         hosts = 1
--- a/src/rackvalve/scheduling/evacuation.py
+++ b/src/rackvalve/scheduling/evacuation.py
@@ -17,8 +17,8 @@
 
 from rackvalve.jobs import progress
 from rackvalve.scheduling import cluster as clusters
-from rackvalve.scheduling import crashes
 from rackvalve.scheduling import eviction
+from rackvalve.scheduling import exclusivity
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import starter as starters
@@ -198,10 +198,8 @@
     room = Room(
         [
             worker
-            for worker in members
+            for worker in exclusivity.list_open(members, reserved)
             if not worker.evacuated
-            and worker.identity not in reserved
-            and not crashes.is_isolating(worker)
         ],
         find_tickets,
     )
--- a/src/rackvalve/scheduling/isolation.py
+++ b/src/rackvalve/scheduling/isolation.py
@@ -19,14 +19,13 @@
 from rackvalve.jobs import progress
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import crashes
+from rackvalve.scheduling import exclusivity
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import gangs
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import starter as starters
 from rackvalve.scheduling import workers
 
-# Part of a pool's workers that may be reserved or isolating at the same time.
-MAX_RESERVED_PART = 0.5
 # A likely cause is tried before suspects that have waited at most this much
 # longer, in seconds: once it is found, fewer crashes count against them.
 LIKELY_LEAD_S = 2.0
@@ -182,7 +181,9 @@
         if not groups:
             return 0
         isolating = sum(map(crashes.is_isolating, view.members))
-        max_reserved = math.ceil(len(view.members) * MAX_RESERVED_PART)
+        max_reserved = math.ceil(
+            len(view.members) * exclusivity.MAX_EXCLUSIVE_PART
+        )
         planned = 0
         for group in groups:
             left = max_reserved - isolating - len(view.reserved)
--- a/src/rackvalve/scheduling/placement.py
+++ b/src/rackvalve/scheduling/placement.py
@@ -47,6 +47,7 @@
     __slots__ = (
         "members",
         "reserved",
+        "shared",
         "cold_interval",
         "last_isolated",
         "_next_start",
@@ -61,6 +62,8 @@
         self._interleaved_from: list[workers.WorkerState] | None = None
         # Members reserved for one job each, by identity.
         self.reserved: dict[str, progress.JobState] = {}
+        # Identities of members that accept all jobs beside an isolated run.
+        self.shared: Collection[str] = ()
         # Least time between two starts on a cold worker, in seconds.
         self.cold_interval = 0.0
         # The job whose task was last started in isolation, and when, in
@@ -199,7 +202,11 @@
             if holder is not None and holder is not state:
                 return False
             return not crashes.list_unsettled(worker, state)
-        return holder is None and not crashes.is_isolating(worker)
+        if holder is not None:
+            return False
+        return worker.identity in self.shared or not crashes.is_isolating(
+            worker
+        )
 
 
 def choose_for_gang(
--- a/src/rackvalve/scheduling/planner.py
+++ b/src/rackvalve/scheduling/planner.py
@@ -23,6 +23,7 @@
 from rackvalve.scheduling import endings
 from rackvalve.scheduling import evacuation
 from rackvalve.scheduling import eviction
+from rackvalve.scheduling import exclusivity
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import gangs
 from rackvalve.scheduling import isolation
@@ -338,6 +339,7 @@
     def _refresh_view(self, pool: str, now: float) -> placement.PoolView:
         view = self._views.setdefault(pool, placement.PoolView([]))
         view.members = self.list_members(pool, now)
+        view.shared = exclusivity.find_shared(view.members)
         view.cold_interval = coldness.get_start_interval(self._cluster, pool)
         return view
 
