--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -124,6 +124,7 @@
       | crashes             |
       | drains              |
       | is closed           |
+      | is in an empty hall |
 
   Scenario: A pool of one worker is not kept for a run, but for the time of a prompt crash
     Given a task under which 4 workers have crashed, at an age of 20 s at the most, beside 0 full workers
--- a/src/rackvalve/scheduling/exclusivity.py
+++ b/src/rackvalve/scheduling/exclusivity.py
@@ -1,9 +1,9 @@
-"""Workers that accept no job but one, and how many of a pool may be such.
+"""Workers that accept no job but one, and how many a pool may have.
 
 A run in isolation has its worker to itself until its task is cleared, and a
 worker is reserved ahead for such a run.  Each pool keeps a worker that accepts
-all jobs: a pool that has lost workers since shares some of those with runs in
-isolation.
+all jobs: once it has lost the others, a worker with a run in isolation is
+shared.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 MAX_EXCLUSIVE_PART = 0.5
 
 
-def find_most(members: Sequence[workers.WorkerState]) -> int:
+def find_limit(members: Sequence[workers.WorkerState]) -> int:
     """Return how many workers of a pool may accept no job but one.
 
     :param members: The workers of the pool on which runs may be placed.
@@ -43,7 +43,7 @@
         for worker in members
         if worker.suspects and crashes.is_isolating(worker)
     ]
-    excess = len(isolating) - find_most(members)
+    excess = len(isolating) - find_limit(members)
     if excess <= 0:
         return ()
     work = {
