--- /dev/null
+++ b/review/harness_3/stand_in.py
@@ -0,0 +1,134 @@
+"""Stand-in for the users' platform, made of the project's own stand-ins.
+
+It adds what the cases need and the pages describe: a worker's connections end
+with its process, and a service that admits workers to steps (``POST /advise``)
+with tickets that workers check.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+
+from standins import serving  # noqa: E402
+from standins import site as sites  # noqa: E402
+from standins import worker as workers  # noqa: E402
+
+DECIDE_S = 0.05
+EACH_S = 0.005
+
+
+class Advice:
+    """The service that admits workers to steps.
+
+    :ivar machines: Machines whose workers may run a step; ``None`` while no
+        queue needs admission.
+    :ivar valid: How long a ticket is valid, in seconds.
+    :ivar calls: Calls that were answered, each with its time.
+    """
+
+    machines: set | None = None
+    valid = 60.0
+    tickets: dict = {}
+    calls: list = []
+
+
+class Worker(workers.Worker):
+    """A worker that checks the tickets of starts."""
+
+    def _start(self, order):
+        key = (order["task"], order["run"])
+        if Advice.machines is not None and key not in self.running:
+            step = order["task"].rpartition(".")[0]
+            granted = Advice.tickets.get(order.get("ticket", ""))
+            if granted is None or granted[:2] != (step, self.identity):
+                return self._reject("ticket")
+            if time.monotonic() > granted[2]:
+                return self._reject("ticket")
+        return super()._start(order)
+
+
+class Site(sites.Site):
+    """The platform with its workers and the admission service."""
+
+    def __call__(self, environ, start_response):
+        if environ["PATH_INFO"] == "/advise":
+            body = self._advise(serving.read_json(environ))
+            return serving.answer_json(start_response, body)
+        return super().__call__(environ, start_response)
+
+    def end_worker(self, name, cause, entry=0.0, *, is_silent=False):
+        """End a worker; its connections end with it."""
+        incarnation = self.machines[name].worker
+        super().end_worker(name, cause, entry, is_silent=is_silent)
+        if incarnation is not None and not is_silent:
+            incarnation.close_connections()
+
+    def _apply_order(self, order):
+        if "admit" in order:
+            Advice.machines = set(order["admit"])
+        if "advice calls" in order:
+            return {"calls": Advice.calls}
+        return super()._apply_order(order)
+
+    def _advise(self, order):
+        gevent.sleep(DECIDE_S + EACH_S * len(order["workers"]))
+        now = time.monotonic()
+        present = {
+            machine.worker.identity: name
+            for name, machine in self.machines.items()
+            if machine.worker is not None
+        }
+        good = []
+        for identity in order["workers"]:
+            if present.get(identity) in (Advice.machines or ()):
+                ticket = f"t{len(Advice.tickets)}"
+                until = now + Advice.valid
+                Advice.tickets[ticket] = (order["step"], identity, until)
+                good.append([identity, ticket])
+        Advice.calls.append([now, order["step"], order["workers"], good])
+        return {"good": good}
+
+
+def main():
+    """Serve until killed."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--worker-ports", required=True)
+    parser.add_argument("--pools", required=True)
+    parser.add_argument("--racks", type=int, default=1)
+    found = parser.parse_args()
+    options = argparse.Namespace(
+        slow_clocks=False,
+        move=1.5,
+        upkeep=2.0,
+        list_lag=0.0,
+        no_births=True,
+        keep_names=False,
+        cold=0.0,
+        tick=workers.TICK_S,
+        halls=1,
+        racks=found.racks,
+    )
+    workers.Worker = Worker
+    pools = {
+        name: int(count)
+        for name, _, count in (
+            part.partition("=") for part in found.pools.split(",")
+        )
+    }
+    capacity = {"cpu": 32000, "mem-mb": 131072, "gpu": 0}
+    ports = [(int(port), int(port)) for port in found.worker_ports.split(",")]
+    site = Site(pools, ports, capacity, options)
+    serving.make_server(sites.HOST, found.port, site).start()
+    serving.serve_until_killed()
+
+
+if __name__ == "__main__":
+    main()
