--- a/review/harness_3/stand_in.py
+++ b/review/harness_3/stand_in.py
@@ -12,14 +12,18 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import base64  # noqa: E402
 import time  # noqa: E402
 
 import gevent  # noqa: E402
 
+from standins import keyvalue  # noqa: E402
 from standins import serving  # noqa: E402
 from standins import site as sites  # noqa: E402
 from standins import worker as workers  # noqa: E402
 
+# `platform.value_bytes` of the users' page.
+VALUE_BYTES = 1048576
 DECIDE_S = 0.05
 EACH_S = 0.005
 
@@ -39,6 +43,20 @@
     calls: list = []
 
 
+class Store(keyvalue.Store):
+    """A store that takes no value beyond `value_bytes`."""
+
+    refused: list = []
+
+    def _transact(self, order):
+        for put in order.get("put", []):
+            size = len(base64.b64decode(put["value"]))
+            if size > VALUE_BYTES:
+                self.refused.append([time.monotonic(), put["key"], size])
+                return "400 Too large a value", {}
+        return super()._transact(order)
+
+
 class Worker(workers.Worker):
     """A worker that checks the tickets of starts."""
 
@@ -73,6 +91,8 @@
     def _apply_order(self, order):
         if "admit" in order:
             Advice.machines = set(order["admit"])
+        if "refused values" in order:
+            return {"refused": Store.refused}
         if "advice calls" in order:
             return {"calls": Advice.calls}
         return super()._apply_order(order)
@@ -117,6 +137,7 @@
         racks=found.racks,
     )
     workers.Worker = Worker
+    keyvalue.Store = Store
     pools = {
         name: int(count)
         for name, _, count in (
