--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A job whose only worker goes down and up by turns is shown as failed."""
+"""A job of many tasks is accepted, and no job runs from then on."""
 
 import pathlib
 import sys
@@ -9,15 +9,15 @@
 
 from harness_3 import harness  # noqa: E402
 
-IDENTITY = "00000000000000a9"
-PATH = f"/probe/{IDENTITY}"
-WORKERS = 10
-# The largest dose of the users' site files: a tenth of the workers, down and
-# up by turns with a period of 1.4 s, for 6.5 s.
-FLAP_S = 6.5
-PERIOD_S = 1.4
-# A worker's entry goes after three heartbeats of 1.5 s without a write.
-ENTRY_S = 4.5
+LARGE = "/calib/00000000000000e1"
+IDENTITY = "00000000000000e2"
+SMALL = f"/audit/{IDENTITY}"
+TASKS = 4000
+TIMES = 5
+# After its submission, until the small job comes.
+LEAD_S = 3.0
+# RULES.md, LOST: for so long a job has nothing running though it could.
+IDLE_S = 3.0
 WATCH_S = 25.0
 
 
@@ -25,9 +25,12 @@
     """Play the case; return whether the rule held."""
     site = harness.Site(
         record,
-        {"frostwerk": WORKERS},
-        [harness.make_route("probe", "frostwerk")],
-        racks=WORKERS,
+        {"eisberg": 8, "vogl-audit": 8},
+        [
+            harness.make_route("calib", "eisberg"),
+            harness.make_route("audit", "vogl-audit"),
+        ],
+        managers=3,
     )
     try:
         site.start()
@@ -37,62 +40,68 @@
 
 
 def observe(record, site):
-    """Submit the job, play the disruption and watch the job's state."""
+    """Submit a large job, and later a small one to another service."""
     time.sleep(2.0)
-    machine = site.list_machines()[0]
-    label = machine["labels"][1]
-    job = {
-        "spec": "work_ms=3000",
-        "steps": [
-            {
-                "count": 1,
-                "cpu": 1800,
-                "mem-mb": 5100,
-                "estimate-ms": 3000,
-                "requirements": label,
-            }
-        ],
-    }
-    site.submit(PATH, job)
-    time.sleep(0.5)
     if harness.is_troubled():
-        flap(record, site, machine["machine"])
-    states = watch(site)
+        site.submit(LARGE, make_large())
+    time.sleep(LEAD_S)
+    step = {"count": 8, "cpu": 3800, "mem-mb": 7800, "estimate-ms": 1700}
+    small = {
+        "spec": "work_ms=1700",
+        "steps": [step, {**step, "after-rev": [0]}],
+    }
+    site.submit(SMALL, small)
+    accepted = time.monotonic()
+    until = accepted + WATCH_S
+    while time.monotonic() < until:
+        if harness.is_troubled():
+            site.read_states(LARGE)
+        if set(site.read_states(SMALL)) == {"completed"}:
+            break
+        time.sleep(1.0)
     journal = site.read_journal()
     record.write_runs(journal, IDENTITY)
-    hows = [
-        row[5]
-        for row in journal["journal"]
-        if row[1] == "end" and row[3].startswith(IDENTITY)
-    ]
-    record.write(f"ends of its runs: {hows}; states shown: {sorted(states)}")
-    # Only ends `failed` count as attempts, and nobody cancelled the job.
-    has_cause = hows.count("failed") >= 3
-    return has_cause or not states & {"failed", "cancelled"}
+    refused = site.order({"refused values": True})["refused"]
+    for _, key, size in refused[:1]:
+        record.write(f"store: the first value refused: {key}, {size} bytes")
+    record.write(f"store: {len(refused)} writes refused")
+    starts = sum(row[1] == "start" for row in journal["journal"])
+    record.write(f"starts of any job's tasks: {starts}")
+    idle = find_idle(journal, accepted, min(until, time.monotonic()))
+    record.write(f"longest time without a run of the small job: {idle:.1f} s")
+    return idle < IDLE_S
 
 
-def flap(record, site, machine):
-    """Take one worker down and up by turns."""
-    began = time.monotonic()
-    while time.monotonic() - began < FLAP_S - PERIOD_S / 2:
-        record.write(f"disruption: the worker on {machine} goes down")
-        away = PERIOD_S / 2
-        site.order({"crash": machine, "entry": ENTRY_S, "away": away})
-        time.sleep(PERIOD_S)
-    record.write("disruption: over, the worker stays up")
+def find_idle(journal, accepted, until):
+    """Return for how long the small job had nothing running at most."""
+    running, since, longest, done = 0, accepted, 0.0, 0
+    for row in journal["journal"]:
+        if not row[3].startswith(IDENTITY):
+            continue
+        if row[1] == "start":
+            if not running:
+                longest = max(longest, row[0] - since)
+            running += 1
+        elif row[1] == "end":
+            running -= 1
+            done += row[5] == "done"
+            since = row[0]
+    if not running and done < 16:
+        longest = max(longest, until - since)
+    return longest
 
 
-def watch(site):
-    """Return all states that the managers show until the job has ended."""
-    states = set()
-    until = time.monotonic() + WATCH_S
-    while time.monotonic() < until:
-        found = set(site.read_states(PATH))
-        states |= found
-        if found <= {"completed", "failed", "cancelled"}:
-            break
-        time.sleep(0.5)
-    return states
+def make_large():
+    """Return a scheduled job; its times overlap."""
+    return {
+        "spec": "work_ms=20000",
+        "steps": [
+            {"count": TASKS, "cpu": 8, "mem-mb": 16, "estimate-ms": 20000}
+        ],
+        "first-run-ms": int(time.time() * 1000),
+        "interval-ms": 200,
+        "repetitions": TIMES,
+    }
 
 
 if __name__ == "__main__":
