--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,7 +16,7 @@
 TIMES = 5
 # After its submission, until the small job comes.
 LEAD_S = 3.0
-# RULES.md, LOST, says 3 s. All stand-ins share one processor here, so that their
+# RULES.md, LOST, says 3 s. All stand-ins share one processor here; their
 # slowness is not judged.
 IDLE_S = 30.0
 WATCH_S = 45.0
