--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,6 +14,7 @@
 SMALL = f"/audit/{IDENTITY}"
 TASKS = 4000
 TIMES = 5
+CALL_TIMEOUT_S = 10.0
 # After its submission, until the small job comes.
 LEAD_S = 3.0
 # RULES.md, LOST, says 3 s. All stand-ins share one processor here; their
@@ -44,7 +45,9 @@
     """Submit a large job, and later a small one to another service."""
     time.sleep(2.0)
     if harness.is_troubled():
-        reply = site.managers[0].call("POST", LARGE, make_large())
+        reply = site.managers[0].call(
+            "POST", LARGE, make_large(), timeout=CALL_TIMEOUT_S
+        )
         status = reply.status if reply else "no answer"
         record.write(f"client: POST {LARGE} -> {status}")
     time.sleep(LEAD_S)
--- a/review/harness_3/harness.py
+++ b/review/harness_3/harness.py
@@ -25,6 +25,8 @@
 HELD, BROKEN, UNABLE = 0, 1, 2
 HOST_NAME = "jobs.example"
 START_TIMEOUT_S = 20.0
+# A stand-in may be busy; its answers to the script are not judged.
+STAND_IN_TIMEOUT_S = 15.0
 # Settings of the small deployment of the users' pages (DEPLOY.md).
 FIELDS = {
     "zone": "muc-a",
@@ -280,12 +282,25 @@
 
     def order(self, order):
         """Give an order to the platform's stand-in."""
-        found = call("127.0.0.1", self.port, "POST", "/-/order", order)
+        found = call(
+            "127.0.0.1",
+            self.port,
+            "POST",
+            "/-/order",
+            order,
+            STAND_IN_TIMEOUT_S,
+        )
         return None if found is None else found.body
 
     def read_journal(self):
         """Return what the workers did."""
-        return call("127.0.0.1", self.port, "GET", "/-/journal").body
+        return call(
+            "127.0.0.1",
+            self.port,
+            "GET",
+            "/-/journal",
+            timeout=STAND_IN_TIMEOUT_S,
+        ).body
 
     def list_machines(self):
         """Return the machines as the platform lists them."""
