Keep jobs under the address that their callers name

A repeated POST made a second job, DELETE was answered 410 while the tasks ran on, and the count left the job out.

Cause: records were kept under the queue's name, and pool, attempts, priority, stretch and advice were looked up under that name in the newest configuration. Ruled out: a late configuration (all managers had it in force when they answered 410), a lost record (it lay under the old name).

Change: an address (host and prefix) keeps one namespace for its records, registered in the store before a job is accepted there. The owner finds a job's queue by namespace: the one configured at its address, else the last one that was, whose settings are stored with the namespace. A job whose waiting task has failed as often as its queue now allows ends.

--- a/features/decoding.feature
+++ b/features/decoding.feature
@@ -19,6 +19,7 @@
       | a member's registration   |
       | the memory record         |
       | the published counts      |
+      | the namespaces            |
       | a caller's job            |
       | a worker's report         |
       | a worker's answer         |
--- a/features/steps/decoding_steps.py
+++ b/features/steps/decoding_steps.py
@@ -26,6 +26,7 @@
 from rackvalve.platform import machines
 from rackvalve.platform import store as stores
 from rackvalve.platform import workers
+from rackvalve.scheduling import namespaces
 
 ENTRY = {"addr": "127.0.0.1:8001", "service": "p", "state": "ready"}
 ITEM = {"key": "k", "rev": 1, "value": "e30=", "made": 1}
@@ -138,6 +139,7 @@
         {"counted": 1.0, "waiting": {}},
         lambda body: (counts._decode(body), counts.read_load(body)),
     ),
+    "the namespaces": ({"queues": []}, namespaces.decode),
     "a caller's job": (JOB, callers.read_job),
     "a worker's report": (REPORT, hold_worker),
     "a worker's answer": ({"clock-ms": 7}, call_worker),
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -39,6 +39,9 @@
     "document.rejected": "A stored document was not taken; says why.",
     "command.done": "An operator's command ended; says with what outcome.",
     "configuration.applied": "A manager took a newer configuration.",
+    "namespaces.changed": "The directory of namespaces, which hold the jobs "
+    "of one address, has changed; says which queues have other names, and "
+    "which were removed.",
     "settings.reloaded": "The settings file was read anew.",
     "settings.rejected": "The changed settings file was not taken.",
     "dependency.lost": "The store or a worker does not answer; says which.",
--- a/src/rackvalve/manager/api/calls.py
+++ b/src/rackvalve/manager/api/calls.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from rackvalve import clocks
+from rackvalve.jobs import records
 from rackvalve.manager.api import relaying
 from rackvalve.manager.api import replies
 from rackvalve.manager import timing
@@ -22,6 +23,8 @@
 
     :param method: HTTP method.
     :param queue: The queue.
+    :param namespaces: Namespaces that may hold the queue's jobs, of which the
+        first takes new ones.
     :param identity: The job's identifier, empty for the whole queue.
     :param wait: How long the request waits for the store.
     :param workspace: Name of the caller's workspace; empty for none.
@@ -29,10 +32,27 @@
 
     method: str
     queue: queues.Queue
+    namespaces: tuple[str, ...]
     identity: str
     wait: relaying.StoreWait
     workspace: str = ""
 
+    @property
+    def namespace(self) -> str:
+        """Namespace of the queue's new jobs."""
+        return self.namespaces[0]
+
+    def list_keys(self, part: records.Part) -> list[str]:
+        """Return the keys that a record of the job may have.
+
+        :param part: Which record.
+        :return: The keys, the one of a new job first.
+        """
+        return [
+            records.format_key(namespace, self.identity, part)
+            for namespace in self.namespaces
+        ]
+
     def may_see(self, workspace: str) -> bool:
         """Return whether the caller may access a job of a workspace.
 
--- a/src/rackvalve/manager/api/job_api.py
+++ b/src/rackvalve/manager/api/job_api.py
@@ -32,11 +32,13 @@
 from rackvalve.manager.api import routing
 from rackvalve.manager.api import submission
 from rackvalve.manager.api import submission_rate
+from rackvalve.manager import namespace_registry
 from rackvalve.manager.peers import relay
 from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.platform import callers
 from rackvalve.platform import store as stores
+from rackvalve.scheduling import queues
 from rackvalve import servers
 from rackvalve.serving import limits
 from rackvalve import telemetry as telemetries
@@ -69,6 +71,8 @@
         take, in bytes.
     :param write_rate: Writes per second that the store takes.
     :param keep: How long the states of jobs can be asked for, in seconds.
+    :param registry: The directory of namespaces; without it the namespace of
+        a queue is its name.
     :param forwarder: Relays requests to peers; ``None`` for none.
     """
 
@@ -84,6 +88,7 @@
         ),
         write_rate: float = math.inf,
         keep: float = _DEFAULT_KEEP_S,
+        registry: namespace_registry.NamespaceRegistry | None = None,
         forwarder: forwarding.Forwarder | None = None,
     ) -> None:
         self._store = store
@@ -111,6 +116,7 @@
         self._counter = counts.Counter(store)
         self._telemetry = telemetry
         self._is_stopping = is_stopping
+        self._registry = registry
         self._forwarder = forwarder
         self.active_requests = 0
 
@@ -332,9 +338,15 @@
         rest = call.path[len(queue.prefix) :].strip("/")
         if rest and not _JOB_IDENTITY.fullmatch(rest):
             return replies.reject("an identifier is 16 hexadecimal digits")
+        namespaces = self._find_namespaces(queue, call)
+        if not namespaces:
+            return replies.Unserved(
+                reason="the store does not tell where the queue's jobs are"
+            )
         request = calls.Request(
             method=call.method,
             queue=queue,
+            namespaces=namespaces,
             identity=rest,
             wait=call.wait,
             workspace=match.workspace.name if match.workspace else "",
@@ -348,6 +360,14 @@
             return self._count(request)
         return self._answer_job(request, call)
 
+    def _find_namespaces(
+        self, queue: queues.Queue, call: calls.Call
+    ) -> tuple[str, ...]:
+        """Return a queue's namespaces; none if the store does not answer."""
+        if self._registry is None:
+            return (queue.name,)
+        return self._registry.resolve(queue, call.wait)
+
     def _answer_job(
         self, request: calls.Request, call: calls.Call
     ) -> replies.Reply | replies.Unserved:
@@ -368,7 +388,7 @@
         self, request: calls.Request
     ) -> replies.Reply | replies.Unserved:
         found = self._counter.count(
-            request.queue.name,
+            request.namespace,
             clocks.read_wall(),
             timeout=request.wait.choose_timeout(clocks.read_steady()),
         )
--- a/src/rackvalve/manager/api/job_states.py
+++ b/src/rackvalve/manager/api/job_states.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import http
 
 import gevent
@@ -27,6 +28,18 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Stored:
+    """What is stored of a job.
+
+    :param namespace: Namespace of its records.
+    :param phase: Its phase.
+    """
+
+    namespace: str
+    phase: progress.Phase
+
+
 class JobStates:
     """Reads jobs' states from the store, and records cancellations there.
 
@@ -54,32 +67,44 @@
 
         :param request: The request.
         """
-        phase = self._read_phase(request)
-        if isinstance(phase, stores.Missing):
+        stored = self._find(request)
+        if isinstance(stored, stores.Missing):
             return _deny()
-        if not isinstance(phase, progress.Phase):
-            return phase
+        if not isinstance(stored, _Stored):
+            return stored
         return replies.Reply(
             status=http.HTTPStatus.OK,
-            body=callers.encode_state(_STATES[phase]),
+            body=callers.encode_state(_STATES[stored.phase]),
         )
 
-    def _read_phase(
+    def _find(
         self, request: calls.Request
-    ) -> progress.Phase | stores.Missing | replies.Reply | replies.Unserved:
-        """Read a job's phase; return an error reply if that fails."""
-        found = self._read(request, records.Part.PROGRESS)
+    ) -> _Stored | stores.Missing | replies.Reply | replies.Unserved:
+        """Find a job in its namespaces; return an error reply on failure."""
+        found: _Stored | stores.Missing | replies.Reply | replies.Unserved
+        found = stores.Missing()
+        for namespace in request.namespaces:
+            found = self._find_in(request, namespace)
+            if not isinstance(found, stores.Missing):
+                break
+        return found
+
+    def _find_in(
+        self, request: calls.Request, namespace: str
+    ) -> _Stored | stores.Missing | replies.Reply | replies.Unserved:
+        """Find a job in a namespace; return an error reply on failure."""
+        found = self._read(request, namespace, records.Part.PROGRESS)
         if isinstance(found, stores.Item):
             summary = records.decode_summary(found.payload)
             if not request.may_see(summary.workspace):
                 return replies.forbid()
-            return summary.phase
+            return _Stored(namespace=namespace, phase=summary.phase)
         if isinstance(found, stores.Missing):
-            found = self._read(request, records.Part.DEFINITION)
+            found = self._read(request, namespace, records.Part.DEFINITION)
         if isinstance(found, stores.Item):
             if not request.may_see(records.parse_workspace(found.payload)):
                 return replies.forbid()
-            return progress.Phase.QUEUED
+            return _Stored(namespace=namespace, phase=progress.Phase.QUEUED)
         if isinstance(found, stores.Missing):
             return found
         return replies.Unserved(
@@ -87,9 +112,9 @@
         )
 
     def _read(
-        self, request: calls.Request, part: records.Part
+        self, request: calls.Request, namespace: str, part: records.Part
     ) -> stores.Item | stores.Missing | stores.Unavailable:
-        key = records.format_key(request.queue.name, request.identity, part)
+        key = records.format_key(namespace, request.identity, part)
         while True:
             began = clocks.read_steady()
             found = self._store.read(
@@ -110,20 +135,22 @@
 
         :param request: The request.
         """
-        phase = self._read_phase(request)
-        if isinstance(phase, stores.Missing):
+        stored = self._find(request)
+        if isinstance(stored, stores.Missing):
             return self._cancel_missing(request)
-        if not isinstance(phase, progress.Phase):
-            return phase
-        if phase in progress.FINAL:
+        if not isinstance(stored, _Stored):
+            return stored
+        if stored.phase in progress.FINAL:
             return replies.Reply(status=http.HTTPStatus.OK)
-        return self._record_cancel(request)
+        return self._record_cancel(request, stored.namespace)
 
     def _record_cancel(
-        self, request: calls.Request
+        self, request: calls.Request, namespace: str
     ) -> replies.Reply | replies.Unserved:
-        """Record the cancellation of a job that is stored."""
-        key = _format_key(request, records.Part.CANCEL)
+        """Record the cancellation of a job that is stored in a namespace."""
+        key = records.format_key(
+            namespace, request.identity, records.Part.CANCEL
+        )
         reason = ""
         while not request.wait.is_over(began := clocks.read_steady()):
             outcome = self._store.commit(
@@ -150,8 +177,14 @@
         refusal = self._limit_missing(clocks.read_steady())
         if refusal is not None:
             return refusal
-        definition_key = _format_key(request, records.Part.DEFINITION)
-        key = _format_key(request, records.Part.CANCEL)
+        definitions = dict(
+            zip(
+                request.list_keys(records.Part.DEFINITION),
+                request.namespaces,
+                strict=True,
+            )
+        )
+        key = request.list_keys(records.Part.CANCEL)[0]
         # Revision of an earlier cancellation, whose lease may end sooner.
         earlier = 0
         reason = ""
@@ -159,7 +192,10 @@
             outcome = self._write_leased(
                 request,
                 [
-                    stores.Condition(key=definition_key, revision=0),
+                    *(
+                        stores.Condition(key=one, revision=0)
+                        for one in definitions
+                    ),
                     stores.Condition(key=key, revision=earlier),
                 ],
                 began,
@@ -169,9 +205,11 @@
                 return _deny()
             if isinstance(outcome, stores.Conflict):
                 request.wait.note_answer()
-                stored = outcome.items.get(definition_key)
-                if stored is not None:
-                    return self._cancel_stored(request, stored)
+                for one, namespace in definitions.items():
+                    if one in outcome.items:
+                        return self._cancel_stored(
+                            request, namespace, outcome.items[one]
+                        )
                 found = outcome.items.get(key)
                 earlier = found.revision if found is not None else 0
                 continue
@@ -199,12 +237,12 @@
         return None
 
     def _cancel_stored(
-        self, request: calls.Request, stored: stores.Item
+        self, request: calls.Request, namespace: str, stored: stores.Item
     ) -> replies.Reply | replies.Unserved:
         """Cancel a job whose definition has just been stored."""
         if not request.may_see(records.parse_workspace(stored.payload)):
             return replies.forbid()
-        return self._record_cancel(request)
+        return self._record_cancel(request, namespace)
 
     def _write_leased(
         self,
@@ -226,7 +264,7 @@
             conditions,
             [
                 stores.Put(
-                    key=_format_key(request, records.Part.CANCEL),
+                    key=request.list_keys(records.Part.CANCEL)[0],
                     payload=records.encode_cancellation(request.workspace),
                     lease=lease.identity,
                 )
@@ -238,10 +276,6 @@
         return outcome
 
 
-def _format_key(request: calls.Request, part: records.Part) -> str:
-    return records.format_key(request.queue.name, request.identity, part)
-
-
 def _log_recorded(
     request: calls.Request,
     outcome: stores.Committed | stores.Conflict,
--- a/src/rackvalve/manager/api/submission.py
+++ b/src/rackvalve/manager/api/submission.py
@@ -108,9 +108,6 @@
     def _store_job(
         self, request: calls.Request, job: definition.Job, *, is_ahead: bool
     ) -> replies.Reply | replies.Unserved:
-        key = records.format_key(
-            request.queue.name, request.identity, records.Part.DEFINITION
-        )
         payload = records.encode_definition(
             job, clocks.read_wall(), request.workspace
         )
@@ -118,32 +115,35 @@
             request, weights.weigh(job, len(payload)), is_ahead=is_ahead
         )
         if refusal is not None:
-            return self._refuse_new(request, key, refusal)
-        return self._write_definition(request, key, payload)
+            return self._refuse_new(request, refusal)
+        return self._write_definition(request, payload)
 
     def _write_definition(
-        self, request: calls.Request, key: str, payload: bytes
+        self, request: calls.Request, payload: bytes
     ) -> replies.Reply | replies.Unserved:
         """Write a job's definition where neither it nor its cancel is stored.
 
         A job that was cancelled before is stored with its cancellation, which
         then lasts as long as the job's other records.
         """
-        cancel_key = records.format_key(
-            request.queue.name, request.identity, records.Part.CANCEL
-        )
-        cancelled = 0
+        keys = request.list_keys(records.Part.DEFINITION)
+        # Revisions of the cancellations that are stored; 0 for none.
+        cancels = dict.fromkeys(request.list_keys(records.Part.CANCEL), 0)
+        cancel_key = next(iter(cancels))
         uncertain = False
         reason = ""
         while not request.wait.is_over(began := clocks.read_steady()):
-            puts = [stores.Put(key=key, payload=payload)]
-            if cancelled:
+            puts = [stores.Put(key=keys[0], payload=payload)]
+            if any(cancels.values()):
                 cancel = records.encode_cancellation()
                 puts.append(stores.Put(key=cancel_key, payload=cancel))
             outcome = self._store.commit(
                 [
-                    stores.Condition(key=key, revision=0),
-                    stores.Condition(key=cancel_key, revision=cancelled),
+                    stores.Condition(key=key, revision=revision)
+                    for key, revision in [
+                        *dict.fromkeys(keys, 0).items(),
+                        *cancels.items(),
+                    ]
                 ],
                 puts,
                 timeout=request.wait.choose_timeout(began),
@@ -151,16 +151,16 @@
             if isinstance(outcome, stores.Committed):
                 return self._confirm_accepted(request, outcome.revision)
             if isinstance(outcome, stores.Conflict):
-                found = outcome.items.get(key)
-                cancel_item = outcome.items.get(cancel_key)
-                for item in (found, cancel_item):
-                    if item is not None and not request.may_see(
-                        records.parse_workspace(item.payload)
-                    ):
-                        return replies.forbid()
-                if found is not None:
-                    return self._confirm_accepted(request, found.revision)
-                cancelled = cancel_item.revision if cancel_item else 0
+                found = outcome.items
+                if not _may_see_all(request, found):
+                    return replies.forbid()
+                for key in keys:
+                    if key in found:
+                        return self._confirm_accepted(
+                            request, found[key].revision
+                        )
+                for key in cancels:
+                    cancels[key] = found[key].revision if key in found else 0
                 request.wait.note_answer()
                 continue
             if isinstance(outcome, stores.Unknown):
@@ -188,7 +188,7 @@
         assert configuration is not None
         self._update_load(request, weight)
         excess = self._capacity.find_excess(
-            request.queue.name, weight, len(configuration.queues)
+            request.namespace, weight, len(configuration.queues)
         )
         if excess:
             self._telemetry.jobs_refused.labels("memory").inc()
@@ -199,7 +199,7 @@
                 status=http.HTTPStatus.TOO_MANY_REQUESTS,
                 reason="more jobs are submitted here than the store takes",
             )
-        self._capacity.note_accepted(request.queue.name, weight)
+        self._capacity.note_accepted(request.namespace, weight)
         return None
 
     def _update_load(self, request: calls.Request, weight: int) -> None:
@@ -222,22 +222,22 @@
                 self._capacity.note_load(load, clocks.read_steady())
 
     def _refuse_new(
-        self, request: calls.Request, key: str, refusal: replies.Reply
+        self, request: calls.Request, refusal: replies.Reply
     ) -> replies.Reply | replies.Unserved:
         """Refuse a job, unless it was accepted at an earlier attempt.
 
         :param request: The request.
-        :param key: Key of the job's definition.
         :param refusal: The refusal.
         """
-        found = self._store.read(
-            key, timeout=request.wait.choose_timeout(clocks.read_steady())
-        )
-        if not isinstance(found, stores.Item):
-            return refusal
-        if not request.may_see(records.parse_workspace(found.payload)):
-            return replies.forbid()
-        return self._confirm_accepted(request, found.revision)
+        for key in request.list_keys(records.Part.DEFINITION):
+            found = self._store.read(
+                key, timeout=request.wait.choose_timeout(clocks.read_steady())
+            )
+            if isinstance(found, stores.Item):
+                if not _may_see_all(request, {key: found}):
+                    return replies.forbid()
+                return self._confirm_accepted(request, found.revision)
+        return refusal
 
     def _confirm_accepted(
         self, request: calls.Request, revision: int
@@ -251,3 +251,13 @@
             version=self._view.version,
         )
         return replies.Reply(status=http.HTTPStatus.OK)
+
+
+def _may_see_all(
+    request: calls.Request, items: dict[str, stores.Item]
+) -> bool:
+    """Return whether the caller may access the jobs of records."""
+    return all(
+        request.may_see(records.parse_workspace(item.payload))
+        for item in items.values()
+    )
--- /dev/null
+++ b/src/rackvalve/manager/namespace_registry.py
@@ -0,0 +1,222 @@
+"""The stored directory of namespaces, as this process knows it.
+
+An address has its namespace in the store before a job is stored under it.  All
+managers add entries, on the condition that the directory is the one that they
+know; the owner also keeps the settings of the queues up to date.
+"""
+
+from __future__ import annotations
+
+import gevent
+from gevent import lock
+
+from rackvalve import clocks
+from rackvalve import errors
+from rackvalve import logs
+from rackvalve.manager.api import relaying
+from rackvalve.manager import timing
+from rackvalve.manager import view as views
+from rackvalve.platform import store as stores
+from rackvalve.scheduling import namespaces
+from rackvalve.scheduling import queues
+
+DIRECTORY_KEY = "namespaces"
+# Time for which a copy of the directory is used, in seconds.  It is below the
+# time for which the namespace of a removed queue is kept.
+MAX_COPY_AGE_S = namespaces.KEEP_REMOVED_S / 3
+
+
+class NamespaceRegistry:
+    """Finds the namespaces of queues, and registers those of new ones.
+
+    :param store: The store.
+    :param view: The operator's documents as this process knows them.
+    """
+
+    __slots__ = (
+        "_store",
+        "_view",
+        "_copy",
+        "_is_readable",
+        "_revision",
+        "_read_at",
+        "_turn",
+    )
+
+    def __init__(self, store: stores.Store, view: views.View) -> None:
+        self._store = store
+        self._view = view
+        self._copy = namespaces.EMPTY
+        # Whether the stored directory decodes.  If not, it is left as it is,
+        # and the queues' names are the namespaces.
+        self._is_readable = True
+        # Store revision of the copy, and when it was read, in seconds.
+        self._revision = 0
+        self._read_at = float("-inf")
+        # One greenlet at a time reads or writes the directory.
+        self._turn = lock.BoundedSemaphore()
+
+    @property
+    def directory(self) -> namespaces.Directory:
+        """The directory as it was last read or written."""
+        return self._copy
+
+    @property
+    def is_readable(self) -> bool:
+        """Whether the stored directory decodes; if not, it is left alone."""
+        return self._is_readable
+
+    def resolve(
+        self, queue: queues.Queue, wait: relaying.StoreWait
+    ) -> tuple[str, ...]:
+        """Return the namespaces that may hold jobs of a queue's address.
+
+        :param queue: The queue.
+        :param wait: How long to wait for the store.
+        :return: The namespaces, of which the first takes new jobs; none if the
+            store does not answer.
+        """
+        while not (found := self._find_recent(queue)):
+            if wait.is_over(clocks.read_steady()):
+                return ()
+            with self._turn:
+                began = clocks.read_steady()
+                timeout = wait.choose_timeout(began)
+                if found := self._find_recent(queue):
+                    return found
+                if self._is_stale(began):
+                    answered = self._read(timeout)
+                else:
+                    answered = self._add(queue, timeout)
+            if answered:
+                wait.note_answer()
+            else:
+                wait.note_failure(began)
+                gevent.sleep(timing.STORE_RETRY_DELAY_S)
+        return found
+
+    def load(self) -> namespaces.Directory:
+        """Read the directory, until the store answers; return it."""
+        while not self.refresh():
+            gevent.sleep(timing.STORE_RETRY_DELAY_S)
+        return self._copy
+
+    def refresh(self) -> bool:
+        """Read the directory; return whether the store has answered."""
+        with self._turn:
+            return self._read(None)
+
+    def write(
+        self,
+        directory: namespaces.Directory,
+        ownership: stores.Condition | None = None,
+    ) -> bool:
+        """Write the directory if the store still has the one known here.
+
+        :param directory: The directory.
+        :param ownership: The condition that this process is the owner;
+            ``None`` for additions, which any manager makes.
+        :return: Whether the store has answered; after a conflict the copy is
+            the directory that it has.
+        """
+        with self._turn:
+            return self._commit(directory, ownership, None)
+
+    def _find_recent(self, queue: queues.Queue) -> tuple[str, ...]:
+        if self._is_stale(clocks.read_steady()):
+            return ()
+        if not self._is_readable:
+            return (queue.name,)
+        return self._copy.list_namespaces(queue)
+
+    def _is_stale(self, now: float) -> bool:
+        return now - self._read_at > MAX_COPY_AGE_S
+
+    def _read(self, timeout: float | None) -> bool:
+        """Read the directory; return whether the store has answered."""
+        began = clocks.read_steady()
+        found = self._store.read(DIRECTORY_KEY, timeout=timeout)
+        if isinstance(found, stores.Unavailable):
+            return False
+        self._note(found if isinstance(found, stores.Item) else None, began)
+        return True
+
+    def _add(self, queue: queues.Queue, timeout: float | None) -> bool:
+        """Add the entries that are missing; return whether it was answered."""
+        configuration = self._view.configuration
+        configured = configuration.queues if configuration else ()
+        wanted = namespaces.extend(self._copy, (queue, *configured))
+        return self._commit(wanted, None, timeout)
+
+    def _commit(
+        self,
+        directory: namespaces.Directory,
+        ownership: stores.Condition | None,
+        timeout: float | None,
+    ) -> bool:
+        if not self._is_readable:
+            return True
+        began = clocks.read_steady()
+        payload = namespaces.encode(directory)
+        conditions = [
+            stores.Condition(key=DIRECTORY_KEY, revision=self._revision)
+        ]
+        if ownership is not None:
+            conditions.append(ownership)
+        outcome = self._store.commit(
+            conditions,
+            [stores.Put(key=DIRECTORY_KEY, payload=payload)],
+            timeout=timeout,
+        )
+        if isinstance(outcome, stores.Committed):
+            self._set(directory, outcome.revision, began)
+            return True
+        if isinstance(outcome, stores.Conflict):
+            self._note(outcome.items.get(DIRECTORY_KEY), began)
+            return True
+        logs.write_warning(
+            "store.failed",
+            call="namespaces",
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        return False
+
+    def _note(self, item: stores.Item | None, began: float) -> None:
+        """Take the directory that the store has."""
+        self._is_readable = True
+        if item is None:
+            self._set(namespaces.EMPTY, 0, began)
+            return
+        try:
+            directory = namespaces.decode(item.payload)
+        except errors.DocumentInvalidError as error:
+            logs.write_warning(
+                "document.rejected", key=item.key, reason=error.reason
+            )
+            self._is_readable = False
+            directory = namespaces.EMPTY
+        self._set(directory, item.revision, began)
+
+    def _set(
+        self, directory: namespaces.Directory, revision: int, began: float
+    ) -> None:
+        if directory != self._copy:
+            logs.write_event(
+                "namespaces.changed",
+                namespaces=len(directory.entries),
+                renamed=sorted(
+                    f"{entry.namespace}: {entry.queue.name}"
+                    for entry in directory.entries.values()
+                    if entry.namespace != entry.queue.name
+                ),
+                removed=sorted(
+                    entry.namespace
+                    for entry in directory.entries.values()
+                    if entry.removed_at
+                ),
+                revision=revision,
+            )
+        self._copy = directory
+        self._revision = revision
+        self._read_at = began
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -21,6 +21,7 @@
 from rackvalve.manager.owner import admission
 from rackvalve.manager.owner import intake as intakes
 from rackvalve.manager.owner import loader as loaders
+from rackvalve.manager.owner import queue_directory as queue_directories
 from rackvalve.manager.owner import recorder as recorders
 from rackvalve.manager.owner import reporter as reporters
 from rackvalve.manager.owner import resources as owner_resources
@@ -31,6 +32,7 @@
 from rackvalve.manager import watcher as watchers
 from rackvalve.platform import documents
 from rackvalve.platform import store as stores
+from rackvalve.scheduling import attempts
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import fencing_tokens
 from rackvalve.scheduling import messages
@@ -106,13 +108,17 @@
         self._registry = worker_registries.WorkerRegistry(
             self, self._cluster, on_change=self._plan_wanted.set
         )
-        # Reads the records; set by _run, since only then a replica is taken.
+        # Set by _run, since only then a replica is taken.
         self._loader: loaders.Loader
         # Watches the jobs that callers submit and cancel; set by _load.
         self._job_watcher: watchers.Watcher
+        ownership = stores.Condition(key=election.TERM_KEY, revision=fence)
+        self._queue_directory = queue_directories.QueueDirectory(
+            self._cluster, resources.namespaces, ownership, spawn=self._spawn
+        )
         self._writer = writers.Writer(
             resources.store,
-            stores.Condition(key=election.TERM_KEY, revision=fence),
+            ownership,
             on_deposed=self.depose,
             on_contact=self._note_commit,
             spawn=self._spawn,
@@ -353,6 +359,7 @@
         for watcher in watches:
             self._spawn(watcher.run)
         self._spawn(self._writer.run)
+        self._spawn(self._queue_directory.run)
         self._spawn(controller.run)
         self._spawn(
             admission.Admission(
@@ -370,6 +377,7 @@
         :return: The watchers that follow later changes.
         """
         began = clocks.read_steady()
+        self._queue_directory.load(clocks.read_wall())
         # Progress is read before the definitions: between the two reads a
         # definition may be added, but no progress, as only this owner
         # writes that.
@@ -389,13 +397,8 @@
         self._loader.load_watcher(self._job_watcher, records.PREFIX)
         self._loader.load_watcher(worker_watcher, documents.WORKER_PREFIX)
         self._loader.log_copied()
-        logs.write_event(
-            "owner.loaded",
-            fence=self.fence,
-            jobs=len(self._cluster.jobs),
-            workers=len(self._cluster.workers),
-            seconds=round(clocks.read_steady() - began, 3),
-        )
+        attempts.fail_all_exhausted(self._cluster, clocks.read_wall())
+        self._reporter.log_load(self.fence, clocks.read_steady() - began)
         return [self._job_watcher, worker_watcher]
 
     def _watch(
@@ -467,11 +470,10 @@
             self._send_orders()
 
     def _check(self, now: float) -> None:
-        configuration = self._resources.view.configuration
-        if configuration is not None:
-            if configuration.version != self._cluster.configuration.version:
-                self._cluster.set_configuration(configuration)
         wall = clocks.read_wall()
+        self._queue_directory.follow(
+            self._resources.view.configuration, now, wall
+        )
         for release in self._planner.stop_and_release(now, wall):
             self._reporter.log_release(release)
         self._reporter.log_crashes(now)
--- a/src/rackvalve/manager/owner/reporter.py
+++ b/src/rackvalve/manager/owner/reporter.py
@@ -185,6 +185,20 @@
                 version=self._cluster.configuration.version,
             )
 
+    def log_load(self, fence: int, seconds: float) -> None:
+        """Log that the owner has read all records.
+
+        :param fence: The owner's fencing token.
+        :param seconds: How long that took, in seconds.
+        """
+        logs.write_event(
+            "owner.loaded",
+            fence=fence,
+            jobs=len(self._cluster.jobs),
+            workers=len(self._cluster.workers),
+            seconds=round(seconds, 3),
+        )
+
     def log_begun(self) -> None:
         """Log the jobs that have begun since the last call."""
         now = clocks.read_steady()
--- a/src/rackvalve/manager/owner/resources.py
+++ b/src/rackvalve/manager/owner/resources.py
@@ -7,6 +7,7 @@
 
 from rackvalve.jobs import weights
 from rackvalve.manager.election import failures as failure_histories
+from rackvalve.manager import namespace_registry
 from rackvalve.manager.standby import replica as replicas
 from rackvalve.manager import view as views
 from rackvalve.platform import advisers
@@ -26,6 +27,7 @@
     :param machines: The platform's interface to its VMs.
     :param adviser: The admission service; ``None`` without one.
     :param view: The operator's configuration and orders.
+    :param namespaces: The stored directory of namespaces.
     :param telemetry: Metrics.
     :param on_contact: Called at each answer of the store.
     :param take_replica: Returns the replica of the owner's records that this
@@ -39,6 +41,7 @@
     machines: machine_clients.Machines
     adviser: advisers.Adviser | None
     view: views.View
+    namespaces: namespace_registry.NamespaceRegistry
     telemetry: telemetries.Telemetry
     on_contact: Callable[[], None]
     get_job_bytes: Callable[[], int] = lambda: DEFAULT_JOB_BYTES
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -24,6 +24,7 @@
 from rackvalve.manager import features as feature_switches
 from rackvalve.manager import listeners
 from rackvalve.manager import memory_record
+from rackvalve.manager import namespace_registry
 from rackvalve.manager.owner import owner as owners
 from rackvalve.manager.owner import resources as owner_resources
 from rackvalve.manager.peers import membership as memberships
@@ -99,6 +100,9 @@
         self._adviser = self._make_adviser()
         self._view = views.View()
         self._measure_view()
+        self._namespaces = namespace_registry.NamespaceRegistry(
+            self._store, self._view
+        )
         self._listeners = listeners.Listeners(
             settings, self._view, self._telemetry, self._connection_reporter
         )
@@ -116,6 +120,7 @@
             get_job_bytes=self._get_job_bytes,
             write_rate=settings.get("manager", "store_writes", float),
             keep=settings.get("manager", "keep_time", float),
+            registry=self._namespaces,
             forwarder=self._make_forwarder(),
         )
         self._failures = failures.FailureHistory()
@@ -320,6 +325,7 @@
             machines=self._machines,
             adviser=self._adviser,
             view=self._view,
+            namespaces=self._namespaces,
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
             take_replica=self._take_replica,
--- a/src/rackvalve/scheduling/cluster.py
+++ b/src/rackvalve/scheduling/cluster.py
@@ -20,6 +20,7 @@
 from rackvalve.scheduling import gangs
 from rackvalve.scheduling import index
 from rackvalve.scheduling import messages
+from rackvalve.scheduling import namespaces
 from rackvalve.scheduling import policy as policies
 from rackvalve.scheduling import queues
 from rackvalve.scheduling import speeds
@@ -82,7 +83,8 @@
         # Halls of the platform's VMs; ``None`` until they were listed.
         self.halls: frozenset[str] | None = None
         self.closures = closures.Closures()
-        self.queues = {queue.name: queue for queue in configuration.queues}
+        # By namespace: of all that jobs may belong to.
+        self.queues = namespaces.list_queues(namespaces.EMPTY, configuration)
         self.jobs: dict[str, progress.JobState] = {}
         # Jobs not ended; ended ones, kept for callers, must not slow planning.
         self.open_jobs: dict[str, progress.JobState] = {}
@@ -107,13 +109,19 @@
         self.crash_history = crash_history.CrashHistory()
         self._rates = rates.Rates()
 
-    def set_configuration(self, configuration: queues.Configuration) -> None:
+    def set_configuration(
+        self,
+        configuration: queues.Configuration,
+        directory: namespaces.Directory = namespaces.EMPTY,
+    ) -> None:
         """Replace the configuration.
 
         :param configuration: The configuration.
+        :param directory: The namespaces of its queues, and of those that were
+            removed.
         """
         self.configuration = configuration
-        self.queues = {queue.name: queue for queue in configuration.queues}
+        self.queues = namespaces.list_queues(directory, configuration)
 
     def set_evacuated(self, halls: frozenset[str]) -> None:
         """Set the halls on whose workers no run is started.
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -6,6 +6,7 @@
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
+from rackvalve.scheduling import attempts
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import crashes
 from rackvalve.scheduling import job_starts
@@ -176,7 +177,7 @@
             task.unreported_runs -= {row.run}
             task.failures += row.ending is messages.Ending.FAILED
             self._cluster.mark_changed(state)
-            self._fail_if_exhausted(state, task, wall)
+            attempts.fail_if_exhausted(self._cluster, state, task, wall)
 
     def _apply_success(
         self,
@@ -243,24 +244,7 @@
             self._note_failure(worker, placed, now)
         self._cluster.release(placed, now, delay=delay)
         if ending is messages.Ending.FAILED:
-            self._fail_if_exhausted(state, task, wall)
-
-    def _fail_if_exhausted(
-        self, state: progress.JobState, task: progress.Task, wall: float
-    ) -> None:
-        """Fail a job one of whose tasks has used all its attempts."""
-        queue = self._cluster.queues.get(state.queue)
-        limit = queue.attempts if queue is not None else 0
-        is_lasting = state.step_of(task.name).lasting
-        if is_lasting or task.done or state.is_final or not limit:
-            return
-        if task.failures >= limit:
-            self._cluster.finish_job(
-                state,
-                progress.Phase.FAILED,
-                wall,
-                f"task {task.name} failed {task.failures} times",
-            )
+            attempts.fail_if_exhausted(self._cluster, state, task, wall)
 
     def _note_success(
         self,
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -31,6 +31,7 @@
 from rackvalve.platform import reports
 from rackvalve.requests import job as jobs
 from rackvalve.requests import keys
+from rackvalve.scheduling import namespaces
 from rackvalve.settings import reader
 from rackvalve.workspaces import credentials
 
@@ -154,6 +155,7 @@
     "wave": documents.read_wave,
     "job's definition": read_definition,
     "job's progress": read_progress,
+    "namespaces": namespaces.decode,
     "worker's report": read_report,
     "log": lambda data: events.read_lines(
         data.decode("utf-8", "replace").splitlines()
--- a/tools/site.py
+++ b/tools/site.py
@@ -110,18 +110,19 @@
         if self.platform is not None and self.platform.popen is not None:
             self.platform.kill()
 
-    def configure(self, queues=None):
+    def configure(self, queues=None, prefixes=None):
         """Write the operator's configuration.
 
         :param queues: Pool by queue.
         :return: The version, once the store has acknowledged it.
         """
         queues = self.queues if queues is None else queues
+        prefixes = prefixes or {}
         routes = [
             {
                 "name": name,
                 "host": "jobs.example",
-                "path-prefix": f"/{name}/",
+                "path-prefix": prefixes.get(name, f"/{name}/"),
                 "service": pool,
                 "priority": 0,
                 "max-attempts": 3,
