End a job whose record the store refuses, and hold up no others

Cause: the store's 400 was one outcome with its outages, so the owner sent the same commit for good; no run beside it could be recorded, and a later owner met the same record. Ruled out: a store that is out (it answered all other calls) and a lack of capacity (the other pool's workers were empty).

Change: a refusal is an outcome of its own. A refused commit is sent in halves until the record is found; the others are written. A single record that is refused three times is given up: its job ends as failed, and its end is recorded without its tasks. The refusal is logged (record.refused) and counted (rackvalve_records_refused_total). A job whose definition is larger than the store's values (new setting store_value) is answered 413 before it is written. The stand-in for the store has its limits on keys, values and pages.

Related paths looked at: counts, waves and moves are written by the same writer and are given up in the same way; cancels, leases, members, the memory record, the namespaces and the election send small values of bounded size.

--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -261,6 +261,22 @@
     )
 
 
+def encode_outline(state: progress.JobState) -> bytes:
+    """Encode a job's progress without its tasks.
+
+    :param state: The job, which has ended.
+    """
+    return msgspec.json.encode(
+        _Progress(
+            phase=state.phase,
+            next_run=state.next_run,
+            finished=state.finished,
+            reason=state.reason,
+            workspace=state.workspace,
+        )
+    )
+
+
 def encode_cancellation(workspace: str = "") -> bytes:
     """Encode a cancellation.
 
--- a/src/rackvalve/manager/api/job_api.py
+++ b/src/rackvalve/manager/api/job_api.py
@@ -70,6 +70,7 @@
     :param get_job_bytes: Returns how much memory the jobs of any owner may
         take, in bytes.
     :param write_rate: Writes per second that the store takes.
+    :param value_limit: Largest value that the store keeps, in bytes.
     :param keep: How long the states of jobs can be asked for, in seconds.
     :param registry: The directory of namespaces; without it the namespace of
         a queue is its name.
@@ -87,6 +88,7 @@
             lambda: weights.share_memory(limits.DEFAULT_MEMORY)
         ),
         write_rate: float = math.inf,
+        value_limit: int = stores.VALUE_BYTES,
         keep: float = _DEFAULT_KEEP_S,
         registry: namespace_registry.NamespaceRegistry | None = None,
         forwarder: forwarding.Forwarder | None = None,
@@ -105,6 +107,7 @@
             job_capacity.JobCapacity(get_job_bytes),
             rate,
             is_stopping=is_stopping,
+            value_limit=value_limit,
         )
         self._states = job_states.JobStates(
             store,
--- a/src/rackvalve/manager/api/job_states.py
+++ b/src/rackvalve/manager/api/job_states.py
@@ -253,6 +253,7 @@
         stores.Committed
         | stores.Conflict
         | stores.LeaseOver
+        | stores.Refused
         | stores.Unavailable
         | stores.Unknown
     ):
--- a/src/rackvalve/manager/api/submission.py
+++ b/src/rackvalve/manager/api/submission.py
@@ -36,6 +36,7 @@
     :param capacity: What is known of the owner's memory.
     :param rate: Limits the writes of jobs.
     :param is_stopping: Returns whether this process is shutting down.
+    :param value_limit: Largest value that the store keeps, in bytes.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "_capacity",
         "_rate",
         "_is_stopping",
+        "_value_limit",
         "_decode_turn",
         "_load_turn",
     )
@@ -58,6 +60,7 @@
         rate: submission_rate.SubmissionRate,
         *,
         is_stopping: Callable[[], bool],
+        value_limit: int = stores.VALUE_BYTES,
     ) -> None:
         self._store = store
         self._view = view
@@ -65,6 +68,7 @@
         self._capacity = capacity
         self._rate = rate
         self._is_stopping = is_stopping
+        self._value_limit = value_limit
         # One greenlet at a time reads what the owner holds.
         self._load_turn = lock.BoundedSemaphore()
         # Long bodies are decoded one after the other, and other greenlets run
@@ -111,6 +115,12 @@
         payload = records.encode_definition(
             job, clocks.read_wall(), request.workspace
         )
+        if len(payload) > self._value_limit:
+            return replies.Reply(
+                status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                reason=f"the job's definition has {len(payload)} bytes, and "
+                f"the store keeps {self._value_limit}; submit several jobs",
+            )
         refusal = self._limit(
             request, weights.weigh(job, len(payload)), is_ahead=is_ahead
         )
--- a/src/rackvalve/manager/owner/backlog.py
+++ b/src/rackvalve/manager/owner/backlog.py
@@ -25,10 +25,13 @@
 
     :param payload: The value; ``None`` to remove the key.
     :param written: Called once the record is in the store.
+    :param refused: Called if the store refuses the record for its content,
+        which is given up then.
     """
 
     payload: bytes | None
     written: Callable[[], None] | None = None
+    refused: Callable[[], None] | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -175,6 +178,25 @@
         self._keys_in_flight.update(writes)
         return batch
 
+    def split(self, batch: Batch) -> list[Batch]:
+        """Replace a commit's writes with those of two smaller commits.
+
+        :param batch: The writes, of which there are several.
+        """
+        del self._batches[batch.number]
+        keys = list(batch.writes)
+        middle = len(keys) // 2
+        halves = []
+        for part in (keys[:middle], keys[middle:]):
+            self._commit_count += 1
+            half = Batch(
+                number=self._commit_count,
+                writes={key: batch.writes[key] for key in part},
+            )
+            self._batches[half.number] = half
+            halves.append(half)
+        return halves
+
     def complete_batch(self, batch: Batch, now: float) -> None:
         """Mark a commit's writes as durable.
 
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -108,9 +108,8 @@
         self._registry = worker_registries.WorkerRegistry(
             self, self._cluster, on_change=self._plan_wanted.set
         )
-        # Set by _run, since only then a replica is taken.
+        # Set by _run and _load.
         self._loader: loaders.Loader
-        # Watches the jobs that callers submit and cancel; set by _load.
         self._job_watcher: watchers.Watcher
         ownership = stores.Condition(key=election.TERM_KEY, revision=fence)
         self._queue_directory = queue_directories.QueueDirectory(
@@ -121,6 +120,7 @@
             ownership,
             on_deposed=self.depose,
             on_contact=self._note_commit,
+            on_refused=self._reporter.log_refused,
             spawn=self._spawn,
         )
         self._recorder = recorders.Recorder(
@@ -471,9 +471,8 @@
 
     def _check(self, now: float) -> None:
         wall = clocks.read_wall()
-        self._queue_directory.follow(
-            self._resources.view.configuration, now, wall
-        )
+        configuration = self._resources.view.configuration
+        self._queue_directory.follow(configuration, now, wall)
         for release in self._planner.stop_and_release(now, wall):
             self._reporter.log_release(release)
         self._reporter.log_crashes(now)
--- a/src/rackvalve/manager/owner/recorder.py
+++ b/src/rackvalve/manager/owner/recorder.py
@@ -57,6 +57,8 @@
         # Jobs whose end is logged; their records may be written again for runs
         # that end later.
         self._end_logged: set[str] = set()
+        # Jobs whose records the store has refused.
+        self._refused: set[str] = set()
         # Jobs that are being removed, and those whose definitions are already
         # removed from the store.
         self._removing: set[str] = set()
@@ -67,15 +69,18 @@
         for identity, urgent in list(self._cluster.changed.items()):
             state = self._cluster.jobs.get(identity)
             if state is not None:
-                self._writer.enqueue(
-                    records.format_key(
-                        state.queue, identity, records.Part.PROGRESS
-                    ),
-                    functools.partial(self._make_record, state),
-                    urgent=urgent,
-                )
+                self._enqueue(state, urgent=urgent)
         self._cluster.changed.clear()
 
+    def _enqueue(self, state: progress.JobState, *, urgent: bool) -> None:
+        self._writer.enqueue(
+            records.format_key(
+                state.queue, state.identity, records.Part.PROGRESS
+            ),
+            functools.partial(self._make_record, state),
+            urgent=urgent,
+        )
+
     def publish_waiting(self, now: float, wall: float, seen: float) -> None:
         """Write the number of waiting jobs of each queue, with its time.
 
@@ -152,6 +157,7 @@
             if state is not None:
                 self._cluster.crash_history.crashing_jobs.forget(state)
             self._end_logged.discard(identity)
+            self._refused.discard(identity)
             self._removing.discard(identity)
         self._removed.clear()
 
@@ -175,13 +181,36 @@
 
     def _make_record(self, state: progress.JobState) -> backlogs.Record:
         planned = state.list_planned()
+        if state.identity in self._refused:
+            payload = records.encode_outline(state)
+        else:
+            payload = records.encode_progress(state)
         return backlogs.Record(
-            payload=records.encode_progress(state),
+            payload=payload,
             written=functools.partial(
                 self._handle_written, state, planned, state.phase
             ),
+            refused=functools.partial(self._handle_refused, state),
         )
 
+    def _handle_refused(self, state: progress.JobState) -> None:
+        """End a job whose record can't be stored, and record its end alone.
+
+        None of its runs could be recorded before it is ordered.
+        """
+        if state.identity in self._refused:
+            return
+        self._refused.add(state.identity)
+        if not state.is_final:
+            self._cluster.finish_job(
+                state,
+                progress.Phase.FAILED,
+                clocks.read_wall(),
+                "the store refuses its record",
+            )
+        self._enqueue(state, urgent=True)
+        self._on_recorded()
+
     def _handle_written(
         self,
         state: progress.JobState,
--- a/src/rackvalve/manager/owner/reporter.py
+++ b/src/rackvalve/manager/owner/reporter.py
@@ -199,6 +199,15 @@
             seconds=round(seconds, 3),
         )
 
+    def log_refused(self, key: str, size: int) -> None:
+        """Log and count a record that the store refuses for its content.
+
+        :param key: The record's key.
+        :param size: Size of its value, in bytes.
+        """
+        self._telemetry.records_refused.inc()
+        logs.write_warning("record.refused", key=key, size=size)
+
     def log_begun(self) -> None:
         """Log the jobs that have begun since the last call."""
         now = clocks.read_steady()
--- a/src/rackvalve/manager/owner/writer.py
+++ b/src/rackvalve/manager/owner/writer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import enum
 import functools
 
 import gevent
@@ -22,6 +23,7 @@
     stores.Committed
     | stores.Conflict
     | stores.LeaseOver
+    | stores.Refused
     | stores.Unavailable
     | stores.Unknown
 )
@@ -29,6 +31,17 @@
 # Bounds the exponent of an attempt's timeout: an outage may cause any number
 # of attempts, and the timeout reaches its maximum long before.
 _MAX_DOUBLINGS = 10
+# Times that the store refuses a single record until the record is given up.
+_MAX_REFUSALS = 3
+
+
+class Result(enum.Enum):
+    """What became of a commit."""
+
+    WRITTEN = "written"
+    REFUSED = "refused"
+    # Another process is the owner.
+    DEPOSED = "deposed"
 
 
 class Writer:
@@ -39,6 +52,8 @@
     :param on_deposed: Called with the reason when another owner is found.
     :param on_contact: Called at each answer of the store, with the time at
         which its call was sent, in seconds.
+    :param on_refused: Called for each record that the store refuses for its
+        content, with its key and its size in bytes.
     :param spawn: Runs a function in a greenlet that ends with the owner.
     """
 
@@ -50,12 +65,14 @@
         on_deposed: Callable[[str], None],
         on_contact: Callable[[float], None],
         spawn: Callable[[Callable[[], None]], None],
+        on_refused: Callable[[str, int], None] = lambda *_: None,
     ) -> None:
         self._store = store
         self._ownership = ownership
         self._on_deposed = on_deposed
         self._on_contact = on_contact
         self._spawn = spawn
+        self._on_refused = on_refused
         self._backlog = backlogs.Backlog()
         self._revisions = commits.Revisions()
         # Set and cleared at once after each commit, to wake those who wait.
@@ -133,38 +150,60 @@
     ) -> None:
         payloads = {key: record.payload for key, record in records.items()}
         commit = commits.Commit(self._ownership, payloads, self._revisions)
-        if not self._commit(commit):
+        result = self._commit(commit)
+        if result is Result.DEPOSED:
+            return
+        if result is Result.REFUSED and len(records) > 1:
+            self._write_halves(batch, records)
             return
         self._backlog.complete_batch(batch, clocks.read_steady())
         self._committed.set()
         self._committed.clear()
         self._changed.set()
-        for record in records.values():
-            if record.written is not None:
-                record.written()
+        for key, record in records.items():
+            if result is Result.REFUSED:
+                self._on_refused(key, len(record.payload or b""))
+            notify = (
+                record.written if result is Result.WRITTEN else record.refused
+            )
+            if notify is not None:
+                notify()
+
+    def _write_halves(
+        self, batch: backlogs.Batch, records: dict[str, backlogs.Record]
+    ) -> None:
+        """Send a refused commit in two, to find the record that is refused."""
+        for half in self._backlog.split(batch):
+            own = {key: records[key] for key in half.writes}
+            self._spawn(functools.partial(self._write, half, own))
 
-    def _commit(self, commit: commits.Commit) -> bool:
-        """Send a commit, with retries, until it is known to be in the store.
+    def _commit(self, commit: commits.Commit) -> Result:
+        """Send a commit, with retries, until the store takes or refuses it.
 
-        :return: Whether it is; if not, another process is the owner.
+        A single record is refused only after several attempts, so that one
+        odd answer ends no job.
         """
-        attempts = 0
+        attempts = refusals = 0
         while True:
             began = clocks.read_steady()
             outcome = self._attempt(commit, attempts)
             attempts += 1
             if isinstance(outcome, stores.Committed):
                 commit.record_committed(outcome.revision)
-                return True
+                return Result.WRITTEN
             if isinstance(outcome, stores.Conflict):
                 result = commit.resolve_conflict(outcome)
                 if result is commits.ConflictOutcome.DEPOSED:
                     self._on_deposed("a record has another owner's revision")
-                    return False
+                    return Result.DEPOSED
                 if result is commits.ConflictOutcome.WRITTEN:
-                    return True
+                    return Result.WRITTEN
                 continue
             self._log_failure(commit, outcome)
+            if isinstance(outcome, stores.Refused):
+                refusals += 1
+                if len(commit.payloads) > 1 or refusals >= _MAX_REFUSALS:
+                    return Result.REFUSED
             # A commit that timed out is retried at once.
             taken = clocks.read_steady() - began
             gevent.sleep(max(0.0, timing.STORE_RETRY_DELAY_S - taken))
@@ -177,10 +216,11 @@
             commit.removals,
             timeout=_choose_timeout(attempts),
         )
-        answered = isinstance(outcome, (stores.Committed, stores.Conflict))
-        if answered:
+        if isinstance(outcome, (stores.Committed, stores.Conflict)):
             self._on_contact(sent)
-        self._backlog.is_failing = not answered
+        self._backlog.is_failing = not isinstance(
+            outcome, (stores.Committed, stores.Conflict, stores.Refused)
+        )
         self._changed.set()
         return outcome
 
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -119,6 +119,7 @@
             is_stopping=lambda: self._stopping,
             get_job_bytes=self._get_job_bytes,
             write_rate=settings.get("manager", "store_writes", float),
+            value_limit=settings.get("manager", "store_value", int),
             keep=settings.get("manager", "keep_time", float),
             registry=self._namespaces,
             forwarder=self._make_forwarder(),
--- a/src/rackvalve/manager/store_probe.py
+++ b/src/rackvalve/manager/store_probe.py
@@ -17,6 +17,7 @@
 from rackvalve import logs
 from rackvalve.manager import timing
 from rackvalve.platform import store as stores
+from rackvalve.platform import store_statuses as statuses
 
 # Lowest status by which a server says that it cannot serve a call.
 _SERVER_ERROR = 500
@@ -109,4 +110,4 @@
     if not outcome.isdigit():
         return False
     status = int(outcome)
-    return status < _SERVER_ERROR and status not in stores.STATUS_BUSY
+    return status < _SERVER_ERROR and status not in statuses.BUSY
--- a/src/rackvalve/platform/store.py
+++ b/src/rackvalve/platform/store.py
@@ -19,28 +19,20 @@
 from rackvalve import errors
 from rackvalve.platform import _store_wire
 from rackvalve.platform import connections
+from rackvalve.platform import store_statuses as statuses
 
 T = TypeVar("T")
 
-STATUS_OK = 200
-STATUS_MISSING = 404
-STATUS_GONE = 410
-STATUS_CONFLICT = 412
-STATUS_BUSY = frozenset({429, 503})
-# The call was malformed; the store has done nothing.
-STATUS_INVALID = 400
-# Statuses of usable answers about one key or lease, which may be missing.  A
-# range without keys is empty and not missing.
-_FOUND = frozenset({STATUS_OK, STATUS_MISSING})
-
 # Outcome of a call that its caller has cancelled, which says nothing about
 # the store.
 CANCELLED = "cancelled"
 
 # The store's limit on conditions, writes and removals in one commit.
 COMMIT_ENTRIES = 32
-# Longest wait for the rest of an answer after its headers (seconds): a page of
-# 1 MB takes 2.7 s on the users' slowest link, 5 Mbit/s.
+# The store's limit on a value, in bytes, unless the settings name another.
+VALUE_BYTES = 1_048_576
+# Longest wait for the rest of an answer after its headers, in seconds: a page
+# of 1 MB takes 2.7 s on the users' slowest link, 5 Mbit/s.
 BODY_TIMEOUT_S = 4.0
 
 
@@ -157,6 +149,16 @@
     items: dict[str, Item]
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Refused:
+    """The store refuses a commit for its content; nothing was written.
+
+    :param reason: Cause of the refusal, for logs.
+    """
+
+    reason: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class LeaseOver:
     """The lease has ended."""
@@ -247,12 +249,10 @@
         answer = self._call("GET", path, timeout=timeout, single_use=True)
         if isinstance(answer, Unavailable):
             return answer
-        if answer.status == STATUS_MISSING:
+        if answer.status == statuses.MISSING:
             return Missing()
         item = _decode(answer.body, _store_wire.WireItem)
-        if isinstance(item, Unavailable):
-            return item
-        return _to_item(item)
+        return item if isinstance(item, Unavailable) else _to_item(item)
 
     def read_range(self, prefix: str) -> Range | Unavailable:
         """Read all items below a prefix, page by page.
@@ -300,17 +300,14 @@
         path = _store_wire.make_watch_path(prefix, after, wait)
         client = self._get_watch_client(prefix)
         raw = client.exchange(
-            "GET",
-            path,
-            timeout=wait + slack,
-            body_timeout=body_timeout,
+            "GET", path, timeout=wait + slack, body_timeout=body_timeout
         )
         self._count_call("watch", raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
-        if raw.status == STATUS_GONE:
+        if raw.status == statuses.GONE:
             return HistoryLost()
-        if raw.status != STATUS_OK:
+        if raw.status != statuses.OK:
             return Unavailable(reason=f"status {raw.status}")
         answer = _decode(raw.body, _store_wire.WireEvents)
         if isinstance(answer, Unavailable):
@@ -330,11 +327,10 @@
         )
 
     def _get_watch_client(self, prefix: str) -> connections.HttpClient:
-        found = self._watch_clients.get(prefix)
-        if found is None:
-            found = connections.HttpClient(*self._address)
-            self._watch_clients[prefix] = found
-        return found
+        if prefix not in self._watch_clients:
+            client = connections.HttpClient(*self._address)
+            self._watch_clients[prefix] = client
+        return self._watch_clients[prefix]
 
     def commit(
         self,
@@ -343,7 +339,7 @@
         removals: list[str] | None = None,
         *,
         timeout: float | None = None,
-    ) -> Committed | Conflict | LeaseOver | Unavailable | Unknown:
+    ) -> Committed | Conflict | LeaseOver | Refused | Unavailable | Unknown:
         """Write and remove keys atomically if all conditions hold.
 
         :param conditions: Expected revisions of keys.
@@ -367,29 +363,30 @@
         )
         self._count_call("commit", raw)
         if isinstance(raw, connections.NoAnswer):
-            if raw.sent:
-                return Unknown(reason=raw.reason)
-            return Unavailable(reason=raw.reason)
-        if raw.status in STATUS_BUSY or raw.status == STATUS_INVALID:
+            kind = Unknown if raw.sent else Unavailable
+            return kind(reason=raw.reason)
+        if raw.status in statuses.BUSY:
             return Unavailable(reason=f"status {raw.status}")
-        if raw.status == STATUS_MISSING:
+        if raw.status == statuses.MISSING:
             return LeaseOver()
-        if raw.status not in (STATUS_OK, STATUS_CONFLICT):
-            return Unknown(reason=f"status {raw.status}")
         outcome = self._read_commit(raw, min_revision)
-        if isinstance(outcome, Unknown):
+        if isinstance(outcome, (Refused, Unknown)):
             self._client.discard_idle()
         return outcome
 
     def _read_commit(
         self, raw: connections.Answer, min_revision: int
-    ) -> Committed | Conflict | Unknown:
+    ) -> Committed | Conflict | Refused | Unknown:
         """Decode the answer to a commit.
 
         :param raw: The answer.
         :param min_revision: Lowest revision that the commit can have.
         """
-        if raw.status == STATUS_CONFLICT:
+        if raw.status in statuses.INVALID:
+            return Refused(reason=f"status {raw.status}")
+        if raw.status not in (statuses.OK, statuses.CONFLICT):
+            return Unknown(reason=f"status {raw.status}")
+        if raw.status == statuses.CONFLICT:
             found = _decode(raw.body, _store_wire.WireConflict)
             if isinstance(found, Unavailable):
                 return Unknown(reason=found.reason)
@@ -415,10 +412,10 @@
         answer = self._call("POST", "/kv-lease", body, single_use=True)
         if isinstance(answer, Unavailable):
             return answer
-        lease = _decode(answer.body, _store_wire.WireLease)
-        if isinstance(lease, Unavailable):
-            return lease
-        return Lease(identity=lease.lease, duration=lease.ttl_ms / 1000)
+        wire = _decode(answer.body, _store_wire.WireLease)
+        if isinstance(wire, Unavailable):
+            return wire
+        return Lease(identity=wire.lease, duration=wire.ttl_ms / 1000)
 
     def renew_lease(self, identity: int, timeout: float) -> bool | Unavailable:
         """Renew a lease.
@@ -434,7 +431,7 @@
         )
         if isinstance(answer, Unavailable):
             return answer
-        return answer.status == STATUS_OK
+        return answer.status == statuses.OK
 
     def end_lease(self, identity: int) -> bool | Unavailable:
         """End a lease and remove its keys.
@@ -447,16 +444,17 @@
         )
         if isinstance(answer, Unavailable):
             return answer
-        return answer.status == STATUS_OK
+        return answer.status == statuses.OK
 
     def _count_call(
         self, call: str, raw: connections.Answer | connections.NoAnswer
     ) -> None:
+        outcome = "no answer"
         if isinstance(raw, connections.Answer):
-            self._on_call(call, str(raw.status))
-        else:
-            is_cut = raw.reason == connections.CANCELLED
-            self._on_call(call, CANCELLED if is_cut else "no answer")
+            outcome = str(raw.status)
+        elif raw.reason == connections.CANCELLED:
+            outcome = CANCELLED
+        self._on_call(call, outcome)
 
     def _call(
         self,
@@ -478,7 +476,9 @@
         self._count_call(_store_wire.name_call(path), raw)
         if isinstance(raw, connections.NoAnswer):
             return Unavailable(reason=raw.reason)
-        allowed = {STATUS_OK} if path.startswith("/kv-range") else _FOUND
+        allowed = (
+            {statuses.OK} if path.startswith("/kv-range") else statuses.FOUND
+        )
         if raw.status not in allowed:
             return Unavailable(reason=f"status {raw.status}")
         return raw
--- a/src/rackvalve/settings/catalog.py
+++ b/src/rackvalve/settings/catalog.py
@@ -151,6 +151,9 @@
     ("manager", "store_writes", kinds.Number(least=1, most=1e9), "400",
      "Writes per second that the store takes from all managers; submissions "
      "beyond this manager's share of them are refused."),
+    ("manager", "store_value", _size(64 * 1024, 1024**3), "1MiB",
+     "Largest value that the store keeps; the records of larger jobs are "
+     "written in parts."),
     ("manager", "grace_time", _duration(0.1, 3600), "6s",
      "Time between SIGTERM and the kill."),
     ("manager", "keep_time", _duration(0, 7 * 24 * 3600), "120s",
--- a/src/rackvalve/telemetry.py
+++ b/src/rackvalve/telemetry.py
@@ -65,6 +65,8 @@
     "rackvalve_jobs_refused_total": "counter by reason: jobs that were not "
     "taken: memory, the owner could not hold them; rate, this process would "
     "write too often to the store",
+    "rackvalve_records_refused_total": "counter: records of this owner that "
+    "the store refused for their content",
     "rackvalve_jobs_standing": "gauge by reason: jobs that stand still, of "
     "this owner",
     "rackvalve_vms_crashing": "gauge by pool: VMs that crash repeatedly by "
@@ -111,6 +113,7 @@
         self.vms_crashing = self._gauge("vms_crashing", "pool")
         self.job_bytes = self._gauge("job_bytes", "queue")
         self.jobs_refused = self._count("jobs_refused", "reason")
+        self.records_refused = self._count("records_refused")
         self.jobs_standing = self._gauge("jobs_standing", "reason")
         self.configuration_version = self._gauge("configuration_version")
         self.configuration_age = self._gauge("configuration_age_seconds")
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -4,6 +4,7 @@
 ``silent`` never answers, ``slow`` answers late, ``lost`` executes the call and
 drops the answer, ``closing`` closes the connection with each answer,
 ``stuttering`` answers twice, ``forget`` drops the history at once.
+``refuse`` names a part of the keys whose values ``above`` a size are refused.
 ``rejected`` maps callers' IP addresses to ``503``, ``429``, ``reset`` or
 ``hang``: only these callers are not served, and their leases are revoked.
 """
@@ -21,7 +22,10 @@
 
 MAX_HISTORY = 10000
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 MAX_ENTRIES = 32
+KEY_BYTES = 200
+VALUE_BYTES = 1_048_576
 SLOW_S = 0.2
 SILENCE_S = 3600.0
 
@@ -43,6 +47,12 @@
         # Address of the caller that opened each lease.
         self.lease_callers = {}
         self.calls = 0
+        # Commits that were refused for the size of a key or value.
+        self.refused = 0
+        # Text in the keys whose values above a size are refused, in bytes;
+        # empty for none.
+        self.refused_keys = ""
+        self.refused_above = 0
         gevent.spawn(self._expire_forever)
 
     def __call__(self, environ, start_response):
@@ -97,11 +107,16 @@
             for number, caller in list(self.lease_callers.items()):
                 if caller in self.rejected and number in self.leases:
                     self._end_lease(number)
+        elif "refuse" in order:
+            self.refused_keys = order["refuse"]
+            self.refused_above = order["above"]
         elif "revoke" in order:
             self.remove(order["revoke"])
         else:
             self.fault = order.get("fault", "")
-        return serving.answer_json(start_response, {"calls": self.calls})
+        return serving.answer_json(
+            start_response, {"calls": self.calls, "refused": self.refused}
+        )
 
     def _answer(self, environ, path):
         query = {
@@ -143,9 +158,15 @@
             for key, item in sorted(self.items.items())
             if key.startswith(prefix) and key > after
         ]
+        page, size = [], 0
+        for item in found[:PAGE_ITEMS]:
+            size += len(item["value"])
+            if page and size > PAGE_BYTES:
+                break
+            page.append(item)
         return {
-            "items": found[:PAGE_ITEMS],
-            "more": len(found) > PAGE_ITEMS,
+            "items": page,
+            "more": len(found) > len(page),
             "at": self.revision,
         }
 
@@ -172,6 +193,9 @@
         removals = order.get("remove", [])
         if len(conditions) + len(puts) + len(removals) > MAX_ENTRIES:
             return "400 Too many entries", {}
+        if any(self._refuses(put) for put in puts):
+            self.refused += 1
+            return "400 Too large", {}
         for condition in conditions:
             item = self.items.get(condition["key"])
             if (item["rev"] if item else 0) != condition["rev"]:
@@ -198,6 +222,13 @@
         )
         return "200 OK", {"rev": self.revision}
 
+    def _refuses(self, put):
+        """Return whether a write is refused for its content."""
+        size = len(base64.b64decode(put["value"]))
+        if self.refused_keys and self.refused_keys in put["key"]:
+            return size > self.refused_above
+        return len(put["key"].encode()) > KEY_BYTES or size > VALUE_BYTES
+
     def _commit(self, puts, removals):
         self.revision += 1
         for key, payload, lease in puts:
--- a/tools/site.py
+++ b/tools/site.py
@@ -167,6 +167,11 @@
         """Set the fault of the store; empty for none."""
         return self._call(self.port, "POST", "/-/fault", {"fault": fault})
 
+    def refuse_values(self, text, above):
+        """Have the store refuse values above a size, by a text in the key."""
+        order = {"refuse": text, "above": above}
+        return self._call(self.port, "POST", "/-/fault", order)
+
     def reject_callers(self, rejected):
         """Set which callers the store rejects, by address."""
         order = {"rejected": rejected}
