Send other commits beside one that alone gets no answer

Callers would see no task of any job start while one commit got no answer, as a commit of megabytes on a slow link never does within 1.6 s.

Cause: after one commit without an answer no other was sent (is_failing). That saves calls in an outage, but the store may be well and answer all else.

Change: others wait only while the store answers nothing: if any other call of the process was answered since the failed commit was sent, they are sent beside it. The time for a commit's answer grows with its size, by the users' slowest link.

--- a/src/rackvalve/manager/owner/backlog.py
+++ b/src/rackvalve/manager/owner/backlog.py
@@ -74,6 +74,7 @@
         "_commit_count",
         "number",
         "is_failing",
+        "is_reached",
     )
 
     def __init__(self) -> None:
@@ -95,8 +96,10 @@
         self._commit_count = 0
         # Sequence number of the last write.
         self.number = 0
-        # Whether the last call to the store had no usable answer.
+        # Whether the last commit had no usable answer, and whether the store
+        # has answered other calls since that commit was sent.
         self.is_failing = False
+        self.is_reached = False
 
     @property
     def durable(self) -> int:
@@ -141,7 +144,9 @@
         While the store is fast, one commit at a time carries all writes that
         were enqueued meanwhile, since each call to the store is billed.
         When an answer takes longer than ``COMMIT_SPACING_S``, or a commit is
-        full, the next commit is sent concurrently.
+        full, the next commit is sent concurrently.  While the store answers
+        nothing, all wait for one commit; a commit that fails alone, as a very
+        large one may, holds up no others.
 
         :param now: Present time, in seconds.
         :return: The wait, in seconds; ``None`` to wait for the next write or
@@ -150,7 +155,7 @@
         ready = len(self._urgent) + len(self._delayable)
         if not ready or self.in_flight >= timing.MAX_COMMITS_IN_FLIGHT:
             return None
-        if self._batches and self.is_failing:
+        if self._batches and self.is_failing and not self.is_reached:
             return None
         if ready >= RECORDS_PER_COMMIT:
             return 0.0
--- a/src/rackvalve/manager/owner/commit.py
+++ b/src/rackvalve/manager/owner/commit.py
@@ -88,6 +88,11 @@
             if payload is not None
         ]
 
+    @property
+    def size(self) -> int:
+        """Size of the values that the commit writes, in bytes."""
+        return sum(len(payload or b"") for payload in self.payloads.values())
+
     @property
     def removals(self) -> list[str]:
         """The keys that the commit removes."""
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -121,6 +121,7 @@
             on_deposed=self.depose,
             on_contact=self._note_commit,
             on_refused=self._reporter.log_refused,
+            get_contact=resources.view.get_contact,
             spawn=self._spawn,
         )
         self._recorder = recorders.Recorder(
--- a/src/rackvalve/manager/owner/writer.py
+++ b/src/rackvalve/manager/owner/writer.py
@@ -54,6 +54,8 @@
         which its call was sent, in seconds.
     :param on_refused: Called for each record that the store refuses for its
         content, with its key and its size in bytes.
+    :param get_contact: Returns when the store last answered any call of this
+        process, in seconds.
     :param spawn: Runs a function in a greenlet that ends with the owner.
     """
 
@@ -66,6 +68,7 @@
         on_contact: Callable[[float], None],
         spawn: Callable[[Callable[[], None]], None],
         on_refused: Callable[[str, int], None] = lambda *_: None,
+        get_contact: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         self._store = store
         self._ownership = ownership
@@ -73,6 +76,9 @@
         self._on_contact = on_contact
         self._spawn = spawn
         self._on_refused = on_refused
+        self._get_contact = get_contact
+        # When the last commit without a usable answer was sent, in seconds.
+        self._failed_at = float("-inf")
         self._backlog = backlogs.Backlog()
         self._revisions = commits.Revisions()
         # Set and cleared at once after each commit, to wake those who wait.
@@ -130,6 +136,7 @@
     def run(self) -> None:
         """Send the enqueued writes, until the greenlet is killed."""
         while True:
+            self._backlog.is_reached = self._get_contact() > self._failed_at
             wait = self._backlog.find_wait(clocks.read_steady())
             if wait is None or wait > 0:
                 self._changed.wait(wait)
@@ -214,13 +221,15 @@
             commit.make_conditions(),
             commit.puts,
             commit.removals,
-            timeout=_choose_timeout(attempts),
+            timeout=_choose_timeout(attempts, commit.size),
         )
         if isinstance(outcome, (stores.Committed, stores.Conflict)):
             self._on_contact(sent)
         self._backlog.is_failing = not isinstance(
             outcome, (stores.Committed, stores.Conflict, stores.Refused)
         )
+        if self._backlog.is_failing:
+            self._failed_at = sent
         self._changed.set()
         return outcome
 
@@ -235,11 +244,13 @@
         )
 
 
-def _choose_timeout(attempts: int) -> float:
+def _choose_timeout(attempts: int, size: int = 0) -> float:
     """Return the timeout of an attempt, in seconds.
 
     :param attempts: The number of attempts before it.
+    :param size: Size of the commit's values, in bytes.
     """
     factor = 2 ** min(attempts, _MAX_DOUBLINGS)
     timeout: float = timing.COMMIT_TIMEOUT_S * factor
-    return min(timeout, timing.MAX_COMMIT_TIMEOUT_S)
+    sending: float = size / timing.MIN_SEND_RATE
+    return min(timeout, timing.MAX_COMMIT_TIMEOUT_S) + sending
--- a/src/rackvalve/manager/view.py
+++ b/src/rackvalve/manager/view.py
@@ -54,6 +54,10 @@
         """Record that the store has just answered."""
         self._last_contact = clocks.read_steady()
 
+    def get_contact(self) -> float:
+        """Return when the store last answered, in seconds."""
+        return self._last_contact
+
     def silence(self, now: float) -> float:
         """Return the time since the store's last answer, in seconds.
 
