Write the records of large jobs in parts

Cause: the progress of all tasks was one value without a bound, while 32,768 tasks are accepted.

Change: the progress of a job of more than 2,048 tasks, or of one that outgrows a value, is a head and up to 14 parts, written by one commit; only parts with changed tasks are written again. Checkpoints that don't fit are left out, longest first. Records of earlier releases are read, and divided by their first write. Earlier releases show the state of such a job and run none of it. A step that is done, and one undone task of each other step, are remembered: each end of a task looked at all tasks of its job.

Test: features/large_records.feature (its module did not exist; the code before encodes 20,000 running tasks as one value of the size below).

--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -9,7 +9,7 @@
 from rackvalve.jobs import incarnations
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
-from rackvalve.manager.owner import owner as owners
+from rackvalve.manager.owner import resources
 from rackvalve.manager import timing
 from rackvalve.scheduling import endings
 from rackvalve.scheduling import failure_detector
@@ -63,7 +63,7 @@
         self.tokens = fencing_tokens.FencingTokens(fence)
         # Revision of this owner's newest commit.
         self.committed_revision = fence
-        lease = owners.MAX_INHERITED_LEASE_S if rules.proof else 0.0
+        lease = resources.MAX_INHERITED_LEASE_S if rules.proof else 0.0
         made = cores.make_cores(world.now, inherited_lease=lease)
         self.cluster, self.handler = made.cluster, made.handler
         self.planner = made.planner
--- /dev/null
+++ b/features/large_records.feature
@@ -0,0 +1,56 @@
+# Guards against a job that is accepted and can't be kept: the progress of all
+# its tasks was one value, which outgrew what the store takes, and from then on
+# no task of any job started.
+Feature: The record of a large job is written in parts that the store takes
+
+  Scenario Outline: A job of <tasks> tasks, all of which <state>, is kept
+    Given a job of <tasks> tasks, all of which <state>
+    When its record is encoded
+    Then it has <values> values, which one commit takes
+    And a new owner reads the same job from it
+
+    Examples:
+      | tasks | state              | values |
+      | 16    | run                | 1      |
+      | 2048  | run                | 1      |
+      | 2049  | run                | 10     |
+      | 20000 | run                | 15     |
+      | 32768 | run                | 15     |
+      | 32768 | are done           | 15     |
+      | 16    | have long texts    | 2      |
+      | 4096  | have long texts    | 15     |
+
+  Scenario: Only what has changed is written again
+    Given a job of 20000 tasks, all of which run
+    When its record is encoded
+    And its task number 12345 is done
+    And its record is encoded again
+    Then it has the head and the part of that task
+    And a new owner reads the same job from all of it
+
+  Scenario: A large record of an earlier release is read, and written in parts
+    Given a job of 4096 tasks, all of which run
+    When an earlier release has written its record
+    Then a new owner reads the same job from it
+    And its next record has all parts
+
+  # Its owner would start all tasks anew.
+  Scenario: An earlier release shows a job whose record is in parts, and runs none of it
+    Given a job of 4096 tasks, all of which run
+    When its record is encoded
+    Then an earlier release reads its phase, and no tasks
+
+  Scenario: A record in parts goes in a commit of its own
+    Given 20 records and one in parts that wait to be written
+    When the commits are taken one after the other
+    Then no commit has more entries than the store takes, and all are written
+
+  Scenario: All parts of a job's record are removed with it
+    Given a job of 20000 tasks, all of which run
+    When its record is encoded
+    Then the keys that are removed with it are those that were written
+
+  Scenario: A large job runs to its end while its owner ends
+    Given a site of 2 managers
+    When a job of 2100 short tasks runs and the owner ends
+    Then it is shown as completed and each of its tasks ended well once
--- a/src/rackvalve/jobs/definition.py
+++ b/src/rackvalve/jobs/definition.py
@@ -106,6 +106,21 @@
     return sum(step.tasks for step in job.steps) * max(1, job.repetitions)
 
 
+def name_task(job: Job, number: int) -> TaskName:
+    """Return the name of a task by its number.
+
+    :param job: The job.
+    :param number: Number of the task among all of the job, from 0, ordered by
+        repetition, step and index.
+    """
+    repetition, rest = divmod(number, sum(step.tasks for step in job.steps))
+    step = 0
+    while rest >= job.steps[step].tasks:
+        rest -= job.steps[step].tasks
+        step += 1
+    return TaskName(repetition=repetition, step=step, index=rest)
+
+
 def check_size(job: Job) -> None:
     """Check that a job is small enough to be accepted.
 
--- a/src/rackvalve/jobs/incarnations.py
+++ b/src/rackvalve/jobs/incarnations.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
 # Stands between a worker's name and the time of its start.
 SEPARATOR = "@"
@@ -38,6 +39,7 @@
         return self.worker
 
 
+@functools.lru_cache(maxsize=4096)
 def parse_incarnation(identity: str) -> Incarnation:
     """Parse the identity of an incarnation.
 
--- a/src/rackvalve/jobs/progress.py
+++ b/src/rackvalve/jobs/progress.py
@@ -269,7 +269,11 @@
         "suspects",
         "known_time_to_crash",
         "reason",
+        "parts",
+        "changed_parts",
         "_weight",
+        "_done_steps",
+        "_undone",
     )
 
     def __init__(
@@ -309,6 +313,14 @@
         # if no such job is known.
         self.known_time_to_crash = 0.0
         self.reason = ""
+        # How many parts its record has, 0 if it is a single value, and the
+        # parts that must be written.
+        self.parts = 0
+        self.changed_parts: set[int] = set()
+        # Steps that are known to be done, and one task of each other step that
+        # was asked about: no task goes back.
+        self._done_steps: set[tuple[int, int]] = set()
+        self._undone: dict[tuple[int, int], Task] = {}
 
     @property
     def weight(self) -> int:
@@ -391,11 +403,13 @@
         """
         if self.is_final:
             return
-        wanted = sum(step.tasks for step in self.job.steps) * max(
-            1, self.job.repetitions
+        # The last steps are the last ones to be done.
+        steps = (
+            (repetition, number)
+            for repetition in reversed(range(max(1, self.job.repetitions)))
+            for number in reversed(range(len(self.job.steps)))
         )
-        done = sum(1 for task in self.tasks.values() if task.done)
-        if done == wanted:
+        if all(self.step_is_done(*step) for step in steps):
             self.finish(Phase.COMPLETED, wall, "all tasks are done")
 
     def finish(self, phase: Phase, wall: float, reason: str) -> None:
@@ -416,13 +430,24 @@
         :param repetition: Number of the repetition.
         :param number: Number of the step.
         """
-        for index in range(self.job.steps[number].tasks):
+        key = (repetition, number)
+        if key in self._done_steps:
+            return True
+        undone = self._undone.get(key)
+        if undone is not None and not undone.done:
+            return False
+        for index in reversed(range(self.job.steps[number].tasks)):
             name = definition.TaskName(
                 repetition=repetition, step=number, index=index
             )
             task = self.tasks.get(name)
-            if task is None or not task.done:
+            if task is None:
+                return False
+            if not task.done:
+                self._undone[key] = task
                 return False
+        self._done_steps.add(key)
+        self._undone.pop(key, None)
         return True
 
     def _open_step(self, repetition: int, number: int) -> None:
--- /dev/null
+++ b/src/rackvalve/jobs/record_parts.py
@@ -0,0 +1,76 @@
+"""Encodes a job's progress as values that the store can keep.
+
+A job that is accepted can always be kept: the record of a large one is written
+in parts, and where checkpoints don't fit, tasks start anew without them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from rackvalve.jobs import definition
+from rackvalve.jobs import parts
+from rackvalve.jobs import progress
+from rackvalve.jobs import records
+
+
+def is_divided(state: progress.JobState) -> bool:
+    """Return whether a job's record is written in parts.
+
+    :param state: The job.
+    """
+    is_large = definition.count_tasks(state.job) > parts.MAX_SINGLE_TASKS
+    return bool(state.parts) or is_large
+
+
+def encode(state: progress.JobState, limit: int) -> dict[str, bytes]:
+    """Encode what has changed of a job's progress.
+
+    :param state: The job; its changed parts are taken as written.
+    :param limit: Largest value that the store keeps, in bytes.
+    :return: Values by key, that of the progress first.
+    """
+    key = records.format_key(
+        state.queue, state.identity, records.Part.PROGRESS
+    )
+    if not is_divided(state):
+        payload = records.encode_progress(state)
+        if len(payload) <= limit:
+            return {key: payload}
+    if not state.parts:
+        parts.divide(state)
+    values = {key: records.encode_division(state)}
+    for number in sorted(state.changed_parts):
+        part_key = records.format_tasks_key(
+            state.queue, state.identity, number
+        )
+        tasks = parts.list_tasks(state, number)
+        values[part_key] = _encode_within(tasks, limit)
+    state.changed_parts.clear()
+    return values
+
+
+def list_keys(state: progress.JobState) -> list[str]:
+    """Return the keys of the parts of a job's progress.
+
+    :param state: The job.
+    """
+    return [
+        records.format_tasks_key(state.queue, state.identity, number)
+        for number in range(state.parts)
+    ]
+
+
+def _encode_within(tasks: Sequence[progress.Task], limit: int) -> bytes:
+    """Encode tasks, without the longest checkpoints if they don't fit."""
+    payload = records.encode_tasks(tasks)
+    by_length = sorted(
+        (task for task in tasks if task.checkpoint and not task.done),
+        key=lambda task: -len(task.checkpoint),
+    )
+    without: set[str] = set()
+    while len(payload) > limit and len(without) < len(by_length):
+        count = max(1, 2 * len(without))
+        without = {str(task.name) for task in by_length[:count]}
+        payload = records.encode_tasks(tasks, without)
+    return payload
--- a/src/rackvalve/jobs/records.py
+++ b/src/rackvalve/jobs/records.py
@@ -2,8 +2,9 @@
 
 A job has three keys: its definition, written once by the entry that accepted
 it; its cancellation, written once; and its progress, written by the owner
-alone.  The progress lies under a prefix of its own, so that the owner's watch
-on the other two does not return the owner's own writes.
+alone.  The progress of a large job has further keys, for parts of its tasks
+(``record_parts``).  It lies under a prefix of its own, so that the owner's
+watch on the other two does not return the owner's own writes.
 
 A definition is written only where there is no cancellation, and the
 cancellation of a job that is not stored only where there is no definition.  So
@@ -12,14 +13,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import enum
 import itertools
+import re
 
 import msgspec
 
 from rackvalve import codec
 from rackvalve import errors
+from rackvalve.jobs import _record_wire
 from rackvalve.jobs import definition
 from rackvalve.jobs import incarnations
 from rackvalve.jobs import progress
@@ -27,6 +33,7 @@
 
 PREFIX = "job/"
 PROGRESS_PREFIX = "progress/"
+_PART_NUMBER = re.compile(r"[0-9]{1,4}")
 
 
 class Part(enum.Enum):
@@ -35,20 +42,24 @@
     DEFINITION = "definition"
     CANCEL = "cancel"
     PROGRESS = "progress"
+    # The tasks of one part of a progress that is divided.
+    TASKS = "tasks"
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Key:
     """The parts of a record's key.
 
-    :param queue: Name of the job's queue.
+    :param queue: Namespace of the job's queue.
     :param identity: The job's identifier.
     :param part: Which record.
+    :param number: Number of the part of a progress that is divided.
     """
 
     queue: str
     identity: str
     part: Part
+    number: int = 0
 
 
 class _Definition(msgspec.Struct, omit_defaults=True):
@@ -67,67 +78,6 @@
     workspace: str = ""
 
 
-class _Task(msgspec.Struct, array_like=True, omit_defaults=True):
-    name: str
-    done: bool = False
-    failures: codec.Integer = 0
-    checkpoint: str = ""
-    # Number and worker of each run that may be running.
-    runs: list[tuple[codec.Integer, str]] = []
-    # Crashes that count against the task, those of them in isolation, the
-    # longest time to crash in seconds, and the number of the isolated run.
-    crashes: codec.Integer = 0
-    isolated_crashes: codec.Integer = 0
-    lived: float = 0.0
-    isolated: codec.Integer = 0
-    # Numbers of runs whose workers may still report how they ended.
-    untold: list[codec.Integer] = []
-    # For each of the runs the start time of its worker's incarnation; 0 if not
-    # known.  Earlier releases ignore it and use the names alone.
-    births: list[codec.Integer] = []
-
-
-class _Suspect(msgspec.Struct, omit_defaults=True):
-    """Details of the crashes that count against a task."""
-
-    # Crashes at which the task's run was the last to have started on the
-    # worker, those of the isolated run soon after its start, and those that
-    # another job was found to have caused.
-    youngest_crashes: codec.Integer = 0
-    prompt_crashes: codec.Integer = 0
-    explained: codec.Integer = 0
-    # Incarnations of workers that ended in crashes not explained, and the VMs
-    # on which workers crashed.
-    crashed_lives: list[str] = []
-    crashed_on: list[str] = []
-    # Runs that were settled on the isolated run's worker when it started.
-    settled_beside: list[tuple[str, codec.Integer]] = []
-
-
-class _Location(msgspec.Struct, array_like=True):
-    host: str
-    port: codec.Integer
-    vm: str
-
-
-class _Progress(msgspec.Struct, omit_defaults=True):
-    phase: progress.Phase
-    next_run: codec.Integer = 1
-    finished: float = 0.0
-    reason: str = ""
-    tasks: list[_Task] = []
-    # Addresses of the workers that the runs name.  Without them each new owner
-    # waits 8.4 s for a worker whose entry is gone; with them it asks, and an
-    # answer of another incarnation at that address is proof enough.
-    locations: dict[str, _Location] = {}
-    # As in the definition, so that one read is enough to answer a caller.
-    workspace: str = ""
-    # By name of the task.
-    suspects: dict[str, _Suspect] = {}
-    # Progress of checkpoints, in percent, by name of the task.
-    saved: dict[str, float] = {}
-
-
 class _Phase(msgspec.Struct):
     phase: progress.Phase
     workspace: str = ""
@@ -145,10 +95,20 @@
     workspace: str = ""
 
 
+def format_tasks_key(queue: str, identity: str, number: int) -> str:
+    """Return the key of a part of a job's progress.
+
+    :param queue: Namespace of the job's queue.
+    :param identity: The job's identifier.
+    :param number: Number of the part, from 0.
+    """
+    return f"{PROGRESS_PREFIX}{queue}/{identity}/{Part.TASKS.value}-{number}"
+
+
 def format_key(queue: str, identity: str, part: Part) -> str:
     """Return the key of a record.
 
-    :param queue: Name of the job's queue.
+    :param queue: Namespace of the job's queue.
     :param identity: The job's identifier.
     :param part: Which record.
     """
@@ -165,11 +125,19 @@
     parts = key.split("/")
     if len(parts) != 4 or parts[0] + "/" not in (PREFIX, PROGRESS_PREFIX):
         return None
+    name, _, number = parts[3].partition("-")
+    if (name == Part.TASKS.value) != bool(_PART_NUMBER.fullmatch(number)):
+        return None
     try:
-        part = Part(parts[3])
+        part = Part(name)
     except ValueError:
         return None
-    return Key(queue=parts[1], identity=parts[2], part=part)
+    return Key(
+        queue=parts[1],
+        identity=parts[2],
+        part=part,
+        number=int(number or 0),
+    )
 
 
 def encode_definition(
@@ -191,7 +159,7 @@
 ) -> progress.JobState:
     """Decode a job's definition, into a job that has not begun.
 
-    :param queue: Name of the job's queue.
+    :param queue: Namespace of the job's queue.
     :param identity: The job's identifier.
     :param payload: The record.
     :raises DocumentInvalidError: The record does not decode, or is beyond the
@@ -210,31 +178,61 @@
 
 
 def encode_progress(state: progress.JobState) -> bytes:
-    """Encode a job's progress.
+    """Encode a job's progress as one value.
 
     :param state: The job.
     """
-    tasks = [
-        _Task(
-            name=str(task.name),
-            done=task.done,
-            failures=task.failures,
-            checkpoint="" if task.done else task.checkpoint,
-            runs=[
-                (run.number, incarnations.parse_incarnation(run.worker).worker)
-                for run in task.runs.values()
-            ],
-            births=[
-                incarnations.parse_incarnation(run.worker).born or 0
-                for run in task.runs.values()
-            ],
-            crashes=task.crashes,
-            isolated_crashes=task.isolated_crashes,
-            lived=round(task.time_to_crash, 3),
-            isolated=task.isolated_run,
-            untold=[] if task.done else sorted(task.unreported_runs),
-        )
-        for task in state.tasks.values()
+    rows = _encode_tasks(list(state.tasks.values()))
+    return msgspec.json.encode(_encode_head(state, rows))
+
+
+def encode_division(state: progress.JobState) -> bytes:
+    """Encode the head of a job's progress that is divided.
+
+    :param state: The job, whose record has parts.
+    """
+    rows = _record_wire.Tasks(tasks=_record_wire.Division(parts=state.parts))
+    return msgspec.json.encode(_encode_head(state, rows))
+
+
+def encode_tasks(
+    tasks: Sequence[progress.Task], without: Collection[str] = ()
+) -> bytes:
+    """Encode the tasks of a part of a job's progress.
+
+    :param tasks: The tasks.
+    :param without: Names of the tasks whose checkpoints are left out.
+    """
+    rows = _encode_tasks(tasks)
+    if without:
+        assert isinstance(rows.tasks, list)
+        for row in rows.tasks:
+            if row.name in without:
+                row.checkpoint = ""
+                rows.saved.pop(row.name, None)
+    return msgspec.json.encode(rows)
+
+
+def _encode_head(
+    state: progress.JobState, rows: _record_wire.Tasks
+) -> _record_wire.Progress:
+    return _record_wire.Progress(
+        phase=state.phase,
+        next_run=state.next_run,
+        finished=state.finished,
+        reason=state.reason,
+        workspace=state.workspace,
+        tasks=rows.tasks,
+        locations=rows.locations,
+        suspects=rows.suspects,
+        saved=rows.saved,
+    )
+
+
+def _encode_tasks(tasks: Sequence[progress.Task]) -> _record_wire.Tasks:
+    rows = [
+        _encode_task(task)
+        for task in tasks
         if task.done
         or task.failures
         or task.runs
@@ -242,22 +240,45 @@
         or task.crashes
         or task.unreported_runs
     ]
-    return msgspec.json.encode(
-        _Progress(
-            phase=state.phase,
-            next_run=state.next_run,
-            finished=state.finished,
-            reason=state.reason,
-            tasks=tasks,
-            locations=_encode_locations(state),
-            workspace=state.workspace,
-            suspects=_encode_suspects(state),
-            saved={
-                str(task.name): round(task.saved_percent, 3)
-                for task in state.tasks.values()
-                if task.checkpoint and not task.done
-            },
+    return _record_wire.Tasks(
+        tasks=rows,
+        locations=_encode_locations(tasks),
+        suspects=_encode_suspects(tasks),
+        saved={
+            str(task.name): round(task.saved_percent, 3)
+            for task in tasks
+            if task.checkpoint and not task.done
+        },
+    )
+
+
+def _encode_task(task: progress.Task) -> _record_wire.Task:
+    if task.done and not task.runs:
+        return _record_wire.Task(
+            name=str(task.name),
+            done=True,
+            failures=task.failures,
+            crashes=task.crashes,
+            isolated_crashes=task.isolated_crashes,
+            lived=round(task.time_to_crash, 3),
+            isolated=task.isolated_run,
         )
+    incarnated = [
+        (run.number, incarnations.parse_incarnation(run.worker))
+        for run in task.runs.values()
+    ]
+    return _record_wire.Task(
+        name=str(task.name),
+        done=task.done,
+        failures=task.failures,
+        checkpoint="" if task.done else task.checkpoint,
+        runs=[(number, one.worker) for number, one in incarnated],
+        births=[one.born or 0 for _, one in incarnated],
+        crashes=task.crashes,
+        isolated_crashes=task.isolated_crashes,
+        lived=round(task.time_to_crash, 3),
+        isolated=task.isolated_run,
+        untold=[] if task.done else sorted(task.unreported_runs),
     )
 
 
@@ -267,12 +288,15 @@
     :param state: The job, which has ended.
     """
     return msgspec.json.encode(
-        _Progress(
+        _record_wire.Progress(
             phase=state.phase,
             next_run=state.next_run,
             finished=state.finished,
             reason=state.reason,
             workspace=state.workspace,
+            tasks=_record_wire.Division(parts=state.parts)
+            if state.parts
+            else [],
         )
     )
 
@@ -287,60 +311,94 @@
 
 
 def decode_progress(
-    state: progress.JobState, payload: bytes, now: float
+    state: progress.JobState,
+    payload: bytes,
+    now: float,
+    parts: Mapping[int, bytes] | None = None,
 ) -> None:
     """Decode a job's progress into a job that was just decoded.
 
     :param state: The job, without progress.
     :param payload: The progress record.
     :param now: Present time, in seconds.
+    :param parts: The parts of the record by number; one without tasks may be
+        missing.
     :raises DocumentInvalidError: The record does not decode.
     """
-    record = codec.decode_as(payload, _Progress)
+    record = codec.decode_as(payload, _record_wire.Progress)
     state.phase = record.phase
     state.next_run = record.next_run
     state.finished = record.finished
     state.reason = record.reason
+    if not isinstance(record.tasks, _record_wire.Division):
+        _decode_tasks(state, record, now)
+        return
+    state.parts = record.tasks.parts
+    for number in range(state.parts):
+        part = (parts or {}).get(number)
+        if part is not None:
+            _decode_tasks(
+                state, codec.decode_as(part, _record_wire.Tasks), now
+            )
+
+
+def _decode_tasks(
+    state: progress.JobState, record: _record_wire.Tasks, now: float
+) -> None:
+    if isinstance(record.tasks, _record_wire.Division):
+        raise errors.DocumentInvalidError("a part is divided itself")
     for row in record.tasks:
         name = definition.parse_task_name(row.name)
         task = state.task(name) if name is not None else None
         if task is None:
             raise errors.DocumentInvalidError(f"unknown task {row.name!r}")
-        task.done = row.done
-        task.failures = row.failures
-        task.checkpoint = row.checkpoint
-        task.saved_percent = record.saved.get(row.name, 0.0)
-        task.crashes = row.crashes
-        task.isolated_crashes = row.isolated_crashes
-        task.time_to_crash = row.lived
-        task.isolated_run = row.isolated
-        task.unreported_runs |= frozenset(row.untold)
-        if task.crashes:
-            state.suspects.add(task.name)
-            # How long the task has waited for isolation is not stored.
-            task.not_before = now
-            _decode_suspect(task, record.suspects.get(row.name))
-        births = itertools.chain(row.births, itertools.repeat(0))
-        for (number, worker), born in zip(row.runs, births, strict=False):
-            incarnation = incarnations.Incarnation(
-                worker=worker, born=born or None
-            )
-            run = progress.Run(
-                number,
-                incarnation.identity,
-                progress.Stage.ORDERED,
-                now,
-                location=_decode_location(record.locations.get(worker)),
-            )
-            run.inherited = True
-            run.pace = None
-            task.runs[number] = run
+        _decode_task(state, task, row, record, now)
 
 
-def _encode_suspects(state: progress.JobState) -> dict[str, _Suspect]:
+def _decode_task(
+    state: progress.JobState,
+    task: progress.Task,
+    row: _record_wire.Task,
+    record: _record_wire.Tasks,
+    now: float,
+) -> None:
+    task.done = row.done
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    task.saved_percent = record.saved.get(row.name, 0.0)
+    task.crashes = row.crashes
+    task.isolated_crashes = row.isolated_crashes
+    task.time_to_crash = row.lived
+    task.isolated_run = row.isolated
+    task.unreported_runs |= frozenset(row.untold)
+    if task.crashes:
+        state.suspects.add(task.name)
+        # How long the task has waited for isolation is not stored.
+        task.not_before = now
+        _decode_suspect(task, record.suspects.get(row.name))
+    births = itertools.chain(row.births, itertools.repeat(0))
+    for (number, worker), born in zip(row.runs, births, strict=False):
+        incarnation = incarnations.Incarnation(
+            worker=worker, born=born or None
+        )
+        run = progress.Run(
+            number,
+            incarnation.identity,
+            progress.Stage.ORDERED,
+            now,
+            location=_decode_location(record.locations.get(worker)),
+        )
+        run.inherited = True
+        run.pace = None
+        task.runs[number] = run
+
+
+def _encode_suspects(
+    tasks: Sequence[progress.Task],
+) -> dict[str, _record_wire.Suspect]:
     """Return the details of crashes that count against tasks."""
     return {
-        str(task.name): _Suspect(
+        str(task.name): _record_wire.Suspect(
             youngest_crashes=task.youngest_crashes,
             prompt_crashes=task.prompt_crashes,
             explained=task.explained,
@@ -348,12 +406,14 @@
             crashed_on=sorted(task.crashed_on),
             settled_beside=sorted(task.settled_beside),
         )
-        for task in state.tasks.values()
+        for task in tasks
         if task.crashes and not task.done
     }
 
 
-def _decode_suspect(task: progress.Task, wire: _Suspect | None) -> None:
+def _decode_suspect(
+    task: progress.Task, wire: _record_wire.Suspect | None
+) -> None:
     """Decode the details of crashes; earlier releases store none."""
     if wire is None:
         return
@@ -365,21 +425,27 @@
     task.settled_beside |= frozenset(wire.settled_beside)
 
 
-def _encode_locations(state: progress.JobState) -> dict[str, _Location]:
+def _encode_locations(
+    tasks: Sequence[progress.Task],
+) -> dict[str, _record_wire.Location]:
     """Return the addresses of the workers of a job's runs."""
     return {
-        incarnations.parse_incarnation(run.worker).worker: _Location(
+        incarnations.parse_incarnation(
+            run.worker
+        ).worker: _record_wire.Location(
             host=run.location.host,
             port=run.location.port,
             vm=run.location.vm,
         )
-        for task in state.tasks.values()
+        for task in tasks
         for run in task.runs.values()
         if run.location is not None
     }
 
 
-def _decode_location(wire: _Location | None) -> progress.Location | None:
+def _decode_location(
+    wire: _record_wire.Location | None,
+) -> progress.Location | None:
     """Decode the address of a worker; earlier releases store none."""
     if wire is None:
         return None
--- a/src/rackvalve/manager/owner/backlog.py
+++ b/src/rackvalve/manager/owner/backlog.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 
 from rackvalve.manager import timing
@@ -24,6 +25,8 @@
     """The content of a record at the time of sending.
 
     :param payload: The value; ``None`` to remove the key.
+    :param parts: Further values of the record by key, which are written by the
+        same commit.
     :param written: Called once the record is in the store.
     :param refused: Called if the store refuses the record for its content,
         which is given up then.
@@ -32,6 +35,7 @@
     payload: bytes | None
     written: Callable[[], None] | None = None
     refused: Callable[[], None] | None = None
+    parts: Mapping[str, bytes] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -40,10 +44,12 @@
 
     :param number: Sequence number of the first change since the last send.
     :param make: Makes the record at the time of sending.
+    :param values: How many values the record has at the most.
     """
 
     number: int
     make: Callable[[], Record]
+    values: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -118,6 +124,7 @@
         now: float,
         *,
         urgent: bool,
+        values: int = 1,
     ) -> None:
         """Enqueue the write of a record, or merge it with a pending one.
 
@@ -125,6 +132,7 @@
         :param make: Makes the record at the time of sending.
         :param now: Present time, in seconds.
         :param urgent: Whether something waits for the record.
+        :param values: How many values the record has at the most.
         """
         self.number += 1
         known = self._take_write(key)
@@ -132,10 +140,11 @@
             if not self._unwritten:
                 self._oldest_number = self.number
             self._unwritten.add(self.number)
-            write = PendingWrite(number=self.number, make=make)
+            number = self.number
         else:
-            write = PendingWrite(number=known[0].number, make=make)
+            number = known[0].number
             urgent = urgent or known[1]
+        write = PendingWrite(number=number, make=make, values=values)
         self._put_write(key, write, now, urgent=urgent)
 
     def find_wait(self, now: float) -> float | None:
@@ -172,9 +181,12 @@
         :param now: Present time, in seconds.
         """
         writes: dict[str, PendingWrite] = {}
+        room = RECORDS_PER_COMMIT
         for source in (self._urgent, self._delayable):
-            room = RECORDS_PER_COMMIT - len(writes)
             for key in list(source)[:room]:
+                if source[key].values > room:
+                    break
+                room -= source[key].values
                 writes[key] = source.pop(key)
         self._last_sent = now
         self._commit_count += 1
--- a/src/rackvalve/manager/owner/intake.py
+++ b/src/rackvalve/manager/owner/intake.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 
 from rackvalve import clocks
 from rackvalve import errors
@@ -15,7 +16,19 @@
 from rackvalve.platform import store as stores
 from rackvalve.scheduling import cluster as clusters
 
-Parts = dict[records.Part, stores.Item]
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Stored:
+    """What is stored of a job.
+
+    :param items: Its records.
+    :param parts: The parts of its progress by number.
+    """
+
+    items: dict[records.Part, stores.Item] = dataclasses.field(
+        default_factory=dict
+    )
+    parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
 
 
 class JobIntake:
@@ -59,36 +72,38 @@
         self._apply_all(_group(changes.written))
         self._on_change()
 
-    def _apply_all(self, by_job: dict[tuple[str, str], Parts]) -> None:
+    def _apply_all(self, by_job: dict[tuple[str, str], _Stored]) -> None:
         """Apply the records of several jobs, the first accepted first.
 
         The order decides which jobs count as sent within the rate of their
         workspace.
         """
         found = [
-            self._decode(queue, identity, parts)
-            for (queue, identity), parts in by_job.items()
-            if records.Part.DEFINITION in parts
+            self._decode(queue, identity, stored)
+            for (queue, identity), stored in by_job.items()
+            if records.Part.DEFINITION in stored.items
             and identity not in self._cluster.jobs
         ]
         states = [state for state in found if state is not None]
         for state in sorted(states, key=lambda state: state.accepted):
             self._add(state)
-        for (queue, identity), parts in by_job.items():
-            if records.Part.CANCEL in parts:
+        for (queue, identity), stored in by_job.items():
+            if records.Part.CANCEL in stored.items:
                 self._cancel(queue, identity)
 
     def _decode(
-        self, queue: str, identity: str, parts: Parts
+        self, queue: str, identity: str, stored: _Stored
     ) -> progress.JobState | None:
         """Decode a job's records; return ``None`` if they are invalid."""
         now = clocks.read_steady()
-        defined = parts[records.Part.DEFINITION]
-        stored = parts.get(records.Part.PROGRESS)
+        defined = stored.items[records.Part.DEFINITION]
+        known = stored.items.get(records.Part.PROGRESS)
         try:
             state = records.decode_definition(queue, identity, defined.payload)
-            if stored is not None:
-                records.decode_progress(state, stored.payload, now)
+            if known is not None:
+                records.decode_progress(
+                    state, known.payload, now, stored.parts
+                )
         except errors.DocumentInvalidError as error:
             logs.write_warning(
                 "document.rejected", key=defined.key, reason=error.reason
@@ -130,12 +145,16 @@
 
 def _group(
     items: tuple[stores.Item, ...],
-) -> dict[tuple[str, str], Parts]:
+) -> dict[tuple[str, str], _Stored]:
     """Return the newest records by queue and identifier of their job."""
-    by_job: dict[tuple[str, str], Parts] = {}
+    by_job: dict[tuple[str, str], _Stored] = {}
     for item in items:
         key = records.parse_key(item.key)
-        if key is not None:
-            parts = by_job.setdefault((key.queue, key.identity), {})
-            parts[key.part] = item
+        if key is None:
+            continue
+        stored = by_job.setdefault((key.queue, key.identity), _Stored())
+        if key.part is records.Part.TASKS:
+            stored.parts[key.number] = item.payload
+        else:
+            stored.items[key.part] = item
     return by_job
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -44,13 +44,6 @@
 from rackvalve.scheduling import start_results
 from rackvalve.scheduling import workers
 
-# Longest remaining lease that an earlier owner may have granted to a worker.
-MAX_INHERITED_LEASE_S = (
-    timing.EXTENSION_LIMIT_S
-    + timing.WORKER_LEASE_S * (1 + workers.CLOCK_TOLERANCE)
-    + workers.LEASE_MARGIN_S
-)
-
 
 class Owner:
     """Schedules all pools while it holds the ownership.
@@ -73,7 +66,6 @@
     ) -> None:
         self._resources = resources
         self._durations = durations
-        self._telemetry = resources.telemetry
         self.fence = fence
         self.deposed = ""
         self.failure: failures.Failure | None = None
@@ -83,7 +75,7 @@
         self._began_at = self._confirmed_at = clocks.read_steady()
         self._cluster = clusters.Cluster(
             configuration,
-            inherited_lease=MAX_INHERITED_LEASE_S,
+            inherited_lease=owner_resources.MAX_INHERITED_LEASE_S,
             now=self._confirmed_at,
             policy=policy,
         )
@@ -129,6 +121,7 @@
             self._writer,
             resources.telemetry,
             keep=durations.keep,
+            value_limit=resources.value_limit,
             get_job_bytes=resources.get_job_bytes,
             on_recorded=self._send_orders,
         )
@@ -279,7 +272,9 @@
         if self.deposed:
             return
         if result is not messages.StartResult.STARTED:
-            self._telemetry.starts_rejected.labels(result.value).inc()
+            self._resources.telemetry.starts_rejected.labels(
+                result.value
+            ).inc()
             logs.write_warning(
                 "run.rejected",
                 job=placed.state.identity,
@@ -424,7 +419,7 @@
             self._cluster,
             self._writer,
             self.fence,
-            telemetry=self._telemetry,
+            telemetry=self._resources.telemetry,
             order_pause=self._durations.order_pause,
             spawn=self._spawn,
             on_change=self._plan_wanted.set,
--- a/src/rackvalve/manager/owner/recorder.py
+++ b/src/rackvalve/manager/owner/recorder.py
@@ -7,7 +7,9 @@
 
 from rackvalve import clocks
 from rackvalve.jobs import definition
+from rackvalve.jobs import parts
 from rackvalve.jobs import progress
+from rackvalve.jobs import record_parts
 from rackvalve.jobs import records
 from rackvalve import logs
 from rackvalve.manager.api import counts
@@ -16,6 +18,7 @@
 from rackvalve.manager.owner import resources as owner_resources
 from rackvalve.manager.owner import writer as writers
 from rackvalve.manager import timing
+from rackvalve.platform import store as stores
 from rackvalve.scheduling import cluster as clusters
 from rackvalve.scheduling import job_starts
 from rackvalve import telemetry as telemetries
@@ -28,6 +31,7 @@
     :param writer: Writes records.
     :param telemetry: The metrics, for jobs that end.
     :param keep: Time for which ended jobs are kept, in seconds.
+    :param value_limit: Largest value that the store keeps, in bytes.
     :param on_recorded: Called after recorded runs were ordered.
     :param get_job_bytes: Returns how much memory the jobs may take, in bytes.
     """
@@ -40,6 +44,7 @@
         *,
         keep: float,
         on_recorded: Callable[[], None],
+        value_limit: int = stores.VALUE_BYTES,
         get_job_bytes: Callable[[], int] = (
             lambda: owner_resources.DEFAULT_JOB_BYTES
         ),
@@ -48,6 +53,7 @@
         self._writer = writer
         self._telemetry = telemetry
         self._keep = keep
+        self._value_limit = value_limit
         self._get_job_bytes = get_job_bytes
         self._on_recorded = on_recorded
         # ``None`` at first, as an earlier owner may have stored other counts.
@@ -79,6 +85,9 @@
             ),
             functools.partial(self._make_record, state),
             urgent=urgent,
+            values=(
+                parts.MAX_PARTS + 1 if record_parts.is_divided(state) else 1
+            ),
         )
 
     def publish_waiting(self, now: float, wall: float, seen: float) -> None:
@@ -166,6 +175,8 @@
         self._removed.add(state.identity)
         self._remove(state, records.Part.CANCEL)
         self._remove(state, records.Part.PROGRESS)
+        for key in record_parts.list_keys(state):
+            self._writer.enqueue(key, lambda: backlogs.Record(payload=None))
 
     def _remove(
         self,
@@ -182,11 +193,13 @@
     def _make_record(self, state: progress.JobState) -> backlogs.Record:
         planned = state.list_planned()
         if state.identity in self._refused:
-            payload = records.encode_outline(state)
+            values = {"": records.encode_outline(state)}
         else:
-            payload = records.encode_progress(state)
+            values = record_parts.encode(state, self._value_limit)
+        (_, payload), *others = values.items()
         return backlogs.Record(
             payload=payload,
+            parts=dict(others),
             written=functools.partial(
                 self._handle_written, state, planned, state.phase
             ),
--- a/src/rackvalve/manager/owner/resources.py
+++ b/src/rackvalve/manager/owner/resources.py
@@ -9,13 +9,22 @@
 from rackvalve.manager.election import failures as failure_histories
 from rackvalve.manager import namespace_registry
 from rackvalve.manager.standby import replica as replicas
+from rackvalve.manager import timing
 from rackvalve.manager import view as views
 from rackvalve.platform import advisers
 from rackvalve.platform import machines as machine_clients
 from rackvalve.platform import store as stores
+from rackvalve.scheduling import workers
 from rackvalve.serving import limits
 from rackvalve import telemetry as telemetries
 
+# Longest remaining lease that an earlier owner may have granted to a worker,
+# in seconds.
+MAX_INHERITED_LEASE_S = (
+    timing.EXTENSION_LIMIT_S
+    + timing.WORKER_LEASE_S * (1 + workers.CLOCK_TOLERANCE)
+    + workers.LEASE_MARGIN_S
+)
 DEFAULT_JOB_BYTES = weights.share_memory(limits.DEFAULT_MEMORY)
 
 
@@ -32,6 +41,7 @@
     :param on_contact: Called at each answer of the store.
     :param take_replica: Returns the replica of the owner's records that this
         process kept as a standby; ``None`` if it kept none.
+    :param value_limit: Largest value that the store keeps, in bytes.
     :param get_job_bytes: Returns how much memory the jobs of an owner may
         take, in bytes.
     :param failures: Unexpected errors of this process's owners.
@@ -44,6 +54,7 @@
     namespaces: namespace_registry.NamespaceRegistry
     telemetry: telemetries.Telemetry
     on_contact: Callable[[], None]
+    value_limit: int = stores.VALUE_BYTES
     get_job_bytes: Callable[[], int] = lambda: DEFAULT_JOB_BYTES
     take_replica: Callable[[], replicas.Replica | None] = lambda: None
     failures: failure_histories.FailureHistory = dataclasses.field(
--- a/src/rackvalve/manager/owner/writer.py
+++ b/src/rackvalve/manager/owner/writer.py
@@ -122,6 +122,7 @@
         make: Callable[[], backlogs.Record],
         *,
         urgent: bool = True,
+        values: int = 1,
     ) -> None:
         """Enqueue the write of a record.
 
@@ -129,8 +130,11 @@
         :param make: Makes the record at the time of sending.
         :param urgent: Whether something waits for the record; if not, it is
             sent with the next urgent one, or after ``WRITE_DELAY_S``.
+        :param values: How many values the record has at the most.
         """
-        self._backlog.enqueue(key, make, clocks.read_steady(), urgent=urgent)
+        self._backlog.enqueue(
+            key, make, clocks.read_steady(), urgent=urgent, values=values
+        )
         self._changed.set()
 
     def run(self) -> None:
@@ -156,8 +160,10 @@
         self, batch: backlogs.Batch, records: dict[str, backlogs.Record]
     ) -> None:
         payloads = {key: record.payload for key, record in records.items()}
+        for record in records.values():
+            payloads.update(record.parts)
         commit = commits.Commit(self._ownership, payloads, self._revisions)
-        result = self._commit(commit)
+        result = self._commit(commit, is_single=len(records) == 1)
         if result is Result.DEPOSED:
             return
         if result is Result.REFUSED and len(records) > 1:
@@ -169,7 +175,7 @@
         self._changed.set()
         for key, record in records.items():
             if result is Result.REFUSED:
-                self._on_refused(key, len(record.payload or b""))
+                self._on_refused(key, commit.size)
             notify = (
                 record.written if result is Result.WRITTEN else record.refused
             )
@@ -184,11 +190,14 @@
             own = {key: records[key] for key in half.writes}
             self._spawn(functools.partial(self._write, half, own))
 
-    def _commit(self, commit: commits.Commit) -> Result:
+    def _commit(self, commit: commits.Commit, *, is_single: bool) -> Result:
         """Send a commit, with retries, until the store takes or refuses it.
 
         A single record is refused only after several attempts, so that one
         odd answer ends no job.
+
+        :param commit: The commit.
+        :param is_single: Whether it writes one record.
         """
         attempts = refusals = 0
         while True:
@@ -209,7 +218,7 @@
             self._log_failure(commit, outcome)
             if isinstance(outcome, stores.Refused):
                 refusals += 1
-                if len(commit.payloads) > 1 or refusals >= _MAX_REFUSALS:
+                if not is_single or refusals >= _MAX_REFUSALS:
                     return Result.REFUSED
             # A commit that timed out is retried at once.
             taken = clocks.read_steady() - began
--- a/src/rackvalve/manager/program.py
+++ b/src/rackvalve/manager/program.py
@@ -330,6 +330,7 @@
             telemetry=self._telemetry,
             on_contact=self._view.note_contact,
             take_replica=self._take_replica,
+            value_limit=self._settings.get("manager", "store_value", int),
             get_job_bytes=self._get_job_bytes,
             failures=self._failures,
         )
--- a/src/rackvalve/scheduling/cluster.py
+++ b/src/rackvalve/scheduling/cluster.py
@@ -12,6 +12,7 @@
 
 from rackvalve.jobs import definition
 from rackvalve.jobs import incarnations
+from rackvalve.jobs import parts
 from rackvalve.jobs import progress
 from rackvalve.scheduling import closures
 from rackvalve.scheduling import crash_history
@@ -117,8 +118,7 @@
         """Replace the configuration.
 
         :param configuration: The configuration.
-        :param directory: The namespaces of its queues, and of those that were
-            removed.
+        :param directory: The namespaces of all queues.
         """
         self.configuration = configuration
         self.queues = namespaces.list_queues(directory, configuration)
@@ -269,7 +269,7 @@
         worker.add(workers.PlacedRun(state, task, run))
         worker.last_start_at = now
         self._count_run(state, task)
-        self.mark_changed(state, urgent=True)
+        self.mark_changed(state, task=task, urgent=True)
         return run
 
     def release(
@@ -293,7 +293,7 @@
             charge = fleet.get_charge(placed.step)
             self.usage.subtract(placed.state.workspace, charge)
         placed.state.requeue(placed.task, now + delay)
-        self.mark_changed(placed.state)
+        self.mark_changed(placed.state, task=placed.task)
 
     def _stop_unassembled(self, placed: workers.PlacedRun) -> None:
         """Stop the other runs of a gang that has not come together."""
@@ -360,11 +360,10 @@
                 continue
             run.stage = progress.Stage.ORDERED
             run.since = now
-            self.orders.append(
-                messages.StartRun(
-                    worker=run.worker, job=identity, task=name, run=number
-                )
+            order = messages.StartRun(
+                worker=run.worker, job=identity, task=name, run=number
             )
+            self.orders.append(order)
 
     def _is_closed(self, worker: workers.WorkerState) -> bool:
         """Return whether a worker was closed while a run was recorded.
@@ -419,13 +418,19 @@
         return worker
 
     def mark_changed(
-        self, state: progress.JobState, *, urgent: bool = False
+        self,
+        state: progress.JobState,
+        *,
+        task: progress.Task | None = None,
+        urgent: bool = False,
     ) -> None:
         """Mark a job's record as to be written.
 
         :param state: The job.
+        :param task: The only task that has changed; ``None`` for any.
         :param urgent: Whether a worker or a caller waits for the write.
         """
+        parts.note_changed(state, task)
         known = self.changed.get(state.identity, False)
         self.changed[state.identity] = known or urgent or state.is_final
         if state.is_final:
@@ -459,11 +464,8 @@
         now: float,
     ) -> None:
         worker = self.workers.get(run.worker)
-        placed = (
-            worker.runs.get((f"{state.identity}.{task.name}", run.number))
-            if worker is not None
-            else None
-        )
+        key = (f"{state.identity}.{task.name}", run.number)
+        placed = worker.runs.get(key) if worker is not None else None
         self.release(placed or workers.PlacedRun(state, task, run), now)
 
     def add_incarnation(self, identity: str) -> workers.WorkerState:
@@ -491,7 +493,7 @@
         run.worker = later.identity
         run.location = later.location
         later.add(placed)
-        self.mark_changed(placed.state)
+        self.mark_changed(placed.state, task=placed.task)
         if run.stop_wanted and run.stage is not progress.Stage.PLANNED:
             # The order to stop it went to the earlier incarnation.
             run.stop_wanted = False
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -125,7 +125,7 @@
                 if job_starts.note_run_seen(placed):
                     self._cluster.note_begun(placed.state)
                 if crashes.clear_suspect(worker, placed, report.sent):
-                    self._cluster.mark_changed(placed.state)
+                    self._cluster.mark_changed(placed.state, task=placed.task)
             elif len(report.ended) < MAX_ENDS_PER_REPORT:
                 self._release_unlisted(worker, placed, report.sent, now)
         for key in running:
@@ -176,7 +176,7 @@
             # Its run was released without a report of its end.
             task.unreported_runs -= {row.run}
             task.failures += row.ending is messages.Ending.FAILED
-            self._cluster.mark_changed(state)
+            self._cluster.mark_changed(state, task=task)
             attempts.fail_if_exhausted(self._cluster, state, task, wall)
 
     def _apply_success(
@@ -201,14 +201,15 @@
         if step.gang:
             self._finish_gang(state, task, number)
         state.waiting.pop(task.name, None)
-        self._cluster.mark_changed(state)
+        changed = None if step.gang else task
+        self._cluster.mark_changed(state, task=changed)
         for run in list(task.runs.values()):
             self._cluster.stop(state, task, run, "another run is done")
         if state.is_final:
             return
         state.open_steps(wall)
         state.finish_if_done(wall)
-        self._cluster.mark_changed(state)
+        self._cluster.mark_changed(state, task=changed)
 
     def _finish_gang(
         self, state: progress.JobState, ended: progress.Task, number: int
