--- a/tools/measure.py
+++ b/tools/measure.py
@@ -20,6 +20,7 @@
 from tools.experiments import jobs  # noqa: E402
 from tools.experiments import once  # noqa: E402
 from tools.experiments import overload  # noqa: E402
+from tools.experiments import records  # noqa: E402
 from tools.experiments import shares  # noqa: E402
 from tools.experiments import vm_crashes  # noqa: E402
 from tools.experiments import waves  # noqa: E402
@@ -33,6 +34,7 @@
     "decisions": decisions.run,
     "shares": shares.run,
     "writer": commits.run,
+    "records": records.run,
     "once": once.run,
     "overload": overload.run,
     "faults": faults.run,
