Send the stops of a large job a few at a time

Managers gave no answer for 30 s after a job with thousands of runs was cancelled.

Cause: each order to stop a run had a greenlet and a connection of its own, so 20,000 were under way at once. Seen by hand: 20,000 tasks of 20 s on five workers, cancelled after 5 s, were shown as cancelled 41 s later; the process of the stand-ins, which also serves the store, was as busy as the owner.

Change: 32 stops at the most are under way at one worker; the others queue apart from starts, as before.

Test: features/large_records.feature, 'The end of a job stops thousands of runs a few at a time'; on the code before, all 500 are under way at once.

--- a/features/large_records.feature
+++ b/features/large_records.feature
@@ -62,6 +62,13 @@
     When it is planned 3 times
     Then 1000, 1000 and 500 runs were planned
 
+  # A greenlet and a connection for each of 20,000 stops kept the owner from all
+  # else for 30 s.
+  Scenario: The end of a job stops thousands of runs a few at a time
+    Given a worker that takes 0.01 s to answer a stop
+    When 500 runs are stopped there
+    Then all stops were sent, and 32 at the most at a time
+
   Scenario: A large job runs to its end while its owner ends
     Given a site of 2 managers
     When a job of 2100 short tasks runs and the owner ends
--- a/features/steps/large_record_steps.py
+++ b/features/steps/large_record_steps.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import collections
+import time
 
 import behave
+import gevent
 import msgspec
 
 from features import job_bench
+from features.steps import late_start_steps
 from features.steps import site_steps
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 from rackvalve.jobs import record_parts
 from rackvalve.jobs import records
 from rackvalve.manager.owner import backlog as backlogs
+from rackvalve.manager.owner import worker_session as worker_sessions
 from rackvalve.platform import store as stores
+from rackvalve.platform import workers as clients
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
 
@@ -300,6 +305,104 @@
     assert 0 < context.looks < 10, context.looks
 
 
+# -- a new owner -------------------------------------------------------------
+
+
+@behave.given("a new owner that inherits a run which its worker never got")
+def inherit_run(context):
+    bench = context.bench = job_bench.Bench(["w1"])
+    state = progress.JobState(
+        job_bench.IDENTITY,
+        "queue",
+        definition.Job(spec="x", steps=(definition.Step(tasks=1),)),
+        NOW,
+    )
+    (context.task,) = [
+        state.task(definition.TaskName(repetition=0, step=0, index=0))
+    ]
+    run = progress.Run(1, "w1", progress.Stage.ORDERED, bench.now)
+    run.inherited = True
+    context.task.runs[1] = run
+    bench.cluster.add_job(state, bench.now, bench.now)
+    bench.cluster.workers["w1"].established = False
+    context.state = state
+
+
+@behave.when(
+    "the worker's first report lists {count:d} ends, and the second none"
+)
+def report_twice(context, count):
+    ended = [
+        (f"{'b' * 16}.0.0.{number}", 1, messages.Ending.DONE)
+        for number in range(count)
+    ]
+    context.bench.report("w1", ended=ended)
+    assert context.task.runs
+    context.bench.now += 0.1
+    context.bench.report("w1")
+
+
+@behave.then("the run's task waits for another run")
+def check_requeued(context):
+    assert not context.task.runs
+    assert context.task.name in context.state.waiting
+
+
+# -- stops -------------------------------------------------------------------
+
+
+class StoppingOwner(late_start_steps.FakeOwner):
+    """Owner that is told of stops."""
+
+    def confirm_stop(self, worker, key):
+        pass
+
+
+class StoppingWorker:
+    """Client of a worker that answers stops after a time."""
+
+    def __init__(self, delay):
+        self.delay = delay
+        self.stopped = []
+        self.open = self.most = 0
+
+    def stop(self, *, task, run, min_clock, fence):
+        self.open += 1
+        self.most = max(self.most, self.open)
+        gevent.sleep(self.delay)
+        self.open -= 1
+        self.stopped.append((task, run))
+        return clients.Done(clock=1.0)
+
+
+@behave.given("a worker that takes {delay:g} s to answer a stop")
+def make_stopping(context, delay):
+    worker = job_bench.Bench(["w1"]).cluster.workers["w1"]
+    context.client = StoppingWorker(delay)
+    context.session = worker_sessions.WorkerSession(
+        StoppingOwner(True), worker, context.client
+    )
+
+
+@behave.when("{count:d} runs are stopped there")
+def stop_many(context, count):
+    for number in range(count):
+        context.session.send(
+            messages.StopRun(
+                worker="w1", task=f"a.0.0.{number}", run=1, reason="x"
+            )
+        )
+    until = time.monotonic() + site_steps.WAIT_S
+    while len(context.client.stopped) < count and time.monotonic() < until:
+        gevent.sleep(0.01)
+
+
+@behave.then("all stops were sent, and {count:d} at the most at a time")
+def check_stopped(context, count):
+    assert len(set(context.client.stopped)) == 500
+    assert context.client.most == count, context.client.most
+
+
 # -- a site ----------------------------------------------------------------
 
 
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 import functools
 from typing import TypeVar
@@ -57,6 +58,9 @@
         self._client = client
         self._clock = worker_clock.WorkerClock()
         self._orders: gevent_queue.SimpleQueue = gevent_queue.SimpleQueue()
+        # Stops that no greenlet sends yet, and the greenlets that send some.
+        self._stops: collections.deque[messages.StopRun] = collections.deque()
+        self._stop_senders = 0
         self._greenlets = greenlet_pools.Group()
         self._is_answering = True
         self._is_lost = False
@@ -85,15 +89,25 @@
         """Send an order in another greenlet.
 
         A stop does not queue behind other orders: unanswered starts may keep
-        all senders busy.
+        all senders busy.  The end of one job may stop thousands of runs.
 
         :param order: The order.
         """
-        if isinstance(order, messages.StopRun):
-            stop = functools.partial(self.stop_run, order)
-            self._greenlets.spawn(self._guard, stop)
-        else:
+        if not isinstance(order, messages.StopRun):
             self._orders.put(order)
+            return
+        self._stops.append(order)
+        if self._stop_senders < timing.STOP_SENDERS:
+            self._stop_senders += 1
+            self._greenlets.spawn(self._guard, self._send_stops)
+
+    def _send_stops(self) -> None:
+        """Send the queued stops, until there is none."""
+        try:
+            while self._stops:
+                self.stop_run(self._stops.popleft())
+        finally:
+            self._stop_senders -= 1
 
     def _guard(self, function: Callable[[], None]) -> None:
         try:
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -168,6 +168,8 @@
 STOP_MARGIN_S = 0.6
 # Greenlets that send orders to one worker.
 ORDER_SENDERS = 3
+# Most greenlets that send stops to one worker, which takes 64 connections.
+STOP_SENDERS = 32
 
 # -- planning --------------------------------------------------------------
 # Shortest interval between plans: a busy owner was woken 235 times a second,
