Start runs anew that a worker's first full report leaves open

Cause: a new owner takes inherited runs that a worker does not list in its first report as never started, unless the report has 500 ends: it may be cut there. Later reports were not used for that, so such a run was neither started nor released. Evidence: the owner's greenlets all waited for orders or holds, the worker had established with 527 ends, and the job's blocker was 'its start was ordered and not confirmed' with no task waiting.

Change: as long as no worker has confirmed an inherited run, each report that isn't full tells whether it exists. A worker that has taken this owner's token rejects orders of earlier owners, so it can't start later.

Test: features/large_records.feature, 'A worker has more ends for a new owner than one report lists', which fails on the code before.

--- a/features/large_records.feature
+++ b/features/large_records.feature
@@ -62,6 +62,13 @@
     When it is planned 3 times
     Then 1000, 1000 and 500 runs were planned
 
+  # Its first report had as many ends as fit, so that it was not known which runs
+  # had never started, and later ones were not used for that: they stood for good.
+  Scenario: A worker has more ends for a new owner than one report lists
+    Given a new owner that inherits a run which its worker never got
+    When the worker's first report lists 500 ends, and the second none
+    Then the run's task waits for another run
+
   # A greenlet and a connection for each of 20,000 stops kept the owner from all
   # else for 30 s.
   Scenario: The end of a job stops thousands of runs a few at a time
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -293,10 +293,12 @@
 
         Once the worker has accepted this owner's fencing token, it rejects
         orders of earlier owners: an inherited run that it does not list then
-        can no longer start there.
+        can no longer start there.  Its first report may not show that, as it
+        may have more ends than one report lists.
         """
         run = placed.run
-        if run.inherited and not worker.established:
+        is_unseen = not worker.established or run.confirmed_at is None
+        if run.inherited and is_unseen:
             cause = "never started"
         elif run.confirmed_at is not None and run.confirmed_at < sent:
             cause = "no longer listed"
