Have no request wait for a directory of namespaces that it doesn't need

Change: an old copy is used and read again in the background; without a copy, each request waits for its own time only.

Test: features/renamed_queues.feature, two scenarios: a copy that is 400 s old, and 20 requests at a silent store.

--- a/features/renamed_queues.feature
+++ b/features/renamed_queues.feature
@@ -94,6 +94,15 @@
     When one knows a queue by its first name and one by its second
     Then both use the first one's namespace, and it was written once
 
+  Scenario: A copy of the directory is used while the store does not answer
+    Given a manager that read the directory 400 s ago, and a silent store
+    Then the namespace of its queue is known at once
+    And it is read again in the background
+
+  Scenario: A manager that knows no directory refuses in time
+    Given a manager that has read no directory, and a silent store
+    Then 20 requests at once are told so within 1 s
+
   Scenario: A directory that does not decode is left as it is
     Given a manager whose stored directory does not decode
     When a job is submitted there
--- a/features/steps/renamed_queue_steps.py
+++ b/features/steps/renamed_queue_steps.py
@@ -8,6 +8,7 @@
 import time
 
 import behave
+import gevent
 
 from features import job_bench
 from features import job_models as models
@@ -17,6 +18,7 @@
 from rackvalve.jobs import progress
 from rackvalve.jobs import records
 from rackvalve.manager.api import job_api
+from rackvalve.manager.api import relaying
 from rackvalve.manager import namespace_registry
 from rackvalve.manager import view as views
 from rackvalve.platform import documents
@@ -364,6 +366,66 @@
     assert item.revision == 11
 
 
+class SilentStore:
+    """Store that answers no reading, and counts them."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def read(self, key, *, timeout=None):
+        self.reads += 1
+        gevent.sleep(timeout or 0.3)
+        return stores.Unavailable(reason="no answer in time")
+
+
+def make_registry(context, directory, read_at):
+    context.store = SilentStore()
+    context.registry = namespace_registry.NamespaceRegistry(
+        context.store, views.View()
+    )
+    context.registry._set(directory, 1, read_at)
+
+
+@behave.given(
+    "a manager that read the directory {age:d} s ago, and a silent store"
+)
+def make_old_copy(context, age):
+    directory = namespaces.extend(namespaces.EMPTY, [models.QUEUE])
+    make_registry(context, directory, time.monotonic() - age)
+
+
+@behave.given("a manager that has read no directory, and a silent store")
+def make_no_copy(context):
+    make_registry(context, namespaces.EMPTY, float("-inf"))
+
+
+def resolve(context, seconds):
+    wait = relaying.StoreWait(time.monotonic() + seconds)
+    return context.registry.resolve(models.QUEUE, wait)
+
+
+@behave.then("the namespace of its queue is known at once")
+def check_known_at_once(context):
+    began = time.monotonic()
+    assert resolve(context, 5.0) == ("queue",)
+    assert time.monotonic() - began < 0.1
+
+
+@behave.then("it is read again in the background")
+def check_read_again(context):
+    gevent.sleep(0.01)
+    assert context.store.reads == 1, context.store.reads
+
+
+@behave.then("20 requests at once are told so within 1 s")
+def check_told(context):
+    began = time.monotonic()
+    asking = [gevent.spawn(resolve, context, 0.5) for _ in range(20)]
+    gevent.joinall(asking, raise_error=True)
+    assert {one.value for one in asking} == {()}
+    assert time.monotonic() - began < 1.0
+
+
 @behave.given("a manager whose stored directory does not decode")
 def make_invalid(context):
     context.store = cancellations.LateStore()
--- a/src/rackvalve/jobs/parts.py
+++ b/src/rackvalve/jobs/parts.py
@@ -16,7 +16,7 @@
 # Of a commit's 32 entries the ownership takes one, and the head and each part
 # take two.
 MAX_PARTS = 14
-# Tasks of a part, as far as there may be as many parts.
+# Tasks of a part, unless that makes more than ``MAX_PARTS``.
 PART_TASKS = 256
 
 
--- a/src/rackvalve/manager/namespace_registry.py
+++ b/src/rackvalve/manager/namespace_registry.py
@@ -21,9 +21,13 @@
 from rackvalve.scheduling import queues
 
 DIRECTORY_KEY = "namespaces"
-# Time for which a copy of the directory is used, in seconds.  It is below the
-# time for which the namespace of a removed queue is kept.
-MAX_COPY_AGE_S = namespaces.KEEP_REMOVED_S / 3
+# Age at which the copy of the directory is read again, and up to which it is
+# used, in seconds.  Both are below the time for which the namespace of a
+# removed queue is kept.
+REFRESH_AGE_S = namespaces.KEEP_REMOVED_S / 3
+MAX_COPY_AGE_S = 2 * REFRESH_AGE_S
+# Shortest time between two such readings, in seconds.
+REFRESH_INTERVAL_S = 1.0
 
 
 class NamespaceRegistry:
@@ -40,6 +44,7 @@
         "_is_readable",
         "_revision",
         "_read_at",
+        "_refreshed_at",
         "_turn",
     )
 
@@ -53,6 +58,8 @@
         # Store revision of the copy, and when it was read, in seconds.
         self._revision = 0
         self._read_at = float("-inf")
+        # When it was last to be read again, in seconds.
+        self._refreshed_at = float("-inf")
         # One greenlet at a time reads or writes the directory.
         self._turn = lock.BoundedSemaphore()
 
@@ -76,25 +83,44 @@
         :return: The namespaces, of which the first takes new jobs; none if the
             store does not answer.
         """
+        self._refresh_later(clocks.read_steady())
         while not (found := self._find_recent(queue)):
-            if wait.is_over(clocks.read_steady()):
+            now = clocks.read_steady()
+            if wait.is_over(now):
                 return ()
-            with self._turn:
-                began = clocks.read_steady()
-                timeout = wait.choose_timeout(began)
-                if found := self._find_recent(queue):
-                    return found
-                if self._is_stale(began):
-                    answered = self._read(timeout)
-                else:
-                    answered = self._add(queue, timeout)
-            if answered:
-                wait.note_answer()
-            else:
-                wait.note_failure(began)
-                gevent.sleep(timing.STORE_RETRY_DELAY_S)
+            # The store may not answer those who are before this one.
+            if not self._turn.acquire(timeout=max(0.0, wait.deadline - now)):
+                return ()
+            try:
+                self._look_up(queue, wait)
+            finally:
+                self._turn.release()
         return found
 
+    def _look_up(self, queue: queues.Queue, wait: relaying.StoreWait) -> None:
+        """Read the directory, or add the entry that it lacks."""
+        if self._find_recent(queue):
+            return
+        began = clocks.read_steady()
+        timeout = wait.choose_timeout(began)
+        if self._is_stale(began):
+            answered = self._read(timeout)
+        else:
+            answered = self._add(queue, timeout)
+        if answered:
+            wait.note_answer()
+        else:
+            wait.note_failure(began)
+            gevent.sleep(timing.STORE_RETRY_DELAY_S)
+
+    def _refresh_later(self, now: float) -> None:
+        """Have an old copy read again; no request waits for that."""
+        if self._is_stale(now) or now - self._read_at <= REFRESH_AGE_S:
+            return
+        if now - self._refreshed_at > REFRESH_INTERVAL_S:
+            self._refreshed_at = now
+            gevent.spawn(self.refresh)
+
     def load(self) -> namespaces.Directory:
         """Read the directory, until the store answers; return it."""
         while not self.refresh():
--- a/src/rackvalve/scheduling/starter.py
+++ b/src/rackvalve/scheduling/starter.py
@@ -13,8 +13,8 @@
 from rackvalve.scheduling import placement
 from rackvalve.scheduling import workers
 
-# Most runs that are planned for a pool before other work gets its turn: a job
-# may have tens of thousands of tasks, and each takes some 0.04 ms.
+# Most runs that are planned for a pool before other work has its turn: a job
+# may have tens of thousands of tasks.
 MAX_STARTS_PER_ROUND = 1000
 
 
