Send a refused directory of namespaces once a minute, not for good

Change: a refusal is logged (record.refused) and the directory is not sent again for a minute. Queues without an entry are served under their names meanwhile, as in earlier releases.

Test: features/renamed_queues.feature, 'A directory that the store refuses for its size'.

--- a/features/renamed_queues.feature
+++ b/features/renamed_queues.feature
@@ -103,6 +103,12 @@
     Given a manager that has read no directory, and a silent store
     Then 20 requests at once are told so within 1 s
 
+  # The refused commit would be sent again for good.
+  Scenario: A directory that the store refuses for its size
+    Given a manager whose store refuses the directory
+    When 5 jobs are submitted there
+    Then all are stored under their queue's name, and the directory was sent once
+
   Scenario: A directory that does not decode is left as it is
     Given a manager whose stored directory does not decode
     When a job is submitted there
--- a/features/steps/renamed_queue_steps.py
+++ b/features/steps/renamed_queue_steps.py
@@ -366,6 +366,43 @@
     assert item.revision == 11
 
 
+@behave.given("a manager whose store refuses the directory")
+def refuse_directory(context):
+    context.store = cancellations.LateStore()
+    context.sent = 0
+
+    def intervene(conditions):
+        if conditions[0].key != namespace_registry.DIRECTORY_KEY:
+            return None
+        context.sent += 1
+        return stores.Refused(reason="status 400")
+
+    context.store.intervene = intervene
+    context.manager = make_manager(context.store, "first")
+
+
+@behave.when("{count:d} jobs are submitted there")
+def submit_several(context, count):
+    context.identities = [f"{number:016x}" for number in range(count)]
+    for identity in context.identities:
+        status, _ = cancellations.call(
+            context.manager, "POST", cancellations.JOB, identity=identity
+        )
+        assert status == 200, status
+
+
+@behave.then(
+    "all are stored under their queue's name, and the directory was sent once"
+)
+def check_sent_once(context):
+    keys = {
+        records.format_key("first", identity, records.Part.DEFINITION)
+        for identity in context.identities
+    }
+    assert set(context.store.items) == keys, context.store.items
+    assert context.sent == 1, context.sent
+
+
 class SilentStore:
     """Store that answers no reading, and counts them."""
 
--- a/src/rackvalve/manager/namespace_registry.py
+++ b/src/rackvalve/manager/namespace_registry.py
@@ -28,6 +28,8 @@
 MAX_COPY_AGE_S = 2 * REFRESH_AGE_S
 # Shortest time between two such readings, in seconds.
 REFRESH_INTERVAL_S = 1.0
+# Time for which a directory that the store refuses is not written, in seconds.
+REFUSED_PAUSE_S = 60.0
 
 
 class NamespaceRegistry:
@@ -45,6 +47,7 @@
         "_revision",
         "_read_at",
         "_refreshed_at",
+        "_refused_at",
         "_turn",
     )
 
@@ -60,6 +63,8 @@
         self._read_at = float("-inf")
         # When it was last to be read again, in seconds.
         self._refreshed_at = float("-inf")
+        # When the store last refused a directory for its size, in seconds.
+        self._refused_at = float("-inf")
         # One greenlet at a time reads or writes the directory.
         self._turn = lock.BoundedSemaphore()
 
@@ -68,10 +73,15 @@
         """The directory as it was last read or written."""
         return self._copy
 
-    @property
-    def is_readable(self) -> bool:
-        """Whether the stored directory decodes; if not, it is left alone."""
-        return self._is_readable
+    def may_write(self, now: float) -> bool:
+        """Return whether the directory may be written.
+
+        One that does not decode is left alone, and one that the store has just
+        refused is not sent again for a time.
+
+        :param now: Present time, in seconds.
+        """
+        return self._is_readable and now - self._refused_at > REFUSED_PAUSE_S
 
     def resolve(
         self, queue: queues.Queue, wait: relaying.StoreWait
@@ -149,11 +159,14 @@
             return self._commit(directory, ownership, None)
 
     def _find_recent(self, queue: queues.Queue) -> tuple[str, ...]:
-        if self._is_stale(clocks.read_steady()):
+        now = clocks.read_steady()
+        if self._is_stale(now):
             return ()
-        if not self._is_readable:
-            return (queue.name,)
-        return self._copy.list_namespaces(queue)
+        known = self._copy.list_namespaces(queue)
+        if known or self.may_write(now) or self._copy.is_taken(queue.name):
+            return known
+        # As in earlier releases, until the directory can be written.
+        return (queue.name,)
 
     def _is_stale(self, now: float) -> bool:
         return now - self._read_at > MAX_COPY_AGE_S
@@ -180,9 +193,9 @@
         ownership: stores.Condition | None,
         timeout: float | None,
     ) -> bool:
-        if not self._is_readable:
-            return True
         began = clocks.read_steady()
+        if not self.may_write(began):
+            return False
         payload = namespaces.encode(directory)
         conditions = [
             stores.Condition(key=DIRECTORY_KEY, revision=self._revision)
@@ -200,6 +213,12 @@
         if isinstance(outcome, stores.Conflict):
             self._note(outcome.items.get(DIRECTORY_KEY), began)
             return True
+        if isinstance(outcome, stores.Refused):
+            self._refused_at = began
+            logs.write_warning(
+                "record.refused", key=DIRECTORY_KEY, size=len(payload)
+            )
+            return True
         logs.write_warning(
             "store.failed",
             call="namespaces",
--- a/src/rackvalve/manager/owner/queue_directory.py
+++ b/src/rackvalve/manager/owner/queue_directory.py
@@ -113,10 +113,10 @@
         """Write the directory; return whether the store has it."""
         configuration = self._cluster.configuration
         wanted = self._make_directory(configuration, wall)
-        if (
-            wanted is self._registry.directory
-            or not self._registry.is_readable
-        ):
+        if wanted is self._registry.directory:
+            return True
+        if not self._registry.may_write(clocks.read_steady()):
+            # It is written with the next change.
             return True
         if not self._registry.write(wanted, self._ownership):
             return False
--- a/src/rackvalve/scheduling/namespaces.py
+++ b/src/rackvalve/scheduling/namespaces.py
@@ -90,11 +90,15 @@
         entry = self.find(queue)
         if entry is None:
             return ()
-        if queue.name == entry.namespace or self._is_taken(queue.name):
+        if queue.name == entry.namespace or self.is_taken(queue.name):
             return (entry.namespace,)
         return entry.namespace, queue.name
 
-    def _is_taken(self, namespace: str) -> bool:
+    def is_taken(self, namespace: str) -> bool:
+        """Return whether an address has a namespace.
+
+        :param namespace: The namespace.
+        """
         return any(
             entry.namespace == namespace for entry in self.entries.values()
         )
