Refuse a job at once whose definition the store refuses

Cause: a refusal was sent again, like a commit without an answer, ten times a second. Ruled out: a size above store_value, which is answered 413 before.

Change: after three refusals the submission is answered 413, unless an earlier attempt may have been stored. The refusal is logged (record.refused). The number of refusals is the writer's.

Test: features/refused_records.feature, "The store refuses a job's definition 3 times", answered 503 at the deadline on the code before.

--- a/features/refused_records.feature
+++ b/features/refused_records.feature
@@ -44,3 +44,14 @@
     Given two managers at a store that keeps values of 300 bytes
     When a job of 64 steps is submitted
     Then the submission is answered 413 and nothing was written
+
+  # It was sent ten times a second until the caller's deadline.
+  Scenario Outline: The store refuses a job's definition <times> times
+    Given two managers at a store that refuses definitions <times> times
+    When a job of 1 steps is submitted
+    Then the submission is answered <status> after <times> refusals
+
+    Examples:
+      | times | status |
+      | 2     | 200    |
+      | 3     | 413    |
--- a/features/steps/refused_record_steps.py
+++ b/features/steps/refused_record_steps.py
@@ -174,3 +174,25 @@
 def check_refused(context):
     assert context.status == 413, context.status
     assert context.store.writes == 0
+
+
+@behave.given(
+    "two managers at a store that refuses definitions {times:d} times"
+)
+def refuse_definitions(context, times):
+    cancellations.make_managers(context)
+    context.refusals = 0
+
+    def intervene(conditions):
+        if context.refusals == times:
+            return None
+        context.refusals += 1
+        return stores.Refused(reason="status 400")
+
+    context.first._store.intervene = intervene
+
+
+@behave.then("the submission is answered {status:d} after {times:d} refusals")
+def check_answered(context, status, times):
+    assert context.status == status, context.status
+    assert context.refusals == times, context.refusals
--- a/src/rackvalve/logs.py
+++ b/src/rackvalve/logs.py
@@ -48,7 +48,8 @@
     "dependency.regained": "The store or a worker answers again.",
     "store.failed": "A write to the store failed and is made again.",
     "record.refused": "The store refuses a record for its content; says which "
-    "and how large. If it is a job's, the job ends as failed.",
+    "and how large. A job whose progress is refused ends as failed; one whose "
+    "definition is refused is not accepted.",
     "store.recovered": "The store answers again after an outage; calls in "
     "flight are made again.",
     "watch.restarted": "The store has lost history; all is read anew.",
--- a/src/rackvalve/manager/api/submission.py
+++ b/src/rackvalve/manager/api/submission.py
@@ -141,6 +141,7 @@
         cancels = dict.fromkeys(request.list_keys(records.Part.CANCEL), 0)
         cancel_key = next(iter(cancels))
         uncertain = False
+        refusals = 0
         reason = ""
         while not request.wait.is_over(began := clocks.read_steady()):
             puts = [stores.Put(key=keys[0], payload=payload)]
@@ -175,6 +176,10 @@
                 continue
             if isinstance(outcome, stores.Unknown):
                 uncertain = True
+            if isinstance(outcome, stores.Refused):
+                refusals += 1
+                if refusals >= timing.MAX_REFUSALS and not uncertain:
+                    return _refuse_definition(keys[0], len(payload))
             request.wait.note_failure(began)
             reason = getattr(outcome, "reason", "lease over")
             gevent.sleep(timing.STORE_RETRY_DELAY_S)
@@ -263,6 +268,16 @@
         return replies.Reply(status=http.HTTPStatus.OK)
 
 
+def _refuse_definition(key: str, size: int) -> replies.Reply:
+    """Refuse a job whose definition the store refuses for its content."""
+    logs.write_warning("record.refused", key=key, size=size)
+    return replies.Reply(
+        status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        reason=f"the store refuses the job's definition of {size} bytes; "
+        "submit several jobs",
+    )
+
+
 def _may_see_all(
     request: calls.Request, items: dict[str, stores.Item]
 ) -> bool:
--- a/src/rackvalve/manager/owner/writer.py
+++ b/src/rackvalve/manager/owner/writer.py
@@ -31,8 +31,6 @@
 # Bounds the exponent of an attempt's timeout: an outage may cause any number
 # of attempts, and the timeout reaches its maximum long before.
 _MAX_DOUBLINGS = 10
-# Times that the store refuses a single record until the record is given up.
-_MAX_REFUSALS = 3
 
 
 class Result(enum.Enum):
@@ -218,7 +216,7 @@
             self._log_failure(commit, outcome)
             if isinstance(outcome, stores.Refused):
                 refusals += 1
-                if not is_single or refusals >= _MAX_REFUSALS:
+                if not is_single or refusals >= timing.MAX_REFUSALS:
                     return Result.REFUSED
             # A commit that timed out is retried at once.
             taken = clocks.read_steady() - began
--- a/src/rackvalve/manager/timing.py
+++ b/src/rackvalve/manager/timing.py
@@ -87,6 +87,9 @@
 # longer timeouts of retries let an even slower store answer.
 COMMIT_TIMEOUT_S = 0.4
 MAX_COMMIT_TIMEOUT_S = 1.6
+# Times that the store refuses a single record for its content until the record
+# is given up: one odd answer ends nothing.
+MAX_REFUSALS = 3
 # Bytes of values per second that a commit's timeout allows for: 5 Mbit/s, the
 # users' slowest link, in base64.
 MIN_SEND_RATE = 460_000
