Count the waiting jobs of a queue under all of its namespaces

Cause: GET, DELETE and POST look under each namespace that may hold a queue's jobs, the count looked under the first one only.

Change: the published counts, or the records, of all of them are added up.

Test: features/renamed_queues.feature, 'Waiting jobs of a queue are counted under both of its names', by the owner's counts and by records; both rows fail on the code before.

--- a/features/renamed_queues.feature
+++ b/features/renamed_queues.feature
@@ -89,6 +89,17 @@
     When an earlier release stores a job under that name
     Then the manager shows it, takes it for the same job and cancels it
 
+  # The count left out what an earlier release counts or stores by the name.
+  Scenario Outline: Waiting jobs of a queue are counted under both of its names, <source>
+    Given a manager whose queue got another name
+    When jobs wait under both names, <source>
+    Then the manager counts 2 waiting jobs
+
+    Examples:
+      | source                  |
+      | as the owner told       |
+      | by their records        |
+
   Scenario: Managers that register queues at once agree on the namespaces
     Given two managers with a directory of namespaces at one store
     When one knows a queue by its first name and one by its second
--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -40,6 +40,14 @@
     def read(self, key, *, timeout=None):
         return self.items.get(key, stores.Missing())
 
+    def read_range(self, prefix):
+        items = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+        return stores.Range(items=tuple(items), revision=self.revision)
+
     def open_lease(self, duration):
         lease = stores.Lease(identity=len(self.leases) + 1, duration=duration)
         self.leases[lease.identity] = (lease, set())
@@ -132,6 +140,14 @@
 
 def call(api, method, body=None, *, identity=IDENTITY, queue="queue"):
     """Call a manager as a caller does; return status and Retry-After."""
+    status, headers, _ = exchange(
+        api, method, body, identity=identity, queue=queue
+    )
+    return status, headers.get("Retry-After")
+
+
+def exchange(api, method, body=None, *, identity=IDENTITY, queue="queue"):
+    """Call a manager as a caller does; return status, headers and body."""
     answers = []
     payload = b"" if body is None else json.dumps(body).encode()
     environ = {
@@ -143,9 +159,11 @@
         "wsgi.input": io.BytesIO(payload),
         servers.ABANDON_KEY: lambda: None,
     }
-    api(environ, lambda status, headers: answers.append((status, headers)))
+    chunks = api(
+        environ, lambda status, headers: answers.append((status, headers))
+    )
     ((status, headers),) = answers
-    return int(status[:3]), dict(headers).get("Retry-After")
+    return int(status[:3]), dict(headers), b"".join(chunks)
 
 
 def lose_writes(store):
--- a/src/rackvalve/manager/api/counts.py
+++ b/src/rackvalve/manager/api/counts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import dataclasses
 
 from gevent import lock
@@ -26,12 +27,12 @@
 
 
 class _Record(msgspec.Struct):
-    # Jobs that have not begun, by queue; a queue without any is left out.
+    # Jobs that have not begun, by namespace; one without any is left out.
     waiting: dict[str, codec.Integer]
     # When the counts were true, in seconds since 1970.
     counted: float
-    # Memory that all jobs take, by queue, and that they may take, in bytes;
-    # earlier releases publish neither.
+    # Memory that all jobs take, by namespace, and that they may take, in
+    # bytes; earlier releases publish neither.
     held: dict[str, codec.Integer] = {}
     capacity: codec.Integer = 0
 
@@ -53,7 +54,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class _CachedCount:
-    """The last count that this process made of a queue.
+    """The last count that this process made of a namespace.
 
     :param waiting: The count.
     :param at: When the counting began, in seconds.
@@ -70,7 +71,7 @@
 ) -> bytes:
     """Encode the record that an owner publishes.
 
-    :param waiting: Jobs that have not begun, by queue.
+    :param waiting: Jobs that have not begun, by namespace.
     :param counted: When the counts were true, in seconds since 1970.
     :param load: Memory that the owner's jobs take; ``None`` if not known.
     """
@@ -103,17 +104,21 @@
 
     def __init__(self, store: stores.Store) -> None:
         self._store = store
-        # This process's own counts by queue.  Each queue is counted by one
-        # greenlet at a time, since a count reads all records of the queue.
+        # This process's own counts by namespace.  Each one is counted by one
+        # greenlet at a time, since a count reads all of its records.
         self._cache: dict[str, _CachedCount] = {}
         self._locks: dict[str, lock.BoundedSemaphore] = {}
 
     def count(
-        self, queue: str, wall: float, *, timeout: float | None = None
+        self,
+        namespaces: Sequence[str],
+        wall: float,
+        *,
+        timeout: float | None = None,
     ) -> Count | stores.Unavailable:
         """Return how many jobs of a queue have not begun.
 
-        :param queue: Name of the queue.
+        :param namespaces: Namespaces that may hold the queue's jobs.
         :param wall: Present time, in seconds since 1970.
         :param timeout: Longest wait for the published count, in seconds;
             ``None`` for the client's default.
@@ -126,41 +131,62 @@
             record = _decode(found.payload)
             if record is not None and _is_recent(record, wall):
                 return Count(
-                    waiting=record.waiting.get(queue, 0),
+                    waiting=sum(
+                        record.waiting.get(name, 0) for name in namespaces
+                    ),
                     age=wall - record.counted,
                     published=True,
                 )
-        return self._count_records(queue, clocks.read_steady())
+        return self._count_all_records(namespaces, clocks.read_steady())
 
-    def _count_records(
-        self, queue: str, now: float
+    def _count_all_records(
+        self, namespaces: Sequence[str], now: float
     ) -> Count | stores.Unavailable:
-        """Count a queue's records, or return a recent count of this process.
+        """Count the records of namespaces.
+
+        :param namespaces: The namespaces.
+        :param now: Present time, in seconds.
+        """
+        waiting, oldest = 0, now
+        for namespace in namespaces:
+            cached = self._count_records(namespace, now)
+            if isinstance(cached, stores.Unavailable):
+                return cached
+            waiting += cached.waiting
+            oldest = min(oldest, cached.at)
+        age = clocks.read_steady() - oldest
+        return Count(waiting=waiting, age=age, published=False)
+
+    def _count_records(
+        self, namespace: str, now: float
+    ) -> _CachedCount | stores.Unavailable:
+        """Count a namespace's records, or return a recent count.
 
-        :param queue: Name of the queue.
+        :param namespace: The namespace.
         :param now: Present time, in seconds.
         """
-        turn = self._locks.setdefault(queue, lock.BoundedSemaphore())
+        turn = self._locks.setdefault(namespace, lock.BoundedSemaphore())
         with turn:
-            cached = self._cache.get(queue)
+            cached = self._cache.get(namespace)
             if cached is None or now - cached.at > timing.COUNT_CACHE_S:
                 began = clocks.read_steady()
-                waiting = self._read_waiting(queue)
+                waiting = self._read_waiting(namespace)
                 if isinstance(waiting, stores.Unavailable):
                     return waiting
                 cached = _CachedCount(waiting=waiting, at=began)
-                self._cache[queue] = cached
-        age = clocks.read_steady() - cached.at
-        return Count(waiting=cached.waiting, age=age, published=False)
+                self._cache[namespace] = cached
+        return cached
 
-    def _read_waiting(self, queue: str) -> int | stores.Unavailable:
+    def _read_waiting(self, namespace: str) -> int | stores.Unavailable:
         """Count the jobs that are defined and neither begun nor cancelled."""
         # Progress is read first, so that a job that begins between the reads
         # is counted once too often, not once too little.
-        known = self._store.read_range(f"{records.PROGRESS_PREFIX}{queue}/")
+        known = self._store.read_range(
+            f"{records.PROGRESS_PREFIX}{namespace}/"
+        )
         if isinstance(known, stores.Unavailable):
             return known
-        submitted = self._store.read_range(f"{records.PREFIX}{queue}/")
+        submitted = self._store.read_range(f"{records.PREFIX}{namespace}/")
         if isinstance(submitted, stores.Unavailable):
             return submitted
         identities = _list_jobs(submitted.items, records.Part.DEFINITION)
--- a/src/rackvalve/manager/api/job_api.py
+++ b/src/rackvalve/manager/api/job_api.py
@@ -391,7 +391,7 @@
         self, request: calls.Request
     ) -> replies.Reply | replies.Unserved:
         found = self._counter.count(
-            request.namespace,
+            request.namespaces,
             clocks.read_wall(),
             timeout=request.wait.choose_timeout(clocks.read_steady()),
         )
