Renew the namespace of a queue that comes back before a job is stored there

Cause: a manager uses its copy of the directory for up to 600 s. If the owner gave the namespace up meanwhile, the manager stored jobs under it, while the others registered a new one.

Change: 300 s after its removal an entry takes a new job only once it was renewed by a commit on the directory's revision, so that the store decides between the owner and the manager. Until then the namespace is kept for longer than any copy is used.

Test: features/renamed_queues.feature, 'A queue comes back 400 s after its removal', with the namespace kept and given up; both rows fail on the code before.

--- a/features/renamed_queues.feature
+++ b/features/renamed_queues.feature
@@ -100,6 +100,19 @@
       | as the owner told       |
       | by their records        |
 
+  # The manager stored jobs under a namespace that the owner had given up, where
+  # neither callers nor owners find them.
+  Scenario Outline: A queue comes back 400 s after its removal, its namespace <state>
+    Given a manager whose copy says that its queue was removed 400 s ago
+    When the namespace is <state>, and a job is submitted there
+    Then the job is stored under the namespace "<namespace>"
+    And the stored directory has that namespace, and its queue is not removed
+
+    Examples:
+      | state    | namespace |
+      | kept     | first     |
+      | given up | second    |
+
   Scenario: Managers that register queues at once agree on the namespaces
     Given two managers with a directory of namespaces at one store
     When one knows a queue by its first name and one by its second
--- a/features/steps/namespace_registry_steps.py
+++ b/features/steps/namespace_registry_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import time
 
@@ -108,6 +109,62 @@
     assert json.loads(body) == {"waiting": count}, body
 
 
+@behave.given("a manager whose copy says that its queue was removed 400 s ago")
+def make_removed(context):
+    context.store = cancellations.LateStore()
+    context.manager = make_manager(context.store, "second")
+    queue = dataclasses.replace(
+        models.QUEUE, name="first", host="h", prefix="/queue/"
+    )
+    entry = namespaces.Entry(
+        namespace="first", queue=queue, removed_at=time.time() - 400
+    )
+    context.directory = namespaces.Directory(
+        entries={namespaces.locate(queue): entry}
+    )
+    context.manager._registry._set(context.directory, 11, time.monotonic())
+
+
+@behave.when("the namespace is kept, and a job is submitted there")
+def submit_kept(context):
+    write_directory(context, context.directory)
+    submit_there(context)
+
+
+@behave.when("the namespace is given up, and a job is submitted there")
+def submit_given_up(context):
+    write_directory(context, context.directory)
+    write_directory(context, namespaces.EMPTY)
+    submit_there(context)
+
+
+def write_directory(context, directory):
+    put = stores.Put(
+        key=namespace_registry.DIRECTORY_KEY,
+        payload=namespaces.encode(directory),
+    )
+    context.store.apply([], [put])
+
+
+@behave.then('the job is stored under the namespace "{namespace}"')
+def check_namespace(context, namespace):
+    key = records.format_key(
+        namespace, cancellations.IDENTITY, records.Part.DEFINITION
+    )
+    assert key in context.store.items, context.store.items.keys()
+    context.namespace = namespace
+
+
+@behave.then(
+    "the stored directory has that namespace, and its queue is not removed"
+)
+def check_renewed(context):
+    item = context.store.items[namespace_registry.DIRECTORY_KEY]
+    (entry,) = namespaces.decode(item.payload).entries.values()
+    assert entry.namespace == context.namespace, entry
+    assert entry.removed_at == 0.0, entry
+
+
 @behave.given("two managers with a directory of namespaces at one store")
 def make_two(context):
     context.store = cancellations.LateStore()
--- a/src/rackvalve/manager/namespace_registry.py
+++ b/src/rackvalve/manager/namespace_registry.py
@@ -108,7 +108,7 @@
         return found
 
     def _look_up(self, queue: queues.Queue, wait: relaying.StoreWait) -> None:
-        """Read the directory, or add the entry that it lacks."""
+        """Read the directory, or add or renew the queue's entry."""
         if self._find_recent(queue):
             return
         began = clocks.read_steady()
@@ -162,6 +162,10 @@
         now = clocks.read_steady()
         if self._is_stale(now):
             return ()
+        entry = self._copy.find(queue)
+        if entry is not None and entry.needs_renewal(clocks.read_wall()):
+            if self.may_write(now):
+                return ()
         known = self._copy.list_namespaces(queue)
         if known or self.may_write(now) or self._copy.is_taken(queue.name):
             return known
@@ -181,7 +185,7 @@
         return True
 
     def _add(self, queue: queues.Queue, timeout: float | None) -> bool:
-        """Add the entries that are missing; return whether it was answered."""
+        """Add or renew entries; return whether the store has answered."""
         configuration = self._view.configuration
         configured = configuration.queues if configuration else ()
         wanted = namespaces.extend(self._copy, (queue, *configured))
--- a/src/rackvalve/scheduling/namespaces.py
+++ b/src/rackvalve/scheduling/namespaces.py
@@ -28,6 +28,10 @@
 # Time after which the namespace of a removed queue without jobs is given up,
 # in seconds.  It exceeds the time for which a manager uses its copy.
 KEEP_REMOVED_S = 900.0
+# Time since its queue was removed after which an entry takes no new job before
+# it is renewed, in seconds: what a manager stores by its copy of the directory
+# must not belong to a namespace that was given up meanwhile.
+RENEW_AGE_S = KEEP_REMOVED_S / 3
 # Most namespaces of removed queues without jobs; the oldest are given up.
 MAX_REMOVED = 1024
 # Most bytes of a namespace: the store bounds keys to 200 bytes.
@@ -61,6 +65,13 @@
     queue: queues.Queue
     removed_at: float = 0.0
 
+    def needs_renewal(self, wall: float) -> bool:
+        """Return whether the namespace may soon be given up.
+
+        :param wall: Present time, seconds since 1970.
+        """
+        return self.removed_at > 0 and wall - self.removed_at > RENEW_AGE_S
+
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Directory:
@@ -140,9 +151,11 @@
 ) -> Directory:
     """Return a directory that has an entry for each queue.
 
+    An entry whose queue was removed is renewed.
+
     :param directory: The directory.
     :param configured: The queues.
-    :return: The directory itself if it has all of them.
+    :return: The directory itself if nothing is to be changed.
     """
     entries = dict(directory.entries)
     taken = {entry.namespace for entry in entries.values()}
@@ -150,11 +163,13 @@
     for queue in sorted(configured, key=lambda one: -len(one.prefix)):
         address = locate(queue)
         if address in entries:
+            entry = entries[address]
+            entries[address] = dataclasses.replace(entry, removed_at=0.0)
             continue
         namespace = _choose_namespace(queue, taken)
         taken.add(namespace)
         entries[address] = Entry(namespace=namespace, queue=queue)
-    if len(entries) == len(directory.entries):
+    if entries == directory.entries:
         return directory
     return Directory(entries=entries)
 
