Divide a job's record only once it doesn't fit in a value

Tasks that were done ran again while managers of two releases ran side by side: an owner of this release had a job of 2,100 tasks, one of the earlier release followed, then one of this release (trial with real processes, 85 tasks without an end in the record; a task ended well twice).

Cause: records of more than 2,048 tasks were divided, which earlier releases don't decode. Such an owner keeps the job for unknown and takes the ends of its runs, so they are lost. Ruled out: the way back; a large record of the earlier release was taken over without a loss.

Change: a record is one value for as long as it fits, as in earlier releases, and is in parts from then on. Commits of jobs of more than 2,048 tasks still keep room for parts.

Test: features/large_records.feature, 'An earlier release reads all tasks of a job', fails on the code before. Of the other rows, those for 2,049 tasks and the scenarios for 4,096 asked for parts by that limit: they now ask for one value, or have 10,000 tasks. The site's scenario plays both forms; it asks that the record was in that form.

--- a/features/large_records.feature
+++ b/features/large_records.feature
@@ -12,10 +12,12 @@
     Examples:
       | tasks | state              | values |
       | 16    | run                | 1      |
-      | 2048  | run                | 1      |
-      | 2049  | run                | 10     |
+      | 2049  | run                | 1      |
+      | 8192  | run                | 1      |
+      | 10000 | run                | 15     |
       | 20000 | run                | 15     |
       | 32768 | run                | 15     |
+      | 20000 | are done           | 1      |
       | 32768 | are done           | 15     |
       | 16    | have long texts    | 2      |
       | 4096  | have long texts    | 15     |
@@ -29,17 +31,29 @@
     And a new owner reads the same job from all of it
 
   Scenario: A large record of an earlier release is read, and written in parts
-    Given a job of 4096 tasks, all of which run
+    Given a job of 10000 tasks, all of which run
     When an earlier release has written its record
     Then a new owner reads the same job from it
     And its next record has all parts
 
   # Its owner would start all tasks anew.
   Scenario: An earlier release shows a job whose record is in parts, and runs none of it
-    Given a job of 4096 tasks, all of which run
+    Given a job of 10000 tasks, all of which run
     When its record is encoded
     Then an earlier release reads its phase, and no tasks
 
+  # An owner of an earlier release took the ends of the runs of such a job, and
+  # lost them: tasks that were done ran again.
+  Scenario Outline: An earlier release reads all tasks of a job of <tasks> that fits in a value
+    Given a job of <tasks> tasks, all of which run
+    When its record is encoded
+    Then an earlier release reads its phase, and all of its tasks
+
+    Examples:
+      | tasks |
+      | 2049  |
+      | 8192  |
+
   Scenario: A record in parts goes in a commit of its own
     Given 20 records and one in parts that wait to be written
     When the commits are taken one after the other
@@ -76,7 +90,13 @@
     When 500 runs are stopped there
     Then all stops were sent, and 32 at the most at a time
 
-  Scenario: A large job runs to its end while its owner ends
-    Given a site of 2 managers
+  Scenario Outline: A large job runs to its end while its owner ends, its record in <form>
+    Given a site of 2 managers that take values of <limit> at the most
     When a job of 2100 short tasks runs and the owner ends
     Then it is shown as completed and each of its tasks ended well once
+    And its record was in <form>
+
+    Examples:
+      | limit | form      |
+      | 1MiB  | one value |
+      | 64KiB | parts     |
--- a/features/steps/large_record_steps.py
+++ b/features/steps/large_record_steps.py
@@ -22,6 +22,7 @@
 from rackvalve.platform import workers as clients
 from rackvalve.scheduling import fleet
 from rackvalve.scheduling import messages
+from tools import site as sites
 
 LIMIT = stores.VALUE_BYTES
 STEP_TASKS = 4096
@@ -192,6 +193,14 @@
     raise AssertionError("it would start all tasks anew")
 
 
+@behave.then("an earlier release reads its phase, and all of its tasks")
+def check_read_earlier(context):
+    (value,) = context.values.values()
+    found = msgspec.json.decode(value, type=EarlierProgress)
+    assert found.phase == progress.Phase.RUNNING.value
+    assert len(found.tasks) == len(context.state.tasks), len(found.tasks)
+
+
 @behave.given("{count:d} records and one in parts that wait to be written")
 def enqueue_records(context, count):
     context.backlog = backlogs.Backlog()
@@ -406,6 +415,15 @@
 # -- a site ----------------------------------------------------------------
 
 
+@behave.given("a site of 2 managers that take values of {limit} at the most")
+def start_limited(context, limit):
+    context.own_fleet = sites.Site(
+        2, settings=lambda number: {"store_value": limit}
+    )
+    context.own_fleet.start()
+    context.submitted = []
+
+
 @behave.when("a job of {count:d} short tasks runs and the owner ends")
 def run_large(context, count):
     site = context.own_fleet
@@ -417,6 +435,8 @@
     )
     site_steps.wait_for(lambda: count_done(context) > count // 4, "its begin")
     site.owner()["process"].kill()
+    key = records.format_tasks_key("lookup", context.identity, 0)
+    context.first_part = site.order({"peek": key})["item"]
 
 
 def count_done(context):
@@ -439,3 +459,8 @@
     )
     site_steps.check_shown(context)
     assert set(list_done(context).values()) == {1}
+
+
+@behave.then("its record was in {form}")
+def check_form(context, form):
+    assert (context.first_part is not None) == (form == "parts")
--- a/src/rackvalve/jobs/_record_wire.py
+++ b/src/rackvalve/jobs/_record_wire.py
@@ -66,8 +66,8 @@
 class Tasks(msgspec.Struct, omit_defaults=True):
     """Tasks of a job, all of them or those of a part."""
 
-    # Earlier releases do not decode a division, so they run no task of a job
-    # whose tasks they can't read.
+    # Earlier releases do not decode a division: they run no task of a job
+    # whose tasks they can't read, and lose the ends of its runs.
     tasks: list[Task] | Division = []
     # Addresses of the workers that the runs name.  Without them each new owner
     # waits 8.4 s for a worker whose entry is gone; with them it asks, and an
--- a/src/rackvalve/jobs/parts.py
+++ b/src/rackvalve/jobs/parts.py
@@ -1,9 +1,9 @@
 """Parts of a large job's record: which tasks are in which part.
 
-The store bounds the size of a value.  A large job's progress is a head and up
-to ``MAX_PARTS`` parts, each of which holds the tasks of one range and is
-written only when one of them has changed.  One commit takes a head with all of
-its parts, so that a record never is half of an earlier one.
+The store bounds the size of a value.  A progress that outgrows it is a head
+and up to ``MAX_PARTS`` parts, each of which holds the tasks of one range and
+is written only when one of them has changed.  One commit takes a head with all
+of its parts, so that a record never is half of an earlier one.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from rackvalve.jobs import definition
 from rackvalve.jobs import progress
 
-# Most tasks of a job whose record is a single value.
+# Most tasks of a job whose commit reserves no room for parts.
 MAX_SINGLE_TASKS = 2048
 # Of a commit's 32 entries the ownership takes one, and the head and each part
 # take two.
--- a/src/rackvalve/jobs/record_parts.py
+++ b/src/rackvalve/jobs/record_parts.py
@@ -1,7 +1,9 @@
 """Encodes a job's progress as values that the store can keep.
 
-A job that is accepted can always be kept: the record of a large one is written
-in parts, and where checkpoints don't fit, tasks start anew without them.
+A job that is accepted can always be kept: a record that outgrows a value is
+written in parts, and where checkpoints don't fit, tasks start anew without
+them.  As long as it fits it is one value, which owners of earlier releases
+read, too.
 """
 
 from __future__ import annotations
@@ -14,13 +16,16 @@
 from rackvalve.jobs import records
 
 
-def is_divided(state: progress.JobState) -> bool:
-    """Return whether a job's record is written in parts.
+def count_values(state: progress.JobState) -> int:
+    """Return how many values a commit of a job's progress has at the most.
+
+    A record that outgrows its value unforeseen is refused beside others and
+    sent alone (``Writer``).
 
     :param state: The job.
     """
     is_large = definition.count_tasks(state.job) > parts.MAX_SINGLE_TASKS
-    return bool(state.parts) or is_large
+    return parts.MAX_PARTS + 1 if state.parts or is_large else 1
 
 
 def encode(state: progress.JobState, limit: int) -> dict[str, bytes]:
@@ -33,11 +38,10 @@
     key = records.format_key(
         state.queue, state.identity, records.Part.PROGRESS
     )
-    if not is_divided(state):
+    if not state.parts:
         payload = records.encode_progress(state)
         if len(payload) <= limit:
             return {key: payload}
-    if not state.parts:
         parts.divide(state)
     values = {key: records.encode_division(state)}
     for number in sorted(state.changed_parts):
--- a/src/rackvalve/manager/owner/recorder.py
+++ b/src/rackvalve/manager/owner/recorder.py
@@ -7,7 +7,6 @@
 
 from rackvalve import clocks
 from rackvalve.jobs import definition
-from rackvalve.jobs import parts
 from rackvalve.jobs import progress
 from rackvalve.jobs import record_parts
 from rackvalve.jobs import records
@@ -85,9 +84,7 @@
             ),
             functools.partial(self._make_record, state),
             urgent=urgent,
-            values=(
-                parts.MAX_PARTS + 1 if record_parts.is_divided(state) else 1
-            ),
+            values=record_parts.count_values(state),
         )
 
     def publish_waiting(self, now: float, wall: float, seen: float) -> None:
