Acknowledge ends and order VMs beside a commit that gets no answer

Cause: ends were acknowledged, and orders sent, once all earlier writes were in the store. Evidence: the check that this replaces asked for it; with the second of two records stored and the first not, neither counted.

Change: an end waits for the record of its own job, and an order for its own record. A worker's ends are still acknowledged in their order.

Test: features/failing_commits.feature, 'Ends of other jobs are acknowledged while one job's commit gets no answers'; it uses what the code before lacks. features/commits.feature, 'A lost answer holds up only the records of its own commit', asked that neither record counts before both are stored, against its own title; it now asks which of them counts, before and after.

--- a/features/commits.feature
+++ b/features/commits.feature
@@ -55,7 +55,7 @@
     When it writes 2 records, one after the other
     Then the second is in the store before the first
     And the first is written once, by a second try
-    And only then are both counted as durable
+    And each is counted as stored once it is in the store itself
 
   Scenario: A new owner takes the revisions that it does not know from the store
     Given a record that an earlier owner has left unread
--- a/features/failing_commits.feature
+++ b/features/failing_commits.feature
@@ -7,6 +7,13 @@
     When other records are written while other calls are answered
     Then they are in the store, and "large" is tried on
 
+  # Workers kept the ends of all jobs, of which one report lists 500.
+  Scenario: Ends of other jobs are acknowledged while one job's commit gets no answers
+    Given a writer whose commits of "large" get no answer
+    When other records are written while other calls are answered
+    Then a worker with ends of other jobs may discard all of them
+    And a worker with an end of "large" may discard the ones before it
+
   Scenario: A commit gets no answers and no other call is answered
     Given a writer whose commits of "large" get no answer
     When other records are written while no call is answered
--- a/features/job_owner.py
+++ b/features/job_owner.py
@@ -113,7 +113,7 @@
     def make_late_hold(self, identity: str):
         """Return the worker's name and a hold that is carried out later."""
         name = incarnations.parse_incarnation(identity).worker
-        seen = self.cluster.workers[identity].find_acknowledged(self.durable)
+        seen = self.cluster.workers[identity].find_acknowledged(self.is_stored)
         token = self.tokens.find(self.cluster.workers[identity])
         now = self.world.now
         return name, lambda fake: fake.hold(token, seen, None, now)
@@ -127,6 +127,9 @@
         token = self.fence if worker is None else self.tokens.find(worker)
         return name, lambda fake: fake.start(task, run, token, until)
 
+    def is_stored(self, job: str, write: int) -> bool:
+        return write <= self.durable
+
     def write(self) -> None:
         """Commit all changed records, on condition of the ownership."""
         if not self.cluster.changed:
@@ -228,7 +231,7 @@
         if not reachable or not fake.answers:
             return
         if self.rules.acknowledge:
-            seen = worker.find_acknowledged(self.durable)
+            seen = worker.find_acknowledged(self.is_stored)
         else:
             seen = worker.handled
         token = self.tokens.find(worker)
--- a/features/steps/failing_commit_steps.py
+++ b/features/steps/failing_commit_steps.py
@@ -5,12 +5,14 @@
 import behave
 import gevent
 
+from features import job_bench
 from features.steps import commit_steps
 from features.steps import refused_record_steps as refused
 from rackvalve import clocks
 from rackvalve.manager.owner import writer as writers
 from rackvalve.manager import timing
 from rackvalve.platform import store as stores
+from rackvalve.scheduling import workers
 
 LARGE = "large"
 
@@ -63,6 +65,28 @@
     assert context.store.unanswered > 2
 
 
+def acknowledge(context, jobs):
+    """Return the last end that a worker may discard, of one end a job."""
+    worker = job_bench.Bench(["w1"]).cluster.workers["w1"]
+    worker.handled = len(jobs)
+    worker.unrecorded = [
+        workers.UnrecordedEnd(number, job)
+        for number, job in enumerate(jobs, start=1)
+    ]
+    worker.note_write(context.writer.number)
+    return worker.find_acknowledged(context.writer.is_stored)
+
+
+@behave.then("a worker with ends of other jobs may discard all of them")
+def check_acknowledged(context):
+    assert acknowledge(context, ["r0", "r1", "r2"]) == 3
+
+
+@behave.then('a worker with an end of "large" may discard the ones before it')
+def check_kept(context):
+    assert acknowledge(context, ["r0", LARGE, "r2"]) == 1
+
+
 @behave.then("they wait for that commit")
 def check_waiting(context):
     assert not context.store.order, context.store.order
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -114,7 +114,6 @@
 class BenchOwner:
     """An owner that applies what a session reports to a bench."""
 
-    durable = 0
     committed_revision = 0
 
     def __init__(self, bench):
@@ -122,6 +121,9 @@
         self.tokens = fencing_tokens.FencingTokens(7)
         self.deposed = ""
 
+    def is_stored(self, job, write):
+        return False
+
     def may_extend(self, now):
         return True
 
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -28,7 +28,6 @@
 class FakeOwner:
     """An owner that may or may not extend leases."""
 
-    durable = 0
     committed_revision = 0
 
     def __init__(self, may_extend):
@@ -36,6 +35,9 @@
         self.results = []
         self.tokens = fencing_tokens.FencingTokens(7)
 
+    def is_stored(self, job, write):
+        return False
+
     def may_extend(self, now):
         return self.allowed
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -128,7 +128,7 @@
     for call in (context.client.hold, context.client.stop):
         call.side_effect = TypeError("an odd document")
     worker = benches.Bench(["w1"]).cluster.workers["w1"]
-    context.owner = mock.Mock(durable=0)
+    context.owner = mock.Mock(**{"is_stored.return_value": False})
     context.session = worker_sessions.WorkerSession(
         context.owner, worker, context.client
     )
@@ -140,7 +140,7 @@
     client.hold.return_value = clients.Report(clock=1.0, running=(), ended=())
     client.stop.return_value = clients.Done(clock=1.0)
     worker = benches.Bench(["w1"]).cluster.workers["w1"]
-    context.owner = mock.Mock(durable=0)
+    context.owner = mock.Mock(**{"is_stored.return_value": False})
     context.owner.apply_report.side_effect = KeyError("half changed")
     context.session = worker_sessions.WorkerSession(
         context.owner, worker, client
@@ -195,7 +195,7 @@
     bench.add(definition.Step(cpu=1, lasting=lasts == "lasts"))
     bench.plan()
     (order,) = bench.starts()
-    context.owner = mock.Mock(durable=0)
+    context.owner = mock.Mock(**{"is_stored.return_value": False})
     session = worker_sessions.WorkerSession(
         context.owner, bench.cluster.workers["w1"], context.client
     )
--- a/features/steps/restarted_incarnation_steps.py
+++ b/features/steps/restarted_incarnation_steps.py
@@ -29,6 +29,7 @@
 from rackvalve.scheduling import maintenance
 from rackvalve.scheduling import messages
 from rackvalve.scheduling import queues
+from rackvalve.scheduling import workers
 
 EARLIER = "w1@1000"
 LATER = "w1@2000"
@@ -181,7 +182,7 @@
     worker.slowness = 4.0
     worker.ordered_away = True
     worker.handled = 8
-    worker.unrecorded = [(8, None)]
+    worker.unrecorded = [workers.UnrecordedEnd(8, "a")]
 
 
 @behave.when("it has started again and has told what it has")
@@ -300,9 +301,8 @@
 def refuse_token(context, whose):
     bench = benches.Bench([EARLIER])
     context.worker = bench.cluster.workers[EARLIER]
-    context.owner = mock.Mock(
-        durable=0, tokens=fencing_tokens.FencingTokens(7)
-    )
+    context.owner = mock.Mock(tokens=fencing_tokens.FencingTokens(7))
+    context.owner.is_stored.return_value = False
     if whose == "it itself":
         later = bench.cluster.add_incarnation(LATER)
         context.owner.tokens.raise_for(later, 9)
@@ -330,9 +330,8 @@
 def leave_calls(context):
     bench = benches.Bench([EARLIER])
     context.worker = bench.cluster.workers[EARLIER]
-    context.owner = mock.Mock(
-        durable=0, tokens=fencing_tokens.FencingTokens(7)
-    )
+    context.owner = mock.Mock(tokens=fencing_tokens.FencingTokens(7))
+    context.owner.is_stored.return_value = False
     context.refused = gevent.event.Event()
 
     def refuse(**fields):
--- a/features/steps/vm_controller_steps.py
+++ b/features/steps/vm_controller_steps.py
@@ -33,9 +33,8 @@
         self.number = 0
         self.records = {}
 
-    @property
-    def durable(self):
-        return self.number
+    def is_stored(self, key, number):
+        return key in self.records and number <= self.number
 
     def enqueue(self, key, make, urgent=True):
         self.number += 1
@@ -244,7 +243,7 @@
 def give_orders(context, vm):
     """Order a VM to move; return the records in the store by then."""
     care = context.controller
-    care._writer = writer = mock.Mock(number=0, durable=0)
+    care._writer = writer = mock.Mock(number=0)
     with mock.patch.object(
         vm_controller.clocks, "read_steady", context.read_steady
     ):
--- a/src/rackvalve/manager/owner/backlog.py
+++ b/src/rackvalve/manager/owner/backlog.py
@@ -73,8 +73,7 @@
         "_blocked",
         "_batches",
         "_keys_in_flight",
-        "_unwritten",
-        "_oldest_number",
+        "_unstored",
         "_delayable_since",
         "_last_sent",
         "_commit_count",
@@ -91,10 +90,9 @@
         self._blocked: dict[str, tuple[PendingWrite, bool]] = {}
         self._batches: dict[int, Batch] = {}
         self._keys_in_flight: set[str] = set()
-        # Sequence numbers of the writes that are not in the store, and the
-        # least one.
-        self._unwritten: set[int] = set()
-        self._oldest_number = 1
+        # Sequence numbers of the writes that are not in the store, by key: of
+        # one in flight and one after it at the most.
+        self._unstored: dict[str, set[int]] = {}
         # When the oldest delayable write was enqueued.
         self._delayable_since = 0.0
         # When the last commit was first sent, not counting its retries.
@@ -107,10 +105,17 @@
         self.is_failing = False
         self.is_reached = False
 
-    @property
-    def durable(self) -> int:
-        """Sequence number up to which all writes are in the store."""
-        return self._oldest_number - 1 if self._unwritten else self.number
+    def is_stored(self, key: str, number: int) -> bool:
+        """Return whether a record's changes up to a write are in the store.
+
+        A record that the store has refused counts as stored.
+
+        :param key: The record's key.
+        :param number: Sequence number of the write.
+        """
+        return all(
+            unstored > number for unstored in self._unstored.get(key, ())
+        )
 
     @property
     def in_flight(self) -> int:
@@ -137,10 +142,8 @@
         self.number += 1
         known = self._take_write(key)
         if known is None:
-            if not self._unwritten:
-                self._oldest_number = self.number
-            self._unwritten.add(self.number)
             number = self.number
+            self._unstored.setdefault(key, set()).add(number)
         else:
             number = known[0].number
             urgent = urgent or known[1]
@@ -215,7 +218,7 @@
         return halves
 
     def complete_batch(self, batch: Batch, now: float) -> None:
-        """Mark a commit's writes as durable.
+        """Mark a commit's writes as stored.
 
         :param batch: The writes of the commit.
         :param now: Present time, in seconds.
@@ -223,11 +226,12 @@
         del self._batches[batch.number]
         for key, write in batch.writes.items():
             self._keys_in_flight.discard(key)
-            self._unwritten.discard(write.number)
+            self._unstored[key].discard(write.number)
+            if not self._unstored[key]:
+                del self._unstored[key]
             if key in self._blocked:
                 blocked, urgent = self._blocked.pop(key)
                 self._put_write(key, blocked, now, urgent=urgent)
-        self._oldest_number = min(self._unwritten, default=self._oldest_number)
 
     def _take_write(self, key: str) -> tuple[PendingWrite, bool] | None:
         """Remove an unsent write; return it and whether it is urgent."""
--- a/src/rackvalve/manager/owner/owner.py
+++ b/src/rackvalve/manager/owner/owner.py
@@ -127,10 +127,13 @@
             on_recorded=self._send_orders,
         )
 
-    @property
-    def durable(self) -> int:
-        """Sequence number up to which all writes are in the store."""
-        return self._writer.durable
+    def is_stored(self, job: str, write: int) -> bool:
+        """Return whether a job's changes up to a write are in the store.
+
+        :param job: The job's identifier.
+        :param write: Sequence number of the write.
+        """
+        return self._recorder.is_stored(job, write)
 
     @property
     def committed_revision(self) -> int:
@@ -273,18 +276,7 @@
         if self.deposed:
             return
         if result is not messages.StartResult.STARTED:
-            self._resources.telemetry.starts_rejected.labels(
-                result.value
-            ).inc()
-            logs.write_warning(
-                "run.rejected",
-                job=placed.state.identity,
-                task=str(placed.task.name),
-                run=placed.run.number,
-                worker=placed.run.worker,
-                reason=result.value,
-                uncertain=uncertain,
-            )
+            self._reporter.log_rejected(placed, result, uncertain=uncertain)
         start_results.apply_start_result(
             self._cluster,
             placed,
--- a/src/rackvalve/manager/owner/protocols.py
+++ b/src/rackvalve/manager/owner/protocols.py
@@ -55,9 +55,12 @@
     def committed_revision(self) -> int:
         """The store's revision of the last commit; 0 before the first."""
 
-    @property
-    def durable(self) -> int:
-        """Sequence number up to which all writes are in the store."""
+    def is_stored(self, job: str, write: int) -> bool:
+        """Return whether a job's changes up to a write are in the store.
+
+        :param job: The job's identifier.
+        :param write: Sequence number of the write.
+        """
 
     def wait_for_commit(self, timeout: float) -> None:
         """Wait until the next commit is in the store.
--- a/src/rackvalve/manager/owner/recorder.py
+++ b/src/rackvalve/manager/owner/recorder.py
@@ -77,11 +77,21 @@
                 self._enqueue(state, urgent=urgent)
         self._cluster.changed.clear()
 
+    def is_stored(self, job: str, write: int) -> bool:
+        """Return whether a job's changes up to a write are in the store.
+
+        :param job: The job's identifier.
+        :param write: Sequence number of the write.
+        :return: ``True`` also for a job that is not known.
+        """
+        state = self._cluster.jobs.get(job)
+        return state is None or self._writer.is_stored(
+            _format_key(state), write
+        )
+
     def _enqueue(self, state: progress.JobState, *, urgent: bool) -> None:
         self._writer.enqueue(
-            records.format_key(
-                state.queue, state.identity, records.Part.PROGRESS
-            ),
+            _format_key(state),
             functools.partial(self._make_record, state),
             urgent=urgent,
             values=record_parts.count_values(state),
@@ -253,3 +263,10 @@
             stretch=queue.stretch if queue is not None else 0.0,
             allowance=queue.allowance if queue is not None else 0.0,
         )
+
+
+def _format_key(state: progress.JobState) -> str:
+    """Return the key of a job's progress."""
+    return records.format_key(
+        state.queue, state.identity, records.Part.PROGRESS
+    )
--- a/src/rackvalve/manager/owner/reporter.py
+++ b/src/rackvalve/manager/owner/reporter.py
@@ -16,6 +16,7 @@
 from rackvalve.scheduling import releases
 from rackvalve.scheduling import reports
 from rackvalve.scheduling import stalls
+from rackvalve.scheduling import workers
 from rackvalve import telemetry as telemetries
 
 # Most workers that one log line names.
@@ -208,6 +209,30 @@
         self._telemetry.records_refused.inc()
         logs.write_warning("record.refused", key=key, size=size)
 
+    def log_rejected(
+        self,
+        placed: workers.PlacedRun,
+        result: messages.StartResult,
+        *,
+        uncertain: bool,
+    ) -> None:
+        """Log and count a start that was not taken.
+
+        :param placed: The run.
+        :param result: Why it was not taken.
+        :param uncertain: Whether an earlier attempt may have been taken.
+        """
+        self._telemetry.starts_rejected.labels(result.value).inc()
+        logs.write_warning(
+            "run.rejected",
+            job=placed.state.identity,
+            task=str(placed.task.name),
+            run=placed.run.number,
+            worker=placed.run.worker,
+            reason=result.value,
+            uncertain=uncertain,
+        )
+
     def log_begun(self) -> None:
         """Log the jobs that have begun since the last call."""
         now = clocks.read_steady()
--- a/src/rackvalve/manager/owner/vm_controller.py
+++ b/src/rackvalve/manager/owner/vm_controller.py
@@ -308,7 +308,7 @@
             self._ordered[vm] = None
             self._writer.enqueue(ORDERS_KEY, self._make_orders_record)
             write = self._writer.number
-            while self._writer.durable < write:
+            while not self._writer.is_stored(ORDERS_KEY, write):
                 gevent.sleep(timing.VM_CONTROL_INTERVAL_S / 10)
 
     def _send_order(self, vm: str, send: Callable[[], Outcome]) -> Outcome:
--- a/src/rackvalve/manager/owner/worker_session.py
+++ b/src/rackvalve/manager/owner/worker_session.py
@@ -171,7 +171,7 @@
         outcome = self._call(
             self._client.hold,
             lease_until=until,
-            acknowledged=self._worker.find_acknowledged(self._owner.durable),
+            acknowledged=self._worker.find_acknowledged(self._owner.is_stored),
             wait=wait,
             timeout=self._hold_timeout,
         )
@@ -245,7 +245,7 @@
         """Wait until the store has the ended runs of the last report."""
         until = clocks.read_steady() + timing.RECORD_WAIT_S
         while True:
-            self._worker.find_acknowledged(self._owner.durable)
+            self._worker.find_acknowledged(self._owner.is_stored)
             left = until - clocks.read_steady()
             if not self._worker.unrecorded or left <= 0:
                 return
--- a/src/rackvalve/manager/owner/writer.py
+++ b/src/rackvalve/manager/owner/writer.py
@@ -97,10 +97,13 @@
         """Sequence number of the last write."""
         return self._backlog.number
 
-    @property
-    def durable(self) -> int:
-        """Sequence number up to which all writes are in the store."""
-        return self._backlog.durable
+    def is_stored(self, key: str, number: int) -> bool:
+        """Return whether a record's changes up to a write are in the store.
+
+        :param key: The record's key.
+        :param number: Sequence number of the write.
+        """
+        return self._backlog.is_stored(key, number)
 
     @property
     def committed_revision(self) -> int:
--- a/src/rackvalve/scheduling/reports.py
+++ b/src/rackvalve/scheduling/reports.py
@@ -115,7 +115,9 @@
             if row.number <= worker.handled:
                 continue
             worker.handled = row.number
-            worker.unrecorded.append((row.number, None))
+            worker.unrecorded.append(
+                workers.UnrecordedEnd(row.number, row.task.partition(".")[0])
+            )
             self._apply_end(worker, row, now, wall)
         running = {(row.task, row.run): row for row in report.running}
         for key, placed in list(worker.runs.items()):
--- a/src/rackvalve/scheduling/workers.py
+++ b/src/rackvalve/scheduling/workers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from rackvalve.jobs import incarnations
 from rackvalve.jobs import progress
 from rackvalve.scheduling import fleet
@@ -48,6 +50,22 @@
         return f"{self.state.identity}.{self.task.name}"
 
 
+class UnrecordedEnd:
+    """A run's end that was handled and may not be in the store.
+
+    :param number: Number of the end among those of its worker.
+    :param job: Identifier of the run's job.
+    """
+
+    __slots__ = ("number", "job", "write")
+
+    def __init__(self, number: int, job: str) -> None:
+        self.number = number
+        self.job = job
+        # Number of the write that records it; ``None`` until it is queued.
+        self.write: int | None = None
+
+
 class WorkerState:
     """State of one incarnation of a worker.
 
@@ -133,9 +151,8 @@
         self.lease_expiry = lease_expiry
         # Number of the last reported end that was handled.
         self.handled = 0
-        # Ends that are handled and not yet in the store, each with the number
-        # of the write that records it; ``None`` until that write is queued.
-        self.unrecorded: list[tuple[int, int | None]] = []
+        # Ends that are handled and not yet in the store.
+        self.unrecorded: list[UnrecordedEnd] = []
         # When its entry was first missing in the store, in seconds.
         self.entry_missing_since: float | None = None
         self.backoff_until = 0.0
@@ -311,21 +328,19 @@
 
         :param write: Number of the write.
         """
-        self.unrecorded = [
-            (number, write if known is None else known)
-            for number, known in self.unrecorded
-        ]
+        for end in self.unrecorded:
+            if end.write is None:
+                end.write = write
 
-    def find_acknowledged(self, durable: int) -> int:
+    def find_acknowledged(self, is_stored: Callable[[str, int], bool]) -> int:
         """Return the number of the last end that the worker may discard.
 
-        :param durable: Number of the last write that is in the store.
+        :param is_stored: Returns whether the store has what was written of a
+            job up to a write.
         """
         while self.unrecorded:
-            write = self.unrecorded[0][1]
-            if write is None or write > durable:
-                break
+            end = self.unrecorded[0]
+            if end.write is None or not is_stored(end.job, end.write):
+                return end.number - 1
             self.unrecorded.pop(0)
-        if self.unrecorded:
-            return self.unrecorded[0][0] - 1
         return self.handled
