--- a/tools/experiments/records.py
+++ b/tools/experiments/records.py
@@ -13,8 +13,9 @@
 from rackvalve.scheduling import fleet
 from tools.experiments import figures
 
-# A usual job, and the largest one that is accepted.
-SIZES = (16, definition.MAX_TOTAL_TASKS)
+# A usual job, one whose record just fits in a value, and the largest one that
+# is accepted.
+SIZES = (16, 8192, definition.MAX_TOTAL_TASKS)
 STEP_TASKS = 4096
 WORKERS = 8
 CAPACITY = fleet.Resources(cpu=10**6, memory=10**6, gpu=0)
