Play managers of two releases side by side

make releases OTHER=path starts a manager of this release and one of a checkout beside it: jobs taken by one and run by the other, cancels, counts, and jobs of 6 and of 2,100 tasks while each follows the other as owner.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 MANAGERS ?= 6
 KIND ?=
 WHERE ?= route
+OTHER ?=
 
-.PHONY: test lint demo measure fuzz soak clients proto reference lock clean
+.PHONY: test lint demo measure fuzz soak clients releases proto reference lock clean
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -44,6 +45,9 @@
 clients: .venv/ready
 	$(BIN)/python -m tools.clients.trial $(KIND) --where $(WHERE) --seconds $(SECONDS) --seed $(SEED)
 
+releases: .venv/ready
+	$(BIN)/python -m tools.releases $(OTHER)
+
 # Generated code is committed; run this after a change of the .proto file.
 proto: .venv/ready
 	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/rackvalve/rpc --pyi_out=src/rackvalve/rpc --grpc_python_out=src/rackvalve/rpc proto/rackvalve.proto
