--- a/features/large_records.feature
+++ b/features/large_records.feature
@@ -12,6 +12,7 @@
     Examples:
       | tasks | state              | values |
       | 16    | run                | 1      |
+      | 2048  | run                | 1      |
       | 2049  | run                | 1      |
       | 8192  | run                | 1      |
       | 10000 | run                | 15     |
